--- /dev/null
+++ b/siskinbank/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line with ``python -m siskinbank``."""
+
+from siskinbank.commands import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/siskinbank/commands/_options.py
@@ -0,0 +1,138 @@
+"""Options that several commands share, and checks that name the bad value."""
+
+from collections.abc import Callable
+from typing import Any
+
+import click
+
+from siskinbank.util import parse_address
+from siskinbank.wire.keys import KeyRing, parse_keys
+
+__all__ = (
+    'ADDRESS',
+    'KEYS',
+    'AddressType',
+    'KeysType',
+    'logging_options',
+    'process_options',
+)
+
+Decorator = Callable[[Callable[..., Any]], Callable[..., Any]]
+
+
+class AddressType(click.ParamType[Any]):
+    """An option written as ``IP:PORT``."""
+
+    name = 'ip:port'
+
+    def convert(
+        self,
+        value: Any,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> Any:
+        """Return the address as a tuple."""
+        if isinstance(value, tuple):
+            return value
+        try:
+            return parse_address(value)
+        except ValueError as error:
+            self.fail(str(error), param, ctx)
+
+
+class KeysType(click.ParamType[Any]):
+    """An option written as ``ID:HEX[,ID:HEX]``."""
+
+    name = 'keys'
+
+    def convert(
+        self,
+        value: Any,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> Any:
+        """Return the key ring."""
+        if isinstance(value, KeyRing):
+            return value
+        try:
+            return KeyRing(parse_keys(value))
+        except ValueError as error:
+            self.fail(str(error), param, ctx)
+
+
+ADDRESS = AddressType()
+KEYS = KeysType()
+
+
+def _option(name: str, *, help_text: str, **kwargs: Any) -> Decorator:
+    variable = name.removeprefix('--').replace('-', '_').upper()
+    return click.option(
+        name,
+        envvar=f'SISKINBANK_{variable}',
+        show_envvar=True,
+        show_default=True,
+        help=help_text,
+        **kwargs,
+    )
+
+
+def logging_options(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the options for logs."""
+    level = _option(
+        '--log-level',
+        help_text='Least level that is written.',
+        type=click.Choice(['DEBUG', 'INFO', 'WARNING', 'ERROR']),
+        default='INFO',
+    )
+    form = _option(
+        '--log-format',
+        help_text='Form of the log lines.',
+        type=click.Choice(['text', 'json']),
+        default='text',
+    )
+    return level(form(command))
+
+
+def process_options(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the options that every process of the system has."""
+    for decorate in (
+        logging_options,
+        _option(
+            '--keys',
+            help_text='One or two keys, ID:HEX[,ID:HEX]; the first one seals.',
+            type=KEYS,
+            required=True,
+        ),
+        _option(
+            '--platform',
+            help_text="URL of the platform's configuration service.",
+            required=True,
+        ),
+        _option(
+            '--admin',
+            help_text='Address for status and metrics.',
+            type=ADDRESS,
+            default='127.0.0.1:7180',
+        ),
+        _option(
+            '--bind',
+            help_text="Address for the system's other processes, UDP and TCP.",
+            type=ADDRESS,
+            required=True,
+        ),
+        _option(
+            '--data-centre',
+            help_text='Data centre of this instance.',
+            required=True,
+        ),
+        _option(
+            '--name',
+            help_text='Name of this instance.',
+            required=True,
+        ),
+    ):
+        command = decorate(command)
+    return command
+
+
+option = _option
--- /dev/null
+++ b/siskinbank/commands/render.py
@@ -0,0 +1,96 @@
+"""``siskinbank render``: print the effective configuration of a site."""
+
+import json
+from typing import Any
+
+import click
+import yaml
+
+from siskinbank.config.models import DocumentModel
+from siskinbank.config.overlay import load_files
+from siskinbank.config.sections import split_sections
+from siskinbank.kernel.findings import Findings
+from siskinbank.util import hex_digest
+
+__all__ = ('command',)
+
+
+@click.command('render')
+@click.argument('base')
+@click.argument('overlays', nargs=-1)
+@click.option(
+    '--against',
+    metavar='OLD',
+    help='An earlier rendering; print what would change instead.',
+)
+@click.option(
+    '--publish',
+    type=int,
+    metavar='GENERATION',
+    help='Print manifest and sections as JSON, ready to be published.',
+)
+def command(
+    base: str,
+    overlays: tuple[str, ...],
+    against: str | None,
+    publish: int | None,
+) -> int:
+    """Print BASE with the OVERLAYS laid over it.
+
+    \b
+    Exit codes: 0 when all is right, 1 with findings.
+    """
+    model = _load(base, overlays)
+    if model is None:
+        return 1
+    if publish is not None:
+        click.echo(json.dumps(_published(model, publish), indent=1))
+        return 0
+    if against is None:
+        click.echo(yaml.safe_dump(model.model_dump(mode='json')), nl=False)
+        return 0
+    old = _load(against, ())
+    if old is None:
+        return 1
+    for line in _changes(
+        old.model_dump(mode='json'), model.model_dump(mode='json'), ''
+    ):
+        click.echo(line)
+    return 0
+
+
+def _load(base: str, overlays: tuple[str, ...]) -> DocumentModel | None:
+    findings = Findings()
+    model = load_files(base, overlays, findings)
+    for finding in findings:
+        click.echo(str(finding), err=True)
+    return model
+
+
+def _published(model: DocumentModel, generation: int) -> dict[str, Any]:
+    sections = split_sections(model)
+    return {
+        'manifest': {
+            'generation': generation,
+            'sections': {
+                name: hex_digest(raw) for name, raw in sections.items()
+            },
+        },
+        'sections': {name: raw.decode() for name, raw in sections.items()},
+    }
+
+
+def _changes(old: Any, new: Any, path: str) -> list[str]:
+    if isinstance(old, dict) and isinstance(new, dict):
+        lines = []
+        for key in sorted(old.keys() | new.keys()):
+            here = f'{path}.{key}' if path else str(key)
+            lines.extend(_changes(old.get(key), new.get(key), here))
+        return lines
+    if old == new:
+        return []
+    if old is None:
+        return [f'+ {path}: {json.dumps(new)}']
+    if new is None:
+        return [f'- {path}: {json.dumps(old)}']
+    return [f'~ {path}: {json.dumps(old)} -> {json.dumps(new)}']
--- /dev/null
+++ b/siskinbank/config/__init__.py
@@ -0,0 +1,1 @@
+"""What operators say about services: base file, overlays, checked models."""
--- /dev/null
+++ b/siskinbank/config/models.py
@@ -0,0 +1,91 @@
+"""Validated models of the documents that operators write."""
+
+import ipaddress
+from typing import Annotated, Any
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+from siskinbank.config.site import CentreState, HostState
+
+__all__ = (
+    'CentreModel',
+    'ColdModel',
+    'DocumentModel',
+    'EndpointModel',
+    'HostModel',
+    'ServiceModel',
+)
+
+_NAME_PATTERN = '^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$'
+_MAX_PORT = 65535
+_MAX_CONNECTIONS = 1_000_000
+_MAX_SLOTS = 100_000
+_MAX_WARM_UP_SECONDS = 86_400
+_MAX_WEIGHT = 1000
+
+
+def _check_ip(text: str) -> str:
+    ipaddress.IPv4Address(text)
+    return text
+
+
+Name = Annotated[str, Field(pattern=_NAME_PATTERN)]
+IpNumber = Annotated[str, AfterValidator(_check_ip)]
+Port = Annotated[int, Field(ge=1, le=_MAX_PORT)]
+
+
+class _Strict(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class EndpointModel(_Strict):
+    """Where callers reach a service through one ingress."""
+
+    address: IpNumber = '0.0.0.0'
+    port: Port
+
+
+class ColdModel(_Strict):
+    """What a host bears right after it started."""
+
+    connections: Annotated[int, Field(ge=1, le=_MAX_CONNECTIONS)]
+    slots: Annotated[int, Field(ge=1, le=_MAX_SLOTS)]
+    warm_up_seconds: Annotated[float, Field(ge=0, le=_MAX_WARM_UP_SECONDS)]
+
+
+class HostModel(_Strict):
+    """One upstream and the sidecar beside it."""
+
+    data_centre: Name
+    address: IpNumber
+    port: Port
+    weight: Annotated[float, Field(gt=0, le=_MAX_WEIGHT)] = 1
+    state: HostState = HostState.active
+
+
+class ServiceModel(_Strict):
+    """A service and the pool behind it."""
+
+    ingress: Annotated[dict[Name, EndpointModel], Field(min_length=1)]
+    connections: Annotated[int, Field(ge=1, le=_MAX_CONNECTIONS)] = 2000
+    slots: Annotated[int, Field(ge=1, le=_MAX_SLOTS)] = 3
+    cold: ColdModel
+    hosts: dict[Name, HostModel] = {}
+
+
+class CentreModel(_Strict):
+    """A data centre of the site."""
+
+    region: Name = 'main'
+    state: CentreState = CentreState.inside
+
+
+class DocumentModel(_Strict):
+    """The effective document: a base file with its overlays laid over it."""
+
+    site: Name
+    data_centres: Annotated[dict[Name, CentreModel], Field(min_length=1)]
+    services: dict[Name, ServiceModel] = {}
+
+
+Raw = dict[str, Any]
--- /dev/null
+++ b/siskinbank/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: takes packets, connections and requests and hands them on."""
--- /dev/null
+++ b/siskinbank/entry/context.py
@@ -0,0 +1,24 @@
+"""What the ingress plug-ins of one entry share."""
+
+from dataclasses import dataclass
+
+from siskinbank.choice.router import Router
+from siskinbank.entry.links import RequestLinks
+from siskinbank.kernel.process import ProcessContext
+from siskinbank.peers.datagrams import PeerSocket
+from siskinbank.platform.view import FleetView
+from siskinbank.settings import EntrySettings
+
+__all__ = ('EntryContext',)
+
+
+@dataclass(frozen=True, slots=True)
+class EntryContext:
+    """One entry's settings and shared parts."""
+
+    process: ProcessContext
+    settings: EntrySettings
+    view: FleetView
+    router: Router
+    peers: PeerSocket
+    links: RequestLinks
--- /dev/null
+++ b/siskinbank/entry/daemon.py
@@ -0,0 +1,86 @@
+"""Start an entry: view, peer socket, and the ingress of each service."""
+
+import asyncio
+
+from siskinbank.choice.router import Router
+from siskinbank.entry.context import EntryContext
+from siskinbank.entry.links import RequestLinks
+from siskinbank.ingress import IngressHandle, ingresses
+from siskinbank.kernel.process import ProcessContext
+from siskinbank.kernel.registry import PluginNotFoundError
+from siskinbank.node import start_node
+from siskinbank.settings import EntrySettings
+
+__all__ = ('start_entry',)
+
+
+async def start_entry(
+    process: ProcessContext,
+    settings: EntrySettings,
+) -> None:
+    """Start an entry process.
+
+    Raises:
+        OSError: an address could not be bound.
+    """
+    node = await start_node(process, settings)
+    context = EntryContext(
+        process,
+        settings,
+        node.view,
+        Router(node.view),
+        node.peers,
+        RequestLinks(process),
+    )
+    opener = _Opener(context)
+    node.view.subscribe(opener.wake)
+    process.on_drain(opener.drain)
+    process.start_task(opener.run())
+
+
+class _Opener:
+    """Opens and closes ingresses as the configuration names them."""
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+        self._changed = asyncio.Event()
+        self._open: dict[tuple[str, str, int], IngressHandle] = {}
+
+    def wake(self) -> None:
+        """Look at the configuration again."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Follow the configuration until cancelled."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            await self._update()
+
+    async def drain(self) -> None:
+        """Stop taking work and wait until open work has ended."""
+        handles = list(self._open.values())
+        await asyncio.gather(*(handle.drain() for handle in handles))
+
+    async def _update(self) -> None:
+        site = self._context.view.site
+        if site is None:
+            return
+        wanted = {
+            (endpoint.ingress, endpoint.address, endpoint.port): service
+            for service in site.services.values()
+            for endpoint in service.endpoints
+        }
+        for gone in self._open.keys() - wanted.keys():
+            handle = self._open.pop(gone)
+            self._context.process.start_task(handle.drain())
+        for key in wanted.keys() - self._open.keys():
+            await self._start(key)
+
+    async def _start(self, key: tuple[str, str, int]) -> None:
+        process = self._context.process
+        try:
+            plugin = ingresses.find(key[0])
+            self._open[key] = await plugin.start(self._context, key[1], key[2])
+        except (OSError, PluginNotFoundError) as error:
+            process.log.write_failure(error, ingress=key)
--- /dev/null
+++ b/siskinbank/ingress/__init__.py
@@ -0,0 +1,9 @@
+"""How work enters: plug-ins that take packets, connections or requests."""
+
+from siskinbank.ingress.registry import (
+    IngressHandle,
+    IngressPlugin,
+    ingresses,
+)
+
+__all__ = ('IngressHandle', 'IngressPlugin', 'ingresses')
--- /dev/null
+++ b/siskinbank/ingress/tcp.py
@@ -0,0 +1,133 @@
+"""Plain TCP connections to the entry's own address."""
+
+import asyncio
+
+from siskinbank.config.site import Host, Service
+from siskinbank.entry.context import EntryContext
+from siskinbank.ingress.registry import (
+    IngressHandle,
+    IngressPlugin,
+    ingresses,
+)
+from siskinbank.kernel.reasons import Refusal, Retry
+from siskinbank.peers.pump import pump_both
+from siskinbank.util import digest64
+from siskinbank.wire.messages import MessageError, OpenTunnel, TunnelOpened
+from siskinbank.wire.streams import MessageStream
+
+__all__ = ('start_tcp',)
+
+_OPEN_SECONDS = 2
+
+
+async def start_tcp(
+    context: EntryContext,
+    address: str,
+    port: int,
+) -> IngressHandle:
+    """Listen for callers of one service.
+
+    Raises:
+        OSError: the address could not be bound.
+    """
+    open_flows: set[asyncio.Task[None]] = set()
+
+    def accept(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        task = context.process.start_task(
+            _serve(context, port, reader, writer),
+        )
+        open_flows.add(task)
+        task.add_done_callback(open_flows.discard)
+
+    bound = context.settings.listen if address == '0.0.0.0' else address
+    server = await asyncio.start_server(accept, bound, port)
+
+    async def drain() -> None:
+        server.close()
+        if open_flows:
+            await asyncio.wait(open_flows)
+
+    return IngressHandle(drain)
+
+
+async def _serve(
+    context: EntryContext,
+    port: int,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    try:
+        service = find_service(context, 'tcp', port)
+        if service is None:
+            context.process.metrics.count(Refusal.no_host)
+            return
+        caller = '{0}:{1}'.format(*writer.get_extra_info('peername')[:2])
+        stream = await _open(context, service, caller)
+        if stream is not None:
+            context.process.metrics.tally('flows_opened')
+            await pump_both(reader, writer, stream.reader, stream.writer)
+    finally:
+        writer.close()
+
+
+def find_service(
+    context: EntryContext,
+    ingress: str,
+    port: int,
+) -> Service | None:
+    """Return the service that listens on a port with this ingress."""
+    site = context.view.site
+    if site is None:
+        return None
+    for service in site.services.values():
+        for endpoint in service.endpoints:
+            if (endpoint.ingress, endpoint.port) == (ingress, port):
+                return service
+    return None
+
+
+async def _open(
+    context: EntryContext,
+    service: Service,
+    caller: str,
+) -> MessageStream | None:
+    """Offer the connection to one candidate after the other."""
+    metrics = context.process.metrics
+    for host in context.router.fresh(service, digest64(caller)):
+        try:
+            stream = await _offer(host, service, caller)
+        except (OSError, MessageError):
+            metrics.count(Retry.unreachable)
+            continue
+        if stream is not None:
+            return stream
+        metrics.count(Retry.not_run)
+    metrics.count(Refusal.no_host)
+    return None
+
+
+async def _offer(
+    host: Host,
+    service: Service,
+    caller: str,
+) -> MessageStream | None:
+    async with asyncio.timeout(_OPEN_SECONDS):
+        stream = MessageStream(*await asyncio.open_connection(*host.address))
+        await stream.send(OpenTunnel(service.ident, caller))
+        answer = await stream.receive()
+    if isinstance(answer, TunnelOpened):
+        return stream
+    await stream.close()
+    return None
+
+
+ingresses.register(
+    IngressPlugin(
+        name='tcp',
+        summary='plain TCP connections to the entry',
+        start=start_tcp,
+    ),
+)
--- /dev/null
+++ b/siskinbank/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The kernel: what every program and plug-in builds on."""
--- /dev/null
+++ b/siskinbank/kernel/events.py
@@ -0,0 +1,171 @@
+"""The catalogue of numbered log events, and how they are written."""
+
+import json
+import sys
+from dataclasses import dataclass
+from typing import TextIO
+
+import logbook
+
+__all__ = (
+    'CATALOGUE',
+    'Event',
+    'EventLog',
+    'catalogue_page',
+    'set_up_logging',
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One kind of log line, with what it means for an operator."""
+
+    number: int
+    level: str
+    text: str
+    meaning: str
+
+
+_defined: dict[int, Event] = {}
+
+
+def _define(number: int, level: str, text: str, meaning: str) -> Event:
+    event = Event(number, level, text, meaning)
+    if _defined.setdefault(number, event) is not event:
+        raise ValueError(f'two events with number {number}')
+    return event
+
+
+STARTED = _define(100, 'INFO', 'started', 'The process serves.')
+STOPPING = _define(
+    101,
+    'INFO',
+    'stopping',
+    'A planned stop began: no new work is taken, open work is finished.',
+)
+STOPPED = _define(102, 'INFO', 'stopped', 'The process ends; nothing was cut.')
+CUT = _define(
+    103,
+    'WARNING',
+    'stopped at once',
+    'A second signal ended the process; the fields say what was cut.',
+)
+ADOPTED = _define(
+    200,
+    'INFO',
+    'configuration in force',
+    'The process follows this generation from now on.',
+)
+REFUSED = _define(
+    201,
+    'ERROR',
+    'configuration refused',
+    'A published generation is invalid; the last good one stays in force.',
+)
+OLDER = _define(
+    202,
+    'WARNING',
+    'older configuration ignored',
+    'Someone offered a generation lower than the one in force.',
+)
+PLATFORM_LOST = _define(
+    210,
+    'WARNING',
+    'platform unreachable',
+    'The configuration service does not answer; all goes on as it is.',
+)
+HOST_GONE = _define(
+    300,
+    'WARNING',
+    'host unreachable',
+    'A host did not answer; its flows are given up when its lease ends.',
+)
+HANDLER_FAILED = _define(
+    900,
+    'ERROR',
+    'handler failed',
+    'A fault in the program; the connection it served was closed.',
+)
+
+CATALOGUE: tuple[Event, ...] = tuple(
+    _defined[number] for number in sorted(_defined)
+)
+
+
+class EventLog:
+    """Writes events for one process."""
+
+    def __init__(self, role: str, name: str) -> None:
+        """Write under the process's role and name."""
+        self._logger = logbook.Logger(f'{role} {name}')
+
+    def write(self, event: Event, **fields: object) -> None:
+        """Write one event with its fields."""
+        self._logger.log(
+            logbook.lookup_level(event.level),
+            event.text,
+            extra={'number': event.number, 'fields': fields},
+        )
+
+    def write_failure(self, error: Exception, **fields: object) -> None:
+        """Write that a part could not start or go on."""
+        self.write(HANDLER_FAILED, error=repr(error), **fields)
+
+
+def set_up_logging(
+    level: str,
+    form: str,
+    stream: TextIO | None = None,
+) -> None:
+    """Write events of ``level`` and above to ``stream``.
+
+    Args:
+        level: a logbook level name, such as ``INFO``.
+        form: ``text`` or ``json``.
+        stream: where to write; standard error if None.
+    """
+    handler = logbook.StreamHandler(stream or sys.stderr, level=level)
+    handler.formatter = _json_line if form == 'json' else _text_line
+    handler.push_application()
+
+
+def _text_line(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
+    fields = record.extra.get('fields') or {}
+    pairs = ' '.join(f'{name}={given}' for name, given in fields.items())
+    number = record.extra.get('number', 0)
+    stamp = record.time.isoformat(timespec='milliseconds')
+    head = f'{stamp} {record.level_name} E{number} [{record.channel}]'
+    return f'{head} {record.message} {pairs}'.rstrip()
+
+
+def _json_line(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
+    line = {
+        'time': record.time.isoformat(timespec='milliseconds'),
+        'level': record.level_name,
+        'event': record.extra.get('number', 0),
+        'process': record.channel,
+        'message': record.message,
+        **(record.extra.get('fields') or {}),
+    }
+    return json.dumps(line, default=str)
+
+
+def catalogue_page() -> str:
+    """Return the page docs/EVENTS.md."""
+    lines = [
+        '# Events',
+        '',
+        'Made from `siskinbank/kernel/events.py` by `make events`.',
+        '',
+        '| number | level | text | what it means |',
+        '|---|---|---|---|',
+    ]
+    lines.extend(
+        f'| E{event.number} | {event.level} | {event.text} | {event.meaning} |'
+        for event in CATALOGUE
+    )
+    return '\n'.join(lines)
+
+
+if __name__ == '__main__':
+    sys.stdout.write(f'{catalogue_page()}\n')
--- /dev/null
+++ b/siskinbank/kernel/metrics.py
@@ -0,0 +1,118 @@
+"""Counters for each reason and histograms of times, for one process."""
+
+import enum
+from collections import Counter
+from collections.abc import Iterator
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+    SummaryMetricFamily,
+)
+from prometheus_client.registry import Collector
+
+__all__ = ('Metrics',)
+
+_PREFIX = 'siskinbank'
+_MAX_MICROSECONDS = 600_000_000
+_DIGITS = 2
+_MICROSECONDS = 1_000_000
+
+
+class Metrics(Collector):
+    """All that one process counts and times."""
+
+    def __init__(self) -> None:
+        """Start with every count at zero."""
+        self._counts: Counter[tuple[str, str]] = Counter()
+        self._gauges: dict[str, float] = {}
+        self._times: dict[str, HdrHistogram] = {}
+
+    @property
+    def counts(self) -> dict[str, dict[str, int]]:
+        """The counters: family, then reason, to count."""
+        families: dict[str, dict[str, int]] = {}
+        for (family, reason), count in sorted(self._counts.items()):
+            families.setdefault(family, {})[reason] = count
+        return families
+
+    def count(self, reason: enum.StrEnum, amount: int = 1) -> None:
+        """Count one event of ``reason``; its class names the family."""
+        family = type(reason).__name__.lower()
+        self._counts[family, reason.value] += amount
+
+    def tally(self, family: str, amount: int = 1) -> None:
+        """Count events that have no reasons, such as packets passed."""
+        self._counts[family, ''] += amount
+
+    def value(self, reason: enum.StrEnum) -> int:
+        """Return the count of one reason."""
+        return self._counts[type(reason).__name__.lower(), reason.value]
+
+    def total(self, family: str) -> int:
+        """Return the count of all reasons in a family."""
+        return sum(
+            count
+            for (name, _reason), count in self._counts.items()
+            if name == family
+        )
+
+    def gauge(self, name: str, amount: float) -> None:
+        """Set a figure that goes up and down."""
+        self._gauges[name] = amount
+
+    def time(self, name: str, seconds: float) -> None:
+        """Record one duration."""
+        histogram = self._times.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(1, _MAX_MICROSECONDS, _DIGITS)
+            self._times[name] = histogram
+        microseconds = max(int(seconds * _MICROSECONDS), 1)
+        histogram.record_value(min(microseconds, _MAX_MICROSECONDS))
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every family for the exposition format."""
+        for family, reasons in self.counts.items():
+            counter = CounterMetricFamily(
+                f'{_PREFIX}_{family}',
+                f'Number of {family} events.',
+                labels=['reason'],
+            )
+            for reason, count in reasons.items():
+                counter.add_metric([reason], count)
+            yield counter
+        for name, amount in self._gauges.items():
+            yield GaugeMetricFamily(
+                f'{_PREFIX}_{name}',
+                f'Current {name}.',
+                value=amount,
+            )
+        for name, histogram in self._times.items():
+            yield self._summary(name, histogram)
+
+    def exposition(self) -> bytes:
+        """Return all metrics in the text exposition format."""
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
+
+    def _summary(self, name: str, histogram: HdrHistogram) -> Metric:
+        count = histogram.get_total_count()
+        mean = histogram.get_mean_value() / _MICROSECONDS
+        summary = SummaryMetricFamily(
+            f'{_PREFIX}_{name}_seconds',
+            f'Time of {name}.',
+            count_value=count,
+            sum_value=mean * count,
+        )
+        for quantile in (50, 90, 99):
+            seconds = histogram.get_value_at_percentile(quantile)
+            summary.add_sample(
+                f'{_PREFIX}_{name}_seconds',
+                {'quantile': str(quantile / 100)},
+                seconds / _MICROSECONDS,
+            )
+        return summary
--- /dev/null
+++ b/siskinbank/kernel/registry.py
@@ -0,0 +1,111 @@
+"""Look plug-ins up by name or alias, loading their modules on first use."""
+
+import pkgutil
+from collections.abc import Sequence
+from importlib import import_module
+from importlib.metadata import entry_points
+from typing import Generic, Protocol, TypeVar
+
+__all__ = ('Plugin', 'PluginNotFoundError', 'Registry')
+
+
+class Plugin(Protocol):
+    """What every plug-in says of itself."""
+
+    @property
+    def name(self) -> str:
+        """The name that configuration and command line use."""
+
+    @property
+    def aliases(self) -> Sequence[str]:
+        """Other names for the same plug-in."""
+
+    @property
+    def summary(self) -> str:
+        """One line for the operator."""
+
+
+PluginT = TypeVar('PluginT', bound=Plugin)
+
+
+class PluginNotFoundError(LookupError):
+    """No plug-in has the name that was asked for."""
+
+
+class Registry(Generic[PluginT]):
+    """The plug-ins of one role.
+
+    Modules of the role's package register what they define when they are
+    imported. Other distributions add plug-ins through the entry point group
+    ``siskinbank.ROLE``.
+    """
+
+    def __init__(self, role: str, package: str) -> None:
+        """Make an empty registry.
+
+        Args:
+            role: what the plug-ins are for, as named in messages.
+            package: the package whose modules hold the built-in plug-ins.
+        """
+        self._role = role
+        self._package = package
+        self._by_name: dict[str, PluginT] = {}
+        self._loaded_all = False
+
+    @property
+    def group(self) -> str:
+        """The entry point group in which other distributions register."""
+        return f'siskinbank.{self._role}'
+
+    def register(self, plugin: PluginT) -> PluginT:
+        """Add a plug-in under its name and aliases.
+
+        Raises:
+            ValueError: another plug-in has one of the names already.
+        """
+        for name in (plugin.name, *plugin.aliases):
+            known = self._by_name.setdefault(name, plugin)
+            if known is not plugin:
+                raise ValueError(f'two {self._role} plug-ins named {name!r}')
+        return plugin
+
+    def find(self, name: str) -> PluginT:
+        """Return the plug-in with this name or alias.
+
+        Raises:
+            PluginNotFoundError: there is none; the message lists the names.
+        """
+        if name not in self._by_name:
+            self._load_module(name)
+        if name not in self._by_name:
+            self._load_all()
+        if name in self._by_name:
+            return self._by_name[name]
+        known = ', '.join(sorted(self._by_name))
+        raise PluginNotFoundError(
+            f'no {self._role} plug-in named {name!r}; known: {known}',
+        )
+
+    def names(self) -> list[str]:
+        """Return the names of all plug-ins, without aliases."""
+        self._load_all()
+        return sorted({plugin.name for plugin in self._by_name.values()})
+
+    def _load_module(self, name: str) -> None:
+        if name.isidentifier() and name in self._module_names():
+            import_module(f'{self._package}.{name}')
+
+    def _load_all(self) -> None:
+        if self._loaded_all:
+            return
+        self._loaded_all = True
+        for name in self._module_names():
+            import_module(f'{self._package}.{name}')
+        for point in entry_points(group=self.group):
+            self.register(point.load())
+
+    def _module_names(self) -> list[str]:
+        package = import_module(self._package)
+        return [
+            module.name for module in pkgutil.iter_modules(package.__path__)
+        ]
--- /dev/null
+++ b/siskinbank/lab/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands below ``siskinbank lab``."""
--- /dev/null
+++ b/siskinbank/lab/fleet.py
@@ -0,0 +1,440 @@
+"""A small fleet on loopback: platform, fabric, entries, sidecars, upstreams."""
+
+import asyncio
+import copy
+import json
+import secrets
+from dataclasses import dataclass, field
+from itertools import islice
+from typing import Any
+
+import aiohttp
+
+from siskinbank.config.check import check_content
+from siskinbank.config.sections import split_sections
+from siskinbank.kernel.findings import Findings, Place
+from siskinbank.lab.ports import free_ports
+from siskinbank.lab.processes import ProcessGroup
+from siskinbank.util import hex_digest
+
+__all__ = ('Fleet', 'FleetPlan', 'HostPorts')
+
+_LOOPBACK = '127.0.0.1'
+_START_SECONDS = 20
+_POLL_SECONDS = 0.1
+_KEY_BYTES = 32
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """What a trial's fleet consists of."""
+
+    site: str
+    data_centres: tuple[str, ...]
+    entries: int
+    services: dict[str, int]
+    slots: int = 3
+    connections: int = 2000
+    warm_up_seconds: float = 2
+
+
+@dataclass(frozen=True, slots=True)
+class HostPorts:
+    """The ports of one host's sidecar and upstream."""
+
+    service: str
+    data_centre: str
+    sidecar: int
+    admin: int
+    packets: int
+    tcp: int
+    http: int
+
+
+@dataclass(frozen=True, slots=True)
+class EntryPorts:
+    """The ports of one entry, and of each service on it."""
+
+    data_centre: str
+    address: str
+    bind: int
+    admin: int
+    fou: int
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The running processes, and what the platform publishes of them."""
+
+    plan: FleetPlan
+    processes: ProcessGroup = field(default_factory=ProcessGroup)
+    hosts: dict[str, HostPorts] = field(default_factory=dict)
+    entries: dict[str, EntryPorts] = field(default_factory=dict)
+    services: dict[str, dict[str, int]] = field(default_factory=dict)
+    document: dict[str, Any] = field(default_factory=dict)
+    instances: list[dict[str, Any]] = field(default_factory=list)
+    generation: int = 0
+    platform_port: int = 0
+    fabric_port: int = 0
+    callers_port: int = 0
+    key: str = field(
+        default_factory=lambda: f'1:{secrets.token_hex(_KEY_BYTES)}',
+    )
+
+    @property
+    def platform(self) -> str:
+        """The platform's URL."""
+        return f'http://{_LOOPBACK}:{self.platform_port}'
+
+    async def start(self) -> None:
+        """Start all processes and wait until they serve.
+
+        Raises:
+            TimeoutError: something did not start in time.
+        """
+        await self._start_platform()
+        await self._start_fabric()
+        for name in self.hosts:
+            await self.start_upstream(name)
+            await self.start_sidecar(name)
+        for name in self.entries:
+            await self.start_entry(name)
+        async with asyncio.TaskGroup() as group:
+            for port in self.admin_ports().values():
+                group.create_task(self.wait_generation(port))
+
+    async def start_without_hosts(self) -> None:
+        """Start the platform and the entries only.
+
+        Raises:
+            TimeoutError: something did not start in time.
+        """
+        await self._start_platform()
+        for name, entry in self.entries.items():
+            await self.start_entry(name)
+            await self.wait_generation(entry.admin)
+
+    def admin_ports(self) -> dict[str, int]:
+        """Return the admin port of each entry and sidecar."""
+        ports = {name: entry.admin for name, entry in self.entries.items()}
+        ports.update({name: host.admin for name, host in self.hosts.items()})
+        return ports
+
+    async def publish(self) -> None:
+        """Publish the document as the next generation."""
+        self.generation += 1
+        await self._put('configuration', self.published())
+
+    def published(self) -> dict[str, Any]:
+        """Return manifest and sections of the document.
+
+        Raises:
+            ValueError: the document has findings.
+        """
+        findings = Findings()
+        model = check_content(
+            copy.deepcopy(self.document),
+            lambda path: Place('fleet', 1, str(path)),
+            findings,
+        )
+        if model is None:
+            raise ValueError('; '.join(str(finding) for finding in findings))
+        sections = split_sections(model)
+        return {
+            'manifest': {
+                'generation': self.generation,
+                'sections': {
+                    name: hex_digest(raw) for name, raw in sections.items()
+                },
+            },
+            'sections': {name: raw.decode() for name, raw in sections.items()},
+        }
+
+    async def publish_instances(self) -> None:
+        """Publish the live list."""
+        await self._put('instances', self.instances)
+
+    async def drain_host(self, name: str) -> None:
+        """Publish a host as draining."""
+        service = self.hosts[name].service
+        host = self.document['services'][service]['hosts'][name]
+        host['state'] = 'draining'
+        await self.publish()
+
+    async def set_data_centre(self, name: str, state: str) -> None:
+        """Publish a data centre as ``in`` or ``out``."""
+        self.document['data_centres'][name]['state'] = state
+        await self.publish()
+
+    async def remove_instance(self, name: str) -> None:
+        """Take an instance off the live list."""
+        self.instances = [
+            instance for instance in self.instances if instance['name'] != name
+        ]
+        await self.publish_instances()
+
+    async def start_entry(self, name: str) -> None:
+        """Start one entry."""
+        entry = self.entries[name]
+        await self.processes.start(
+            name,
+            [
+                'entry',
+                *self._common(name, entry.data_centre, entry.bind, entry.admin),
+                '--fou',
+                self._local(entry.fou),
+                '--listen',
+                entry.address,
+            ],
+        )
+
+    async def start_sidecar(self, name: str) -> None:
+        """Start one sidecar."""
+        host = self.hosts[name]
+        await self.processes.start(
+            name,
+            [
+                'sidecar',
+                *self._common(name, host.data_centre, host.sidecar, host.admin),
+                '--upstream-packets',
+                self._local(host.packets),
+                '--upstream-tcp',
+                self._local(host.tcp),
+                '--upstream-http',
+                f'http://{self._local(host.http)}',
+            ],
+        )
+
+    async def start_upstream(self, name: str) -> None:
+        """Start one upstream."""
+        host = self.hosts[name]
+        await self.processes.start(
+            f'upstream-{name}',
+            [
+                'lab',
+                'upstream',
+                '--name',
+                name,
+                '--packets',
+                self._local(host.packets),
+                '--tcp',
+                self._local(host.tcp),
+                '--http',
+                self._local(host.http),
+                '--callers',
+                self._local(self.callers_port),
+                '--slots',
+                str(self.plan.slots),
+            ],
+        )
+
+    async def get(self, url: str) -> Any:
+        """Return a JSON document.
+
+        Raises:
+            OSError: no answer.
+        """
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url) as answer:
+                return await answer.json()
+
+    async def stats(self, name: str) -> dict[str, Any]:
+        """Return what an upstream saw."""
+        port = self.hosts[name].http
+        stats: dict[str, Any] = await self.get(
+            f'http://{self._local(port)}/stats',
+        )
+        return stats
+
+    async def status(self, name: str) -> dict[str, Any]:
+        """Return what an entry or a sidecar believes."""
+        port = self.admin_ports()[name]
+        status: dict[str, Any] = await self.get(
+            f'http://{self._local(port)}/status',
+        )
+        return status
+
+    async def wait_generation(self, port: int) -> None:
+        """Wait until the process with this admin port is up to date.
+
+        Raises:
+            TimeoutError: it was not in time.
+        """
+        url = f'http://{self._local(port)}/status'
+        async with asyncio.timeout(_START_SECONDS):
+            while True:
+                try:
+                    status = await self.get(url)
+                except (OSError, aiohttp.ClientError):
+                    status = {'generation': 0}
+                if status['generation'] >= self.generation:
+                    return
+                await asyncio.sleep(_POLL_SECONDS)
+
+    async def stop(self) -> None:
+        """Stop all processes."""
+        await self.processes.stop()
+
+    def _common(
+        self,
+        name: str,
+        data_centre: str,
+        bind: int,
+        admin: int,
+    ) -> list[str]:
+        return [
+            '--name',
+            name,
+            '--data-centre',
+            data_centre,
+            '--bind',
+            self._local(bind),
+            '--admin',
+            self._local(admin),
+            '--platform',
+            self.platform,
+            '--keys',
+            self.key,
+            '--log-level',
+            'WARNING',
+        ]
+
+    def _local(self, port: int) -> str:
+        return f'{_LOOPBACK}:{port}'
+
+    async def _start_platform(self) -> None:
+        self._plan_ports()
+        await self.processes.start(
+            'platform',
+            ['lab', 'platform', '--bind', self._local(self.platform_port)],
+        )
+        await self._wait_for(f'{self.platform}/v1/manifest')
+        await self.publish()
+        await self.publish_instances()
+
+    async def _start_fabric(self) -> None:
+        targets = [
+            f'{name}={self._local(entry.fou)}'
+            for name, entry in self.entries.items()
+        ]
+        await self.processes.start(
+            'fabric',
+            [
+                'lab',
+                'fabric',
+                '--bind',
+                self._local(self.fabric_port),
+                '--platform',
+                self.platform,
+                *targets,
+            ],
+        )
+
+    async def _put(self, what: str, content: Any) -> None:
+        url = f'{self.platform}/admin/{what}'
+        async with aiohttp.ClientSession() as session:
+            async with session.put(url, data=json.dumps(content)) as answer:
+                answer.raise_for_status()
+
+    async def _wait_for(self, url: str) -> None:
+        async with asyncio.timeout(_START_SECONDS):
+            while True:
+                try:
+                    await self.get(url)
+                except (OSError, aiohttp.ClientError):
+                    await asyncio.sleep(_POLL_SECONDS)
+                else:
+                    return
+
+    def _plan_ports(self) -> None:
+        plan = self.plan
+        hosts = sum(plan.services.values())
+        each_host = 5
+        each_entry = 3
+        each_service = 3
+        count = hosts * each_host + plan.entries * each_entry + 3
+        ports = iter(free_ports(count + len(plan.services) * each_service))
+        self.platform_port, self.fabric_port, self.callers_port = islice(
+            ports,
+            each_service,
+        )
+        centres = plan.data_centres
+        for number in range(plan.entries):
+            self.entries[f'entry-{number + 1}'] = EntryPorts(
+                centres[number % len(centres)],
+                f'127.0.0.{number + 2}',
+                *islice(ports, each_entry),
+            )
+        services: dict[str, Any] = {}
+        for number, (service, size) in enumerate(plan.services.items()):
+            kinds = ('fou', 'tcp', 'http')
+            self.services[service] = dict(zip(kinds, ports, strict=False))
+            for position in range(size):
+                self.hosts[f'{service}-{position + 1}'] = HostPorts(
+                    service,
+                    centres[position % len(centres)],
+                    *islice(ports, each_host),
+                )
+            services[service] = self._service(service, number)
+        self.document = {
+            'site': plan.site,
+            'data_centres': {name: {'state': 'in'} for name in centres},
+            'services': services,
+        }
+        self.instances = [*self._entry_lines(), *self._host_lines()]
+
+    def _service(self, service: str, number: int) -> dict[str, Any]:
+        plan = self.plan
+        ports = self.services[service]
+        return {
+            'ingress': {
+                'fou': {
+                    'address': f'10.77.0.{number + 1}',
+                    'port': ports['fou'],
+                },
+                'tcp': {'port': ports['tcp']},
+                'http': {'port': ports['http']},
+            },
+            'connections': plan.connections,
+            'slots': plan.slots,
+            'cold': {
+                'connections': plan.connections,
+                'slots': plan.slots,
+                'warm_up_seconds': plan.warm_up_seconds,
+            },
+            'hosts': {
+                name: {
+                    'data_centre': host.data_centre,
+                    'address': _LOOPBACK,
+                    'port': host.sidecar,
+                }
+                for name, host in self.hosts.items()
+                if host.service == service
+            },
+        }
+
+    def _entry_lines(self) -> list[dict[str, Any]]:
+        return [
+            {
+                'name': name,
+                'role': 'entry',
+                'data_centre': entry.data_centre,
+                'address': _LOOPBACK,
+                'port': entry.bind,
+                'state': 'live',
+            }
+            for name, entry in self.entries.items()
+        ]
+
+    def _host_lines(self) -> list[dict[str, Any]]:
+        return [
+            {
+                'name': name,
+                'role': 'sidecar',
+                'data_centre': host.data_centre,
+                'address': _LOOPBACK,
+                'port': host.sidecar,
+                'state': 'live',
+            }
+            for name, host in self.hosts.items()
+        ]
--- /dev/null
+++ b/siskinbank/lab/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of platform, fabric, upstream and callers."""
--- /dev/null
+++ b/siskinbank/lab/standins/packets.py
@@ -0,0 +1,75 @@
+"""Make the IPv4 packets that callers and upstreams exchange in the lab."""
+
+import socket
+import struct
+from dataclasses import dataclass
+
+__all__ = ('ACK', 'FIN', 'RST', 'SYN', 'Flow', 'make_packet', 'payload_of')
+
+FIN = 0x01
+SYN = 0x02
+RST = 0x04
+ACK = 0x10
+
+_IP_BYTES = 20
+_TCP_BYTES = 20
+_VERSION_AND_LENGTH = 0x45
+_TIME_TO_LIVE = 64
+_TCP_PROTOCOL = 6
+_TCP_LENGTH = 0x50
+_WINDOW = 65535
+_IP = struct.Struct('!BBHHHBBH4s4s')
+_TCP = struct.Struct('!HHIIBBHHH')
+
+
+@dataclass(frozen=True, slots=True)
+class Flow:
+    """The addresses of one flow as its sender sees them."""
+
+    source: str
+    source_port: int
+    target: str
+    target_port: int
+
+    def reverse(self) -> 'Flow':
+        """Return the flow as the other side sees it."""
+        return Flow(
+            self.target,
+            self.target_port,
+            self.source,
+            self.source_port,
+        )
+
+
+def make_packet(flow: Flow, flags: int, payload: bytes = b'') -> bytes:
+    """Return an IPv4 packet with a TCP segment; checksums are left zero."""
+    size = _IP_BYTES + _TCP_BYTES + len(payload)
+    head = _IP.pack(
+        _VERSION_AND_LENGTH,
+        0,
+        size,
+        0,
+        0,
+        _TIME_TO_LIVE,
+        _TCP_PROTOCOL,
+        0,
+        socket.inet_aton(flow.source),
+        socket.inet_aton(flow.target),
+    )
+    segment = _TCP.pack(
+        flow.source_port,
+        flow.target_port,
+        0,
+        0,
+        _TCP_LENGTH,
+        flags,
+        _WINDOW,
+        0,
+        0,
+    )
+    return b''.join((head, segment, payload))
+
+
+def payload_of(raw: bytes) -> bytes:
+    """Return what a packet made by ``make_packet`` carries."""
+    return raw[_IP_BYTES + _TCP_BYTES :]
--- /dev/null
+++ b/siskinbank/lab/standins/report.py
@@ -0,0 +1,48 @@
+"""What callers saw."""
+
+import enum
+from dataclasses import dataclass
+
+__all__ = ('FlowReport', 'FlowResult', 'RequestReport')
+
+
+class FlowResult(enum.StrEnum):
+    """How a flow went."""
+
+    whole = 'whole'
+    refused = 'refused'
+    reset = 'reset'
+    silent = 'silent'
+    moved = 'moved'
+
+
+@dataclass(slots=True)
+class FlowReport:
+    """One flow as its caller saw it; times are in seconds since 1970."""
+
+    ingress: str
+    opened_at: float
+    ended_at: float = 0
+    host: str = ''
+    entry: str = ''
+    result: FlowResult = FlowResult.silent
+
+    @property
+    def established(self) -> bool:
+        """Whether an upstream took the flow."""
+        return self.result is not FlowResult.refused
+
+    @property
+    def broken(self) -> bool:
+        """Whether the flow did not live as long as its caller wanted."""
+        return self.established and self.result is not FlowResult.whole
+
+
+@dataclass(slots=True)
+class RequestReport:
+    """One request as its caller saw it."""
+
+    key: str
+    idempotent: bool
+    outcome: str
+    reason: str = ''
--- /dev/null
+++ b/siskinbank/lab/standins/stream_callers.py
@@ -0,0 +1,142 @@
+"""Callers with plain connections and HTTP requests to the entries."""
+
+import asyncio
+import itertools
+import random
+import time
+
+import aiohttp
+
+from siskinbank.config.site import Address
+from siskinbank.lab.standins.report import (
+    FlowReport,
+    FlowResult,
+    RequestReport,
+)
+from siskinbank.wire.headers import (
+    DEADLINE_HEADER,
+    IDEMPOTENT_HEADER,
+    KEY_HEADER,
+)
+
+__all__ = ('ConnectionCallers', 'RequestCallers')
+
+_PACE_SECONDS = 0.2
+_ANSWER_SECONDS = 5
+_DEADLINE_SECONDS = 5
+_PAUSE_SECONDS = 0.02
+
+
+class ConnectionCallers:
+    """Keeps plain connections open and checks each answer."""
+
+    def __init__(self) -> None:
+        """Start without flows."""
+        self.reports: list[FlowReport] = []
+
+    async def run_flow(self, entry: Address, seconds: float) -> None:
+        """Keep one connection open for a while."""
+        label = '{0}:{1}'.format(*entry)
+        report = FlowReport('tcp', opened_at=time.time(), entry=label)
+        self.reports.append(report)
+        try:
+            reader, writer = await asyncio.open_connection(*entry)
+        except OSError:
+            report.result = FlowResult.refused
+            return
+        try:
+            report.result = await self._talk(reader, writer, report, seconds)
+        except (OSError, TimeoutError):
+            report.result = FlowResult.silent
+        finally:
+            report.ended_at = time.time()
+            writer.close()
+
+    async def _talk(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        report: FlowReport,
+        seconds: float,
+    ) -> FlowResult:
+        until = time.time() + seconds
+        for number in itertools.count():
+            if time.time() >= until:
+                return FlowResult.whole
+            line = f'{number}\n'.encode()
+            writer.write(line)
+            async with asyncio.timeout(_ANSWER_SECONDS):
+                answer = await reader.readline()
+            if not answer:
+                return FlowResult.silent if report.host else FlowResult.refused
+            host, _space, echoed = answer.partition(b' ')
+            if echoed != line:
+                return FlowResult.moved
+            report.host = host.decode()
+            await asyncio.sleep(_PACE_SECONDS)
+        return FlowResult.whole
+
+
+class RequestCallers:
+    """Sends requests and tells whole answers from refusals and doubt."""
+
+    def __init__(self, urls: list[str], seed: int) -> None:
+        """Send to the entries at ``urls`` in turn."""
+        self._urls = urls
+        self._rng = random.Random(seed)
+        self._seed = seed
+        self._numbers = itertools.count()
+        self._session: aiohttp.ClientSession | None = None
+        self.reports: list[RequestReport] = []
+
+    async def run_request(self) -> None:
+        """Send one request and note its outcome."""
+        number = next(self._numbers)
+        idempotent = number % 2 == 0
+        key = f'{self._seed}-{number}'
+        report = RequestReport(key, idempotent, 'unknown')
+        self.reports.append(report)
+        for url in self._rng.sample(self._urls, len(self._urls)):
+            if await self._try(url, report):
+                return
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _try(self, url: str, report: RequestReport) -> bool:
+        """Return whether the request is done with."""
+        try:
+            await self._ask(url, report)
+        except aiohttp.ClientConnectorError:
+            return False
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            report.reason = type(error).__name__
+            return not report.idempotent
+        return True
+
+    async def _ask(self, url: str, report: RequestReport) -> None:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        body = f'match {report.key}'
+        headers = {
+            KEY_HEADER: report.key,
+            DEADLINE_HEADER: str(_DEADLINE_SECONDS),
+            IDEMPOTENT_HEADER: str(report.idempotent).lower(),
+        }
+        async with self._session.post(
+            f'{url}/match?pause={_PAUSE_SECONDS}',
+            data=body,
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(total=_DEADLINE_SECONDS * 2),
+        ) as answer:
+            text = await answer.text()
+            if answer.content_type == 'application/problem+json':
+                problem = await answer.json(content_type=None)
+                report.outcome = problem['outcome']
+                report.reason = problem['reason']
+            elif text == body and answer.headers.get('X-Key') == report.key:
+                report.outcome = 'whole'
+            else:
+                report.outcome = 'crossed'
--- /dev/null
+++ b/siskinbank/lab/standins/upstream.py
@@ -0,0 +1,130 @@
+"""A stand-in of an upstream: packets, plain connections and requests."""
+
+import asyncio
+import socket
+import time
+from collections import Counter
+
+from aiohttp import web
+
+from siskinbank.config.site import Address
+from siskinbank.lab.standins.packets import (
+    ACK,
+    FIN,
+    RST,
+    SYN,
+    Flow,
+    make_packet,
+    payload_of,
+)
+from siskinbank.peers.datagrams import open_udp
+from siskinbank.wire.packets import InnerPacket, parse_inner
+
+__all__ = ('UpstreamStandIn',)
+
+_BUCKETS_A_SECOND = 10
+_CHUNK_BYTES = 64 * 1024
+
+
+class UpstreamStandIn:
+    """Answers with its own name, so that callers see who served them."""
+
+    def __init__(self, name: str, callers: Address | None, slots: int) -> None:
+        """Send packet answers to ``callers`` and bear ``slots`` requests."""
+        self._name = name
+        self._callers = callers
+        self._slots = asyncio.Semaphore(slots)
+        self._flows: set[tuple[bytes, int]] = set()
+        self._targets: set[tuple[bytes, int]] = set()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._arrivals: Counter[int] = Counter()
+        self._runs: Counter[str] = Counter()
+
+    async def serve_packets(self, address: Address) -> None:
+        """Take IP-in-UDP packets."""
+        self._transport = await open_udp(address, self._receive)
+
+    async def serve_tcp(self, address: Address) -> None:
+        """Answer each chunk on a connection with name and chunk."""
+        await asyncio.start_server(self._echo, *address)
+
+    async def serve_http(self, address: Address) -> None:
+        """Answer requests; ``/stats`` tells what arrived when."""
+        app = web.Application(client_max_size=1 << 30)
+        app.router.add_get('/stats', self._stats)
+        app.router.add_route('*', '/{path:.*}', self._answer)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, *address).start()
+
+    def _receive(self, datagram: bytes, _sender: Address) -> None:
+        packet = parse_inner(datagram)
+        if packet is None:
+            return
+        bucket = int(time.time() * _BUCKETS_A_SECOND)
+        self._arrivals[bucket] += 1
+        self._targets.add((packet.target, packet.target_port))
+        flow = (packet.source, packet.source_port)
+        if packet.flags & FIN:
+            self._flows.discard(flow)
+            return
+        if packet.first:
+            self._flows.add(flow)
+            self._reply(packet, SYN | ACK, b'')
+        elif flow in self._flows:
+            name = self._name.encode()
+            self._reply(packet, ACK, name + b' ' + payload_of(packet.raw))
+        else:
+            self._reply(packet, RST, b'')
+
+    def _reply(self, packet: InnerPacket, flags: int, payload: bytes) -> None:
+        if self._transport is None or self._callers is None:
+            return
+        flow = Flow(
+            socket.inet_ntoa(packet.target),
+            packet.target_port,
+            socket.inet_ntoa(packet.source),
+            packet.source_port,
+        )
+        raw = make_packet(flow, flags, payload)
+        self._transport.sendto(raw, self._callers)
+
+    async def _echo(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        name = self._name.encode()
+        try:
+            while chunk := await reader.read(_CHUNK_BYTES):
+                writer.write(name + b' ' + chunk)
+                await writer.drain()
+        except OSError:
+            return
+        finally:
+            writer.close()
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        key = request.headers.get('Idempotency-Key', '')
+        async with self._slots:
+            self._runs[key] += 1
+            body = await request.read()
+            pause = float(request.query.get('pause', '0'))
+            await asyncio.sleep(pause)
+        return web.Response(
+            body=body,
+            headers={'X-Host': self._name, 'X-Key': key},
+        )
+
+    async def _stats(self, _request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                'name': self._name,
+                'arrivals': dict(self._arrivals),
+                'targets': sorted(
+                    f'{socket.inet_ntoa(number)}:{port}'
+                    for number, port in self._targets
+                ),
+                'runs': dict(self._runs),
+            },
+        )
--- /dev/null
+++ b/siskinbank/node.py
@@ -0,0 +1,44 @@
+"""The parts that entries and sidecars have in common."""
+
+from dataclasses import dataclass
+
+from siskinbank.kernel.process import ProcessContext
+from siskinbank.peers.datagrams import PeerSocket
+from siskinbank.platform.client import PlatformClient
+from siskinbank.platform.follower import Follower
+from siskinbank.platform.view import FleetView
+from siskinbank.settings import ProcessSettings
+from siskinbank.status import start_admin
+
+__all__ = ('Node', 'start_node')
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """A process with a view of the fleet and a socket to its peers."""
+
+    process: ProcessContext
+    settings: ProcessSettings
+    view: FleetView
+    peers: PeerSocket
+
+
+async def start_node(
+    process: ProcessContext,
+    settings: ProcessSettings,
+) -> Node:
+    """Start the view, the peer socket and the admin endpoint.
+
+    Raises:
+        OSError: an address could not be bound.
+    """
+    view = FleetView(process.log, lambda: process.timers.now)
+    peers = PeerSocket(settings.keys, process.metrics)
+    await peers.open(settings.bind)
+    node = Node(process, settings, view, peers)
+    client = PlatformClient(settings.platform)
+    follower = Follower(client, view, process.log)
+    process.start_task(follower.run())
+    process.on_close(client.close)
+    await start_admin(node)
+    return node
--- /dev/null
+++ b/siskinbank/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the system's own processes."""
--- /dev/null
+++ b/siskinbank/peers/datagrams.py
@@ -0,0 +1,102 @@
+"""The keyed UDP socket over which the system's processes reach each other."""
+
+import asyncio
+from collections.abc import Callable
+
+from siskinbank.config.site import Address
+from siskinbank.kernel.metrics import Metrics
+from siskinbank.kernel.reasons import Drop
+from siskinbank.wire.keys import KeyRing
+from siskinbank.wire.messages import Message, MessageError, decode, encode
+from siskinbank.wire.packets import PACKET_KIND, Envelope
+
+__all__ = ('PeerSocket', 'open_udp')
+
+_CONTROL_PREFIX = b'\0'
+_RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+
+EnvelopeHandler = Callable[[Envelope, Address], None]
+MessageHandler = Callable[[Message, Address], None]
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    def __init__(self, handle: Callable[[bytes, Address], None]) -> None:
+        self._handle = handle
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        self._handle(data, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore; an unreachable peer is noticed by its silence."""
+
+
+async def open_udp(
+    address: Address,
+    handle: Callable[[bytes, Address], None],
+) -> asyncio.DatagramTransport:
+    """Bind a UDP socket and hand each datagram to ``handle``."""
+    loop = asyncio.get_running_loop()
+    transport, _protocol = await loop.create_datagram_endpoint(
+        lambda: _Receiver(handle),
+        local_addr=address,
+    )
+    return transport
+
+
+class PeerSocket:
+    """Sends and receives sealed envelopes and messages."""
+
+    def __init__(self, keys: KeyRing, metrics: Metrics) -> None:
+        """Seal and open with ``keys``; handlers are set before ``open``."""
+        self.keys = keys
+        self._metrics = metrics
+        self._transport: asyncio.DatagramTransport | None = None
+        self.on_envelope: EnvelopeHandler = _ignore
+        self.on_message: MessageHandler = _ignore
+
+    async def open(self, address: Address) -> None:
+        """Bind to ``address``."""
+        self._transport = await open_udp(address, self.receive)
+
+    def receive(self, datagram: bytes, sender: Address) -> None:
+        """Open one datagram and hand it on; count what is refused."""
+        body = self.keys.open(datagram)
+        if body is None:
+            self._metrics.count(Drop.unkeyed)
+        elif body[0] == PACKET_KIND:
+            envelope = Envelope.unpack(body)
+            if envelope is None:
+                self._metrics.count(Drop.malformed)
+            else:
+                self.on_envelope(envelope, sender)
+        else:
+            self._receive_message(body, sender)
+
+    def send_envelope(self, envelope: Envelope, receiver: Address) -> None:
+        """Send a packet on to another process."""
+        if self._transport is not None:
+            sealed = self.keys.seal(envelope.pack())
+            self._transport.sendto(sealed, receiver)
+
+    def send_message(self, sent: Message, receiver: Address) -> None:
+        """Send a control message to another process."""
+        if self._transport is not None:
+            sealed = self.keys.seal(_CONTROL_PREFIX + encode(sent))
+            self._transport.sendto(sealed, receiver)
+
+    def close(self) -> None:
+        """Stop receiving."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _receive_message(self, body: bytes, sender: Address) -> None:
+        try:
+            received = decode(body[len(_CONTROL_PREFIX) :])
+        except MessageError:
+            self._metrics.count(Drop.malformed)
+            return
+        self.on_message(received, sender)
+
+
+def _ignore(_received: object, _sender: Address) -> None:
+    """Drop what nobody handles."""
--- /dev/null
+++ b/siskinbank/sidecar/streams.py
@@ -0,0 +1,127 @@
+"""Accept streams from entries: plain connections and numbered requests."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from siskinbank.kernel.reasons import Refusal
+from siskinbank.peers.pump import pump_both
+from siskinbank.sidecar.context import SidecarContext
+from siskinbank.sidecar.requests import RequestServer
+from siskinbank.wire.messages import (
+    Message,
+    MessageError,
+    OpenRequests,
+    OpenTunnel,
+    Refused,
+    TunnelOpened,
+)
+from siskinbank.wire.streams import MessageStream
+
+__all__ = ('start_streams',)
+
+_HELLO_SECONDS = 5
+
+
+async def start_streams(
+    context: SidecarContext,
+    requests: RequestServer,
+) -> None:
+    """Listen for streams of the system's own processes.
+
+    Raises:
+        OSError: the address could not be bound.
+    """
+    tunnels: set[asyncio.Task[None]] = set()
+
+    async def serve(stream: MessageStream) -> None:
+        hello = await _receive_hello(context, stream)
+        try:
+            if isinstance(hello, OpenRequests):
+                await requests.serve(stream)
+            elif isinstance(hello, OpenTunnel):
+                await _track(tunnels, _serve_tunnel(context, stream, hello))
+        finally:
+            stream.writer.close()
+
+    def accept(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        context.process.start_task(serve(MessageStream(reader, writer)))
+
+    server = await asyncio.start_server(accept, *context.settings.bind)
+
+    async def drain() -> None:
+        if tunnels:
+            await asyncio.wait(tunnels)
+        await requests.drain()
+        server.close()
+
+    context.process.on_drain(drain)
+
+
+async def _receive_hello(
+    context: SidecarContext,
+    stream: MessageStream,
+) -> Message | None:
+    try:
+        async with asyncio.timeout(_HELLO_SECONDS):
+            return await stream.receive()
+    except (MessageError, TimeoutError, OSError):
+        context.process.metrics.count(Refusal.malformed)
+        return None
+
+
+async def _track(
+    tasks: set[asyncio.Task[None]],
+    work: Coroutine[Any, Any, None],
+) -> None:
+    task = asyncio.create_task(work)
+    tasks.add(task)
+    try:
+        await task
+    finally:
+        tasks.discard(task)
+
+
+async def _serve_tunnel(
+    context: SidecarContext,
+    stream: MessageStream,
+    hello: OpenTunnel,
+) -> None:
+    reason = _refusal(context, hello)
+    if reason is not None:
+        context.process.metrics.count(reason)
+        await stream.send(Refused(0, reason.value, 1))
+        return
+    limits = context.limits
+    assert limits is not None
+    try:
+        address = context.settings.upstream_tcp
+        assert address is not None
+        try:
+            reader, writer = await asyncio.open_connection(*address)
+        except OSError:
+            context.process.metrics.count(Refusal.unreachable)
+            await stream.send(Refused(0, Refusal.unreachable.value, 1))
+            return
+        await stream.send(TunnelOpened())
+        context.process.metrics.tally('flows_opened')
+        await pump_both(stream.reader, stream.writer, reader, writer)
+    finally:
+        limits.connections.give_back()
+
+
+def _refusal(context: SidecarContext, hello: OpenTunnel) -> Refusal | None:
+    """Return why a connection is refused; None when a place was taken."""
+    service = context.service
+    if service is None or hello.service != service.ident:
+        return Refusal.wrong_service
+    if context.settings.upstream_tcp is None:
+        return Refusal.unreachable
+    if not context.takes_work:
+        return Refusal.draining
+    if context.limits is None or not context.limits.connections.take():
+        return Refusal.at_limit
+    return None
--- /dev/null
+++ b/siskinbank/wire/messages.py
@@ -0,0 +1,232 @@
+"""Typed control messages, and their msgpack form."""
+
+import dataclasses
+from typing import Any, ClassVar, TypeVar
+
+import msgpack
+
+__all__ = (
+    'MAX_MESSAGE_BYTES',
+    'Message',
+    'MessageError',
+    'Moved',
+    'Owner',
+    'decode',
+    'encode',
+    'message',
+)
+
+MAX_MESSAGE_BYTES = 2 * 1024 * 1024
+
+
+class MessageError(ValueError):
+    """Bytes that are no message of ours."""
+
+
+class Message:
+    """Base of all messages; subclasses are frozen data classes."""
+
+    kind: ClassVar[int]
+
+
+MessageT = TypeVar('MessageT', bound=type[Message])
+
+_KINDS: dict[int, type[Message]] = {}
+
+
+def message(cls: MessageT) -> MessageT:
+    """Register a message class under its ``kind``."""
+    known = _KINDS.setdefault(cls.kind, cls)
+    if known is not cls:
+        raise ValueError(f'{cls.__name__} has the kind of {known.__name__}')
+    return cls
+
+
+def encode(sent: Message) -> bytes:
+    """Return the msgpack form: a list of the kind and the fields in order."""
+    fields = dataclasses.fields(sent)  # type: ignore[arg-type]
+    packed: bytes = msgpack.packb(
+        [sent.kind, *(getattr(sent, field.name) for field in fields)],
+    )
+    return packed
+
+
+def decode(raw: bytes) -> Message:
+    """Read one message.
+
+    Raises:
+        MessageError: the bytes are malformed, too many, or of no known kind.
+    """
+    if len(raw) > MAX_MESSAGE_BYTES:
+        raise MessageError(f'{len(raw)} bytes')
+    try:
+        parts = msgpack.unpackb(raw)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise MessageError(str(error)) from error
+    return from_parts(parts)
+
+
+def from_parts(parts: Any) -> Message:
+    """Make a message of an unpacked list.
+
+    Raises:
+        MessageError: the list fits no message class.
+    """
+    if not isinstance(parts, list) or not parts:
+        raise MessageError('not a list')
+    kind = parts[0]
+    known = _KINDS.get(kind) if isinstance(kind, int) else None
+    if known is None:
+        raise MessageError(f'unknown kind {kind!r}')
+    _check_fields(known, parts[1:])
+    return known(*parts[1:])
+
+
+def _check_fields(known: type[Message], given: list[Any]) -> None:
+    fields = dataclasses.fields(known)  # type: ignore[arg-type]
+    if len(given) != len(fields):
+        raise MessageError(f'{len(given)} fields for {known.__name__}')
+    for field, content in zip(fields, given, strict=True):
+        allowed = _TYPES[field.type]
+        if not isinstance(content, allowed) or _is_bad_bool(content, allowed):
+            raise MessageError(f'{known.__name__}.{field.name}')
+
+
+_TYPES: dict[Any, type | tuple[type, ...]] = {
+    int: int,
+    str: str,
+    bytes: bytes,
+    bool: bool,
+    float: (int, float),
+    list: list,
+    dict: dict,
+}
+
+
+def _is_bad_bool(given: Any, allowed: Any) -> bool:
+    return isinstance(given, bool) and allowed is not bool
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Owner(Message):
+    """Tells an entry which host owns a flow.
+
+    ``address`` is the owner's 6-byte address.
+    """
+
+    kind = 2
+    flow: int
+    address: bytes
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Moved(Message):
+    """Tells a sidecar that the sender owns flows which rank it first.
+
+    ``flows`` are 64-bit flow numbers. The receiver passes their packets on
+    until the lease ends.
+    """
+
+    kind = 3
+    service: int
+    address: bytes
+    lease_seconds: float
+    flows: list  # type: ignore[type-arg]
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenTunnel(Message):
+    """Asks a sidecar to take one plain TCP connection."""
+
+    kind = 10
+    service: int
+    caller: str
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class TunnelOpened(Message):
+    """The sidecar has connected; bytes follow both ways."""
+
+    kind = 11
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused(Message):
+    """The work with this number was not run and will not be."""
+
+    kind = 12
+    number: int
+    reason: str
+    retry_after: float
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenRequests(Message):
+    """Starts a stream of numbered requests."""
+
+    kind = 13
+    sender: str
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestHead(Message):
+    """Starts one request; ``deadline`` is the seconds that remain."""
+
+    kind = 14
+    number: int
+    service: int
+    key: str
+    idempotent: bool
+    deadline: float
+    method: str
+    target: str
+    headers: list  # type: ignore[type-arg]
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyPart(Message):
+    """One part of a body; ``part`` counts from 0, ``last`` is the end mark."""
+
+    kind = 15
+    number: int
+    part: int
+    last: bool
+    content: bytes
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead(Message):
+    """Starts one answer; the body's parts follow."""
+
+    kind = 16
+    number: int
+    status: int
+    headers: list  # type: ignore[type-arg]
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed(Message):
+    """The request may have run; its answer cannot be had."""
+
+    kind = 17
+    number: int
+    reason: str
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel(Message):
+    """Nobody waits for this request any more."""
+
+    kind = 18
+    number: int
