--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(BIN)/siskinbank lab demo
 
 test: setup
-	$(BIN)/python -m nose2
+	$(BIN)/python -m tests.run
 
 lint: setup
 	$(BIN)/ruff format --check siskinbank tests
--- a/siskinbank/commands/_run.py
+++ b/siskinbank/commands/_run.py
@@ -1,5 +1,6 @@
 """Run a process of the system and turn its failures into exit codes."""
 
+import os
 from collections.abc import Awaitable, Callable
 
 import click
@@ -34,5 +35,12 @@
     try:
         return run_process(role, name, start)
     except OSError as error:
-        click.echo(f'siskinbank {role}: {error.strerror or error}', err=True)
+        click.echo(f'siskinbank {role}: {_explain(error)}', err=True)
         return EXIT_SOCKET
+
+
+def _explain(error: OSError) -> str:
+    """Say what failed, and why if the message leaves it out."""
+    what = str(error.strerror or error)
+    why = os.strerror(error.errno) if error.errno else ''
+    return what if why in what else f'{what}: {why}'
--- a/siskinbank/config/overlay.py
+++ b/siskinbank/config/overlay.py
@@ -21,11 +21,11 @@
     Returns:
         The effective document, or None when findings were added.
     """
+    before = len(findings)
     documents = [read_document(file, findings) for file in (base, *overlays)]
     if any(not document.content for document in documents):
         return None
     content = merge(documents, findings)
-    before = len(findings)
 
     def locate(path: KeyPath) -> Place:
         return _locate(documents, path)
--- a/siskinbank/lab/demo.py
+++ b/siskinbank/lab/demo.py
@@ -99,11 +99,11 @@
         str(_LOAD_SECONDS),
     ]
     for number, ports in enumerate(fleet.services.values()):
-        arguments += ['--sprayed', f'10.77.0.{number + 1}:{ports["fou"]}']
+        arguments.append(f'--sprayed=10.77.0.{number + 1}:{ports["fou"]}')
     for entry in fleet.entries.values():
         for ports in fleet.services.values():
-            arguments += ['--tcp', f'{entry.address}:{ports["tcp"]}']
-            arguments += ['--http', f'http://{entry.address}:{ports["http"]}']
+            arguments.append(f'--tcp={entry.address}:{ports["tcp"]}')
+            arguments.append(f'--http=http://{entry.address}:{ports["http"]}')
     await fleet.processes.start('callers', arguments, capture=True)
 
 
@@ -218,9 +218,6 @@
         return
     first = (out[0] + _GRACE_SECONDS) * _BUCKETS_A_SECOND
     last = out[1] * _BUCKETS_A_SECOND - 1
-    late = [
-        count
-        for bucket, count in seen['arrivals'].items()
-        if first <= int(bucket) < last
-    ]
-    result.packets_while_out += sum(late)
+    for bucket, count in seen['arrivals'].items():
+        if first <= int(bucket) < last:
+            result.packets_while_out += count
--- a/siskinbank/lab/forwarding.py
+++ b/siskinbank/lab/forwarding.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import statistics
 import time
+from collections.abc import Iterator
 
 from siskinbank.config.site import Address
 from siskinbank.lab.experiment import ExperimentReport, at_least
@@ -15,7 +17,7 @@
 from siskinbank.wire.messages import Owner, encode
 from siskinbank.wire.packets import pack_address, parse_inner
 
-__all__ = ('blast', 'measure_forwarding')
+__all__ = ('measure_forwarding',)
 
 _HOSTS = 7
 _FLOWS = 1000
@@ -26,8 +28,9 @@
 _LEAST_RATIO = 0.5
 _LOOPBACK = '127.0.0.1'
 _CALLER_PORT = 4000
-_BLAST_SECONDS = 2.0
+_WINDOW_PACKETS = 64
 _START_SECONDS = 1
+_PACE_SECONDS = 0.0005
 _BUFFER_BYTES = 65536
 _CONTROL = b'\0'
 
@@ -48,25 +51,34 @@
 async def _measure(rounds: int) -> tuple[list[float], list[float]]:
     fleet = Fleet(FleetPlan('lab', ('lab-a',), 1, {'packets': _HOSTS}))
     sink = _open_sink()
-    own: Address = sink.getsockname()
     try:
-        await fleet.start_without_hosts()
-        await _publish_sink(fleet, own)
-        _teach(fleet, own)
-        bare = (_LOOPBACK, free_ports(1)[0])
-        await _start_bare(fleet, bare, own)
-        entry = (_LOOPBACK, fleet.entries['entry-1'].fou)
-        rates: dict[Address, list[float]] = {bare: [], entry: []}
-        for number in range(rounds):
-            for target, measured in rates.items():
-                name = f'blast-{number}-{target[1]}'
-                measured.append(await _flood(fleet, name, target, sink))
-        return rates[entry], rates[bare]
+        return await _measure_with(fleet, sink, rounds)
     finally:
         await fleet.stop()
         sink.close()
 
 
+async def _measure_with(
+    fleet: Fleet,
+    sink: socket.socket,
+    rounds: int,
+) -> tuple[list[float], list[float]]:
+    own: Address = sink.getsockname()
+    await fleet.start_without_hosts()
+    await _publish_sink(fleet, own)
+    _teach(fleet, own)
+    bare = (_LOOPBACK, free_ports(1)[0])
+    await _start_bare(fleet, bare, own)
+    entry = (_LOOPBACK, fleet.entries['entry-1'].fou)
+    packets = _make_packets(_service(fleet))
+    rates: dict[Address, list[float]] = {bare: [], entry: []}
+    for _ in range(rounds):
+        for target, measured in rates.items():
+            rate = await asyncio.to_thread(_drive, packets, target, sink)
+            measured.append(rate)
+    return rates[entry], rates[bare]
+
+
 async def _publish_sink(fleet: Fleet, sink: Address) -> None:
     """Publish the sink as the address of the first host."""
     hosts = fleet.document['services']['packets']['hosts']
@@ -124,66 +136,50 @@
             assert inner is not None
             told = encode(Owner(inner.key, pack_address(sink)))
             sender.sendto(keys.seal(_CONTROL + told), bind)
+            time.sleep(_PACE_SECONDS)
 
 
-async def _flood(
-    fleet: Fleet,
-    name: str,
+def _drive(
+    packets: list[bytes],
     target: Address,
     sink: socket.socket,
 ) -> float:
-    """Return the datagrams a second that come out while many go in."""
-    service = _service(fleet)
-    await fleet.processes.start(
-        name,
-        [
-            'lab',
-            'blast',
-            '--to',
-            f'{target[0]}:{target[1]}',
-            '--service',
-            f'{service[0]}:{service[1]}',
-            '--seconds',
-            str(_BLAST_SECONDS),
-        ],
-    )
-    rate = await asyncio.to_thread(_count, sink)
-    await fleet.processes.wait(name, _BLAST_SECONDS * 2)
-    return rate
-
+    """Return the packets a second with a full window in flight.
 
-def _count(sink: socket.socket) -> float:
-    """Wait for the first datagram, then count for a while."""
+    A new packet goes in for each that comes out, so that the forwarder is
+    always busy and its queue never overflows.
+    """
     buffer = bytearray(_BUFFER_BYTES)
-    patience = time.monotonic() + _BLAST_SECONDS * 2
-    while time.monotonic() < patience:
-        with contextlib.suppress(TimeoutError):
-            sink.recv_into(buffer)
-            break
-    time.sleep(_SETTLE_SECONDS)
-    _empty(sink, buffer)
+    waiting = itertools.cycle(packets)
     count = 0
-    start = time.monotonic()
-    while time.monotonic() - start < _WINDOW_SECONDS:
-        with contextlib.suppress(TimeoutError):
-            sink.recv_into(buffer)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        start = time.monotonic()
+        _fill_window(sender, waiting, target)
+        while time.monotonic() - start < _WINDOW_SECONDS:
+            try:
+                sink.recv_into(buffer)
+            except TimeoutError:
+                _fill_window(sender, waiting, target)
+                continue
             count += 1
-    return count / (time.monotonic() - start)
+            sender.sendto(next(waiting), target)
+        elapsed = time.monotonic() - start
+    _empty(sink, buffer)
+    return count / elapsed
 
 
-def _empty(sink: socket.socket, buffer: bytearray) -> None:
-    sink.settimeout(0)
-    with contextlib.suppress(BlockingIOError):
-        while sink.recv_into(buffer):
-            continue
-    sink.settimeout(_SETTLE_SECONDS)
+def _fill_window(
+    sender: socket.socket,
+    waiting: Iterator[bytes],
+    target: Address,
+) -> None:
+    for packet in itertools.islice(waiting, _WINDOW_PACKETS):
+        sender.sendto(packet, target)
 
 
-def blast(target: Address, service: Address, seconds: float) -> None:
-    """Send packets of many flows to ``target`` for a while."""
-    packets = _make_packets(service)
-    until = time.monotonic() + seconds
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
-        while time.monotonic() < until:
-            for packet in packets:
-                sender.sendto(packet, target)
+def _empty(sink: socket.socket, buffer: bytearray) -> None:
+    """Wait until nothing is in flight."""
+    with contextlib.suppress(TimeoutError):
+        received = 1
+        while received:
+            received = sink.recv_into(buffer)
--- a/siskinbank/peers/datagrams.py
+++ b/siskinbank/peers/datagrams.py
@@ -1,6 +1,7 @@
 """The keyed UDP socket over which the system's processes reach each other."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from siskinbank.config.site import Address
@@ -34,11 +35,27 @@
     address: Address,
     handle: Callable[[bytes, Address], None],
 ) -> asyncio.DatagramTransport:
-    """Bind a UDP socket and hand each datagram to ``handle``."""
+    """Bind a UDP socket and hand each datagram to ``handle``.
+
+    Raises:
+        OSError: the address could not be bound.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    try:
+        sock.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            _RECEIVE_BUFFER_BYTES,
+        )
+        sock.bind(address)
+    except OSError as error:
+        sock.close()
+        raise OSError(error.errno, f'{error.strerror}: {address}') from error
     loop = asyncio.get_running_loop()
     transport, _protocol = await loop.create_datagram_endpoint(
         lambda: _Receiver(handle),
-        local_addr=address,
+        sock=sock,
     )
     return transport
 
--- /dev/null
+++ b/tests/wire/test_messages.py
@@ -0,0 +1,61 @@
+"""Tests of control messages."""
+
+import unittest
+
+import msgpack
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskinbank.wire.messages import (
+    BodyPart,
+    Message,
+    MessageError,
+    Moved,
+    Owner,
+    RequestHead,
+    decode,
+    encode,
+)
+
+MESSAGES: tuple[Message, ...] = (
+    Owner(2**64 - 1, b'abcdef'),
+    Moved(1, b'abcdef', 30, [1, 2]),
+    RequestHead(1, 2, 'k', True, 2.5, 'GET', '/', [['a', 'b']]),
+    BodyPart(1, 0, True, b''),
+)
+BAD = (
+    b'',
+    b'\xc1',
+    msgpack.packb({}),
+    msgpack.packb([]),
+    msgpack.packb([9999]),
+    msgpack.packb([[]]),
+    msgpack.packb([2, 1]),
+    msgpack.packb([2, 'x', b'abcdef']),
+    msgpack.packb([2, True, b'abcdef']),
+)
+
+
+class TestMessages(unittest.TestCase):
+    """Encoding and decoding."""
+
+    def test_round_trip(self) -> None:
+        """Messages come out as they went in."""
+        for sent in MESSAGES:
+            with self.subTest(sent):
+                self.assertEqual(decode(encode(sent)), sent)
+
+    def test_refuses_malformed(self) -> None:
+        """Wrong kinds, counts and types are refused."""
+        for raw in BAD:
+            with self.subTest(raw), self.assertRaises(MessageError):
+                decode(raw)
+
+    @given(st.binary(max_size=200))
+    def test_noise_is_harmless(self, noise: bytes) -> None:
+        """Any bytes are a message or a MessageError."""
+        try:
+            received = decode(noise)
+        except MessageError:
+            return
+        self.assertIsInstance(received, Message)
--- /dev/null
+++ b/tests/wire/test_packets.py
@@ -0,0 +1,76 @@
+"""Tests of inner packets and envelopes."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskinbank.lab.standins.packets import ACK, SYN, Flow, make_packet
+from siskinbank.wire.packets import (
+    Envelope,
+    pack_address,
+    parse_inner,
+    unpack_address,
+)
+
+FLOW = Flow('10.1.2.3', 4000, '10.0.0.9', 443)
+PACKET = make_packet(FLOW, SYN, b'hello')
+
+
+class TestInnerPacket(unittest.TestCase):
+    """Reading packets."""
+
+    def test_reads_fields(self) -> None:
+        """Ports and flags are those that were written."""
+        packet = parse_inner(PACKET)
+        assert packet is not None
+        self.assertEqual(packet.target_port, 443)
+        self.assertTrue(packet.first)
+
+    def test_key_is_the_flows(self) -> None:
+        """All packets of a flow have one number; flags do not matter."""
+        first = parse_inner(PACKET)
+        later = parse_inner(make_packet(FLOW, ACK))
+        other = parse_inner(make_packet(FLOW.reverse(), ACK))
+        assert first and later and other
+        self.assertEqual(first.key, later.key)
+        self.assertNotEqual(first.key, other.key)
+
+    def test_refuses_cut_packets(self) -> None:
+        """A packet cut anywhere in its headers or body is refused."""
+        for size in range(0, len(PACKET)):
+            with self.subTest(size):
+                self.assertIsNone(parse_inner(PACKET[:size]))
+
+    @given(st.binary(max_size=80))
+    def test_noise_is_harmless(self, noise: bytes) -> None:
+        """Any bytes are read or refused."""
+        packet = parse_inner(noise)
+        if packet is not None:
+            self.assertLessEqual(len(packet.raw), len(noise))
+
+
+class TestEnvelope(unittest.TestCase):
+    """Packing and unpacking."""
+
+    def test_round_trip(self) -> None:
+        """What was packed comes out."""
+        candidates = tuple(
+            pack_address(('127.0.0.1', port)) for port in (1, 2, 65535)
+        )
+        sent = Envelope(
+            1, 2, 3, 4, 5, 6, pack_address(('127.0.0.9', 8)), candidates, PACKET
+        )
+        self.assertEqual(Envelope.unpack(sent.pack()), sent)
+
+    @given(st.binary(max_size=120))
+    def test_noise_is_harmless(self, noise: bytes) -> None:
+        """Any bytes are read or refused."""
+        envelope = Envelope.unpack(noise)
+        if envelope is not None:
+            self.assertLess(len(envelope.raw), len(noise))
+
+    def test_addresses(self) -> None:
+        """Addresses survive."""
+        address = ('10.20.30.40', 7100)
+        self.assertEqual(unpack_address(pack_address(address)), address)
