--- a/siskinbank/kernel/process.py
+++ b/siskinbank/kernel/process.py
@@ -20,11 +20,16 @@
 class ProcessContext:
     """Timers, metrics, log and background tasks of one process."""
 
-    def __init__(self, role: str, name: str) -> None:
+    def __init__(
+        self,
+        role: str,
+        name: str,
+        timers: TimerService | None = None,
+    ) -> None:
         """Prepare a process that is not yet running."""
         self.role = role
         self.name = name
-        self.timers = TimerService()
+        self.timers = timers or TimerService()
         self.metrics = Metrics()
         self.log = events.EventLog(role, name)
         self.stopping = asyncio.Event()
--- a/siskinbank/peers/datagrams.py
+++ b/siskinbank/peers/datagrams.py
@@ -73,7 +73,11 @@
 
     async def open(self, address: Address) -> None:
         """Bind to ``address``."""
-        self._transport = await open_udp(address, self.receive)
+        self.use(await open_udp(address, self.receive))
+
+    def use(self, transport: asyncio.DatagramTransport) -> None:
+        """Send over an open transport."""
+        self._transport = transport
 
     def receive(self, datagram: bytes, sender: Address) -> None:
         """Open one datagram and hand it on; count what is refused."""
