--- /dev/null
+++ b/siskinbank/admission/balance.py
@@ -0,0 +1,127 @@
+"""What a sidecar knows of its pool's loads, and its own fair part."""
+
+import math
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from siskinbank.config.site import Host
+from siskinbank.kernel.clock import Clock
+from siskinbank.wire.packets import pack_address
+
+__all__ = ('HostLoad', 'PoolLoads')
+
+#: How far above the mean a host goes before it passes first packets on.
+FAIR_FACTOR = 1.03
+#: Age in seconds at which a load report says nothing any more.
+MAX_AGE_SECONDS = 20.0
+
+
+@dataclass(slots=True)
+class HostLoad:
+    """The load of one host at a moment.
+
+    ``load`` and ``room`` count connections, ``at`` is in seconds.
+    """
+
+    load: int
+    room: int
+    at: float
+
+
+class PoolLoads:
+    """The latest known load of each other host of the pool.
+
+    After Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded
+    loads" (2018): a host takes no more than a constant factor above the mean.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Know nothing yet."""
+        self._clock = clock
+        self._hosts: dict[int, Host] = {}
+        self._addresses: dict[bytes, Host] = {}
+        self._loads: dict[int, HostLoad] = {}
+        self._others = (0.0, 0.0)
+
+    @property
+    def hosts(self) -> list[Host]:
+        """The other hosts of the pool that take new work."""
+        return list(self._hosts.values())
+
+    def follow(self, hosts: Iterable[Host]) -> None:
+        """Know the other hosts that take new work."""
+        self._hosts = {host.seed: host for host in hosts}
+        self._addresses = {
+            pack_address(host.address): host for host in self._hosts.values()
+        }
+        for seed in self._loads.keys() - self._hosts.keys():
+            del self._loads[seed]
+        self.refresh()
+
+    def note(self, seed: int, load: int, room: int, age: float) -> None:
+        """Note a report that was true ``age`` seconds ago."""
+        at = self._clock() - max(age, 0)
+        known = self._loads.get(seed)
+        if seed in self._hosts and (known is None or known.at < at):
+            self._loads[seed] = HostLoad(load, room, at)
+
+    def fresh(self) -> list[tuple[Host, HostLoad]]:
+        """Return what is known and not too old."""
+        oldest = self._clock() - MAX_AGE_SECONDS
+        return [
+            (self._hosts[seed], known)
+            for seed, known in self._loads.items()
+            if known.at >= oldest
+        ]
+
+    def refresh(self) -> None:
+        """Sum up the hosts that could take more."""
+        load = weight = 0.0
+        for host, known in self.fresh():
+            if known.room:
+                load += known.load
+                weight += host.weight
+        self._others = (load, weight)
+
+    def fair_load(self, own_load: int, own_weight: float) -> float:
+        """Return the connections up to which this host takes first packets.
+
+        Infinite while nothing is known: then only the own limit binds.
+        """
+        load, weight = self._others
+        if not weight:
+            return math.inf
+        mean = (load + own_load) / (weight + own_weight) * own_weight
+        return max(math.ceil(mean * FAIR_FACTOR), math.floor(mean) + 1)
+
+    def sort(self, addresses: Sequence[bytes]) -> list[bytes]:
+        """Return packed addresses, the least loaded host first.
+
+        A host of which nothing is known counts as a host with mean load, one
+        without room comes last.
+        """
+        keys = {address: self._key(address) for address in addresses}
+        return sorted(addresses, key=keys.__getitem__)
+
+    def others(self, tried: Sequence[bytes], count: int) -> list[bytes]:
+        """Return the least loaded hosts of the pool beyond ``tried``."""
+        left = [
+            address for address in self._addresses if address not in tried
+        ]
+        return self.sort(left)[:count]
+
+    def expect(self, address: bytes) -> None:
+        """Count a first packet that was passed on to a host."""
+        host = self._addresses.get(address)
+        known = self._loads.get(host.seed) if host else None
+        if known is not None:
+            known.load += 1
+
+    def _key(self, address: bytes) -> tuple[bool, float]:
+        host = self._addresses.get(address)
+        known = self._loads.get(host.seed) if host else None
+        oldest = self._clock() - MAX_AGE_SECONDS
+        if host is None or known is None or known.at < oldest:
+            load, weight = self._others
+            return False, load / weight if weight else 0
+        return not known.room, known.load / host.weight
--- a/siskinbank/admission/limit.py
+++ b/siskinbank/admission/limit.py
@@ -1,12 +1,28 @@
-"""A limit that starts cold and climbs to its full value."""
+"""A limit that starts cold, climbs to its full value and falls on trouble."""
 
 from siskinbank.kernel.clock import Clock
 
 __all__ = ('ClimbingLimit',)
 
+#: The share of the limit that may arrive at once while it is not full.
+_BURST_SHARE = 0.1
+#: What remains of the limit after a sign of trouble.
+_TROUBLE_SHARE = 0.7
+#: Seconds in which one trouble lowers the limit only once.
+_TROUBLE_SECONDS = 0.5
+#: Weight of the newest interval in the mean between two returned units.
+_RETURN_WEIGHT = 0.1
+_MIN_RETRY_SECONDS = 0.05
+_MAX_RETRY_SECONDS = 60.0
+
 
 class ClimbingLimit:
-    """How much of one resource the upstream can bear now."""
+    """How much of one resource the upstream can bear now.
+
+    All ingresses of a sidecar share the one object, so that any number of
+    entries that act at once stays within it. ``used`` counts the units taken;
+    ``suspended`` of them belong to work that gets no packets at present.
+    """
 
     def __init__(
         self,
@@ -14,35 +30,152 @@
         full: int,
         warm_up_seconds: float,
         clock: Clock,
+        *,
+        paced: bool = False,
     ) -> None:
-        """Start at ``cold`` and reach ``full`` after the warm-up."""
-        self._cold = cold
-        self._full = full
-        self._warm_up = warm_up_seconds
+        """Start at ``cold`` and reach ``full`` after the warm-up.
+
+        Args:
+            cold: what the upstream bears right after its start.
+            full: what it bears when warm.
+            warm_up_seconds: the time from the one to the other.
+            clock: the time in seconds.
+            paced: while the limit is not full, let it be used up in a second
+                and not at once.
+        """
         self._clock = clock
+        self._paced = paced
+        self._tokens = 0.0
+        self._paced_at = clock()
         self._since = clock()
+        self._blocked = False
+        self._lowered_at = float('-inf')
+        self._returned_at: float | None = None
+        self._return_seconds = 1.0
+        self._describe(cold, full, warm_up_seconds)
+        self._level: float = self._cold
+        self._tokens = self._burst
         self.used = 0
+        self.suspended = 0
 
     @property
     def limit(self) -> int:
         """The most that may be in use now."""
+        if self._blocked:
+            return 0
+        return self._climbed
+
+    @property
+    def in_use(self) -> int:
+        """The units that are taken and not suspended."""
+        return self.used - self.suspended
+
+    @property
+    def room(self) -> int:
+        """The units that are left."""
+        return max(self.limit - self.in_use, 0)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the climb is over."""
+        return self.limit >= self._full
+
+    @property
+    def retry_after(self) -> float:
+        """Seconds until a unit can be expected to be free."""
+        wait = _MIN_RETRY_SECONDS
+        missing = self.in_use + 1 - self.limit
+        if self._blocked:
+            wait = self._warm_up
+        elif missing > 0:
+            wait = self._return_seconds * missing
+            if self._climb and self.limit < self._full:
+                wait = min(wait, missing / self._climb)
+        elif self._paced and not self.is_full:
+            wait = (1 - self._refilled) / max(self.limit, 1)
+        return min(max(wait, _MIN_RETRY_SECONDS), _MAX_RETRY_SECONDS)
+
+    @property
+    def _climbed(self) -> int:
         elapsed = self._clock() - self._since
         if elapsed >= self._warm_up:
             return self._full
-        climbed = (self._full - self._cold) * elapsed / self._warm_up
-        return self._cold + int(climbed)
+        return min(self._full, int(self._level + self._climb * elapsed))
+
+    @property
+    def _burst(self) -> float:
+        return max(1, self._climbed * _BURST_SHARE)
+
+    @property
+    def _refilled(self) -> float:
+        elapsed = self._clock() - self._paced_at
+        return min(self._tokens + elapsed * self.limit, self._burst)
+
+    def change(self, cold: int, full: int, warm_up_seconds: float) -> None:
+        """Follow a new configuration from the limit of now."""
+        if (cold, full, warm_up_seconds) != self._stated:
+            level = self._climbed
+            self._describe(cold, full, warm_up_seconds)
+            self._start_from(min(level, self._full))
 
     def restart(self) -> None:
         """Fall to the cold limit, because the upstream turned cold."""
-        self._since = self._clock()
+        self._blocked = False
+        self._start_from(self._cold)
+
+    def block(self) -> None:
+        """Take nothing until the next ``restart``."""
+        self._blocked = True
+
+    def lower(self) -> None:
+        """Fall at once on trouble, from what is in use now."""
+        now = self._clock()
+        if now - self._lowered_at < _TROUBLE_SECONDS:
+            return
+        self._lowered_at = now
+        carried = min(self._climbed, self.in_use)
+        self._start_from(max(self._cold, int(carried * _TROUBLE_SHARE)))
 
     def take(self) -> bool:
         """Take one unit if there is one."""
-        if self.used >= self.limit:
+        if not self.claim():
             return False
         self.used += 1
         return True
 
+    def claim(self) -> bool:
+        """Whether one more unit may come into use now; spends its pace."""
+        if self.in_use >= self.limit:
+            return False
+        if not self._paced or self.is_full:
+            return True
+        self._tokens = self._refilled
+        self._paced_at = self._clock()
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
     def give_back(self) -> None:
         """Return one unit."""
         self.used = max(self.used - 1, 0)
+        now = self._clock()
+        if self._returned_at is not None:
+            gap = now - self._returned_at
+            self._return_seconds += _RETURN_WEIGHT * (
+                gap - self._return_seconds
+            )
+        self._returned_at = now
+
+    def _describe(self, cold: int, full: int, warm_up: float) -> None:
+        self._stated = (cold, full, warm_up)
+        self._full = full
+        self._cold = min(cold, full)
+        self._warm_up = warm_up
+        self._climb = (full - self._cold) / warm_up if warm_up else 0
+
+    def _start_from(self, level: int) -> None:
+        self._level = level
+        self._since = self._clock()
+        self._tokens = min(self._refilled, self._burst)
+        self._paced_at = self._clock()
--- /dev/null
+++ b/siskinbank/admission/places.py
@@ -0,0 +1,96 @@
+"""Which of the upstream's flows hold a place within its limit."""
+
+from collections.abc import Container, Iterable
+
+from siskinbank.admission.limit import ClimbingLimit
+from siskinbank.kernel.clock import Clock
+
+__all__ = ('FlowPlaces',)
+
+#: Silence after the caller's last data, after which the place is free.
+_CLOSING_SECONDS = 2
+#: The same for a flow from before the upstream turned cold: it may be dead.
+_PROVING_SECONDS = 10
+
+
+class FlowPlaces:
+    """Suspends flows when the upstream turns cold, and lets them back in.
+
+    A suspended flow stays owned, and its packets wait for the climbing limit:
+    the caller's transport sends them again. So an upstream that turned cold
+    does not get the load that it carried a moment earlier, and no flow breaks
+    on a mere suspicion.
+    """
+
+    def __init__(self, limit: ClimbingLimit, clock: Clock) -> None:
+        """Hold places within ``limit``."""
+        self._limit = limit
+        self._clock = clock
+        self._suspended: set[int] = set()
+        self._closing: set[int] = set()
+        self._deadlines: dict[int, float] = {}
+
+    def __len__(self) -> int:
+        """Return the number of flows without a place."""
+        return len(self._suspended)
+
+    def suspend(self, flows: Iterable[int]) -> None:
+        """Take the places of all ``flows``."""
+        self._suspended.update(flows)
+        self._closing.clear()
+        self._deadlines.clear()
+        self._tell()
+
+    def admits(self, flow: int, *, closing: bool) -> bool:
+        """Whether a packet of an owned flow may go to the upstream now."""
+        if closing:
+            self._closing.add(flow)
+        elif not self._suspended and not self._deadlines:
+            return True
+        if flow in self._suspended:
+            return self._resume(flow)
+        if flow in self._closing:
+            self._deadlines[flow] = self._clock() + _CLOSING_SECONDS
+        elif flow in self._deadlines:
+            self._deadlines[flow] = self._clock() + _PROVING_SECONDS
+        return True
+
+    def sweep(self) -> None:
+        """Free the places of flows that were silent for too long."""
+        now = self._clock()
+        silent = [
+            flow for flow, due in self._deadlines.items() if due <= now
+        ]
+        for flow in silent:
+            del self._deadlines[flow]
+            self._suspended.add(flow)
+        self._tell()
+
+    def forget(self, flow: int) -> None:
+        """Forget a flow that is owned no more."""
+        self._suspended.discard(flow)
+        self._closing.discard(flow)
+        self._deadlines.pop(flow, None)
+        self._tell()
+
+    def keep_only(self, flows: Container[int]) -> None:
+        """Forget all flows that are not in ``flows``."""
+        known = self._suspended | self._closing | self._deadlines.keys()
+        for flow in known:
+            if flow not in flows:
+                self.forget(flow)
+
+    def _resume(self, flow: int) -> bool:
+        # The upstream has a closing flow anyhow, so its last packets pass.
+        if flow in self._closing:
+            self._deadlines[flow] = self._clock() + _CLOSING_SECONDS
+        elif self._limit.claim():
+            self._deadlines[flow] = self._clock() + _PROVING_SECONDS
+        else:
+            return False
+        self._suspended.discard(flow)
+        self._tell()
+        return True
+
+    def _tell(self) -> None:
+        self._limit.suspended = len(self._suspended)
--- /dev/null
+++ b/siskinbank/admission/upstream.py
@@ -0,0 +1,93 @@
+"""The admission of one upstream: its limits, its flows' places, its judge."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from siskinbank.admission.judge import UpstreamJudge, Verdict
+from siskinbank.admission.limit import ClimbingLimit
+from siskinbank.admission.places import FlowPlaces
+from siskinbank.config.site import Service
+from siskinbank.kernel.clock import Clock
+
+__all__ = ('Limits', 'UpstreamAdmission', 'make_admission')
+
+OwnedFlows = Callable[[], Iterable[int]]
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """The limits of one upstream, shared by all ingresses."""
+
+    connections: ClimbingLimit
+    slots: ClimbingLimit
+
+    def restart(self) -> None:
+        """Fall to the cold limits."""
+        self.connections.restart()
+        self.slots.restart()
+
+    def follow(self, service: Service) -> None:
+        """Follow a changed configuration."""
+        cold = service.cold
+        warm_up = cold.warm_up_seconds
+        self.connections.change(cold.connections, service.connections, warm_up)
+        self.slots.change(cold.slots, service.slots, warm_up)
+
+
+@dataclass(slots=True)
+class UpstreamAdmission:
+    """What decides on new work, and what tells it how the upstream fares."""
+
+    limits: Limits
+    places: FlowPlaces
+    judge: UpstreamJudge
+    owned_flows: OwnedFlows
+
+    def turn_cold(self) -> None:
+        """Start again from cold, with the flows that are open."""
+        self.limits.restart()
+        self.places.suspend(self.owned_flows())
+
+
+def make_admission(
+    service: Service,
+    clock: Clock,
+    tell: Callable[[Verdict], None],
+) -> UpstreamAdmission:
+    """Return the admission of a cold upstream.
+
+    Args:
+        service: says the limits.
+        clock: the time in seconds.
+        tell: is told each verdict after it was acted upon.
+    """
+    cold = service.cold
+    limits = Limits(
+        ClimbingLimit(
+            cold.connections,
+            service.connections,
+            cold.warm_up_seconds,
+            clock,
+            paced=True,
+        ),
+        ClimbingLimit(cold.slots, service.slots, cold.warm_up_seconds, clock),
+    )
+
+    def conclude(verdict: Verdict) -> None:
+        if verdict in {Verdict.cold, Verdict.back}:
+            admission.turn_cold()
+        elif verdict is Verdict.trouble:
+            limits.connections.lower()
+            limits.slots.lower()
+        elif verdict is Verdict.unreachable:
+            limits.connections.block()
+            limits.slots.block()
+        tell(verdict)
+
+    admission = UpstreamAdmission(
+        limits,
+        FlowPlaces(limits.connections, clock),
+        UpstreamJudge(clock, conclude, 2 * max(cold.warm_up_seconds, 1)),
+        tuple,
+    )
+    return admission
--- a/siskinbank/commands/sidecar.py
+++ b/siskinbank/commands/sidecar.py
@@ -26,6 +26,10 @@
     '--upstream-http',
     help_text="The upstream's base URL for requests.",
 )
+@option(
+    '--upstream-health',
+    help_text="URL of the upstream's health or load report.",
+)
 def command(log_level: str, log_format: str, **given: Any) -> int:
     """Admit work to the upstream beside this process, and own it.
 
--- a/siskinbank/kernel/events.py
+++ b/siskinbank/kernel/events.py
@@ -80,6 +80,30 @@
     'host unreachable',
     'A host did not answer; its flows are given up when its lease ends.',
 )
+UPSTREAM_COLD = _define(
+    400,
+    'WARNING',
+    'upstream turned cold',
+    'Its limits start again from cold; open flows are let back in as it warms.',
+)
+UPSTREAM_UNREACHABLE = _define(
+    401,
+    'ERROR',
+    'upstream unreachable',
+    'It refuses or resets connections; it gets no work until it answers.',
+)
+UPSTREAM_BACK = _define(
+    402,
+    'INFO',
+    'upstream answers again',
+    'It counts as cold and gets work as it warms up.',
+)
+REPORT_DISTRUSTED = _define(
+    403,
+    'WARNING',
+    'upstream report passed over',
+    'Its health endpoint claims trouble that its answers do not bear out.',
+)
 HANDLER_FAILED = _define(
     900,
     'ERROR',
--- a/siskinbank/kernel/reasons.py
+++ b/siskinbank/kernel/reasons.py
@@ -40,3 +40,4 @@
     at_limit = 'at-limit'
     centre_out = 'data-centre-out'
     too_large = 'too-large'
+    upstream_cold = 'upstream-cold'
--- a/siskinbank/settings.py
+++ b/siskinbank/settings.py
@@ -36,3 +36,4 @@
     upstream_packets: Address | None
     upstream_tcp: Address | None
     upstream_http: str | None
+    upstream_health: str | None = None
--- a/siskinbank/sidecar/context.py
+++ b/siskinbank/sidecar/context.py
@@ -1,10 +1,14 @@
 """What the parts of one sidecar share."""
 
-from dataclasses import dataclass
-
-from siskinbank.admission.limit import ClimbingLimit
+from siskinbank.admission.judge import Verdict
+from siskinbank.admission.upstream import (
+    Limits,
+    UpstreamAdmission,
+    make_admission,
+)
 from siskinbank.choice.router import Router
 from siskinbank.config.site import Host, Service
+from siskinbank.kernel import events
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.platform.view import FleetView
@@ -13,12 +17,12 @@
 __all__ = ('Limits', 'SidecarContext')
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """The limits of one upstream."""
-
-    connections: ClimbingLimit
-    slots: ClimbingLimit
+_EVENTS = {
+    Verdict.cold: events.UPSTREAM_COLD,
+    Verdict.unreachable: events.UPSTREAM_UNREACHABLE,
+    Verdict.back: events.UPSTREAM_BACK,
+    Verdict.distrusted: events.REPORT_DISTRUSTED,
+}
 
 
 class SidecarContext:
@@ -37,11 +41,17 @@
         self.view = view
         self.peers = peers
         self.router = Router(view)
-        self.limits: Limits | None = None
+        self.admission: UpstreamAdmission | None = None
+        self._was_out = False
         self.service: Service | None = None
         self.host: Host | None = None
         view.subscribe(self._refresh)
 
+    @property
+    def limits(self) -> Limits | None:
+        """The upstream's limits, once its service is known."""
+        return self.admission.limits if self.admission else None
+
     @property
     def is_out(self) -> bool:
         """Whether this data centre is out of service."""
@@ -71,26 +81,19 @@
             self.host = None
             return
         self.service, self.host = found
-        if self.limits is None:
-            self.limits = self._make_limits(self.service)
-
-    def _make_limits(self, service: Service) -> Limits:
-        cold = service.cold
-        clock = self._now
-        return Limits(
-            ClimbingLimit(
-                cold.connections,
-                service.connections,
-                cold.warm_up_seconds,
-                clock,
-            ),
-            ClimbingLimit(
-                cold.slots,
-                service.slots,
-                cold.warm_up_seconds,
-                clock,
-            ),
-        )
+        if self.admission is None:
+            self.admission = make_admission(
+                self.service,
+                lambda: self.process.timers.now,
+                self._note,
+            )
+        self.admission.limits.follow(self.service)
+        # A data centre that returns counts as cold.
+        if self._was_out and not self.is_out:
+            self.admission.turn_cold()
+        self._was_out = self.is_out
 
-    def _now(self) -> float:
-        return self.process.timers.now
+    def _note(self, verdict: Verdict) -> None:
+        self.process.metrics.count(verdict)
+        if verdict is not Verdict.trouble:
+            self.process.log.write(_EVENTS[verdict])
--- a/siskinbank/sidecar/daemon.py
+++ b/siskinbank/sidecar/daemon.py
@@ -1,14 +1,17 @@
 """Start a sidecar beside its upstream."""
 
 import asyncio
+import random
 
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.node import start_node
 from siskinbank.settings import SidecarSettings
 from siskinbank.sidecar.context import SidecarContext
+from siskinbank.sidecar.exchange import LoadExchange
 from siskinbank.sidecar.packets import PacketHandler
 from siskinbank.sidecar.requests import RequestServer
 from siskinbank.sidecar.streams import start_streams
+from siskinbank.sidecar.watch import start_watch
 
 __all__ = ('start_sidecar',)
 
@@ -24,7 +27,9 @@
     """
     node = await start_node(process, settings)
     context = SidecarContext(process, settings, node.view, node.peers)
-    PacketHandler(context, await _open_upstream(settings))
+    exchange = LoadExchange(context, random.Random())
+    PacketHandler(context, await _open_upstream(settings), exchange)
+    start_watch(context)
     await start_streams(context, RequestServer(context))
 
 
--- /dev/null
+++ b/siskinbank/sidecar/exchange.py
@@ -0,0 +1,116 @@
+"""Tell some sidecars of the pool how loaded the pool's hosts are."""
+
+import random
+from collections.abc import Iterator
+
+from siskinbank.admission.balance import PoolLoads
+from siskinbank.config.site import Host, Service
+from siskinbank.kernel.reasons import Drop
+from siskinbank.sidecar.context import SidecarContext
+from siskinbank.wire.loads import PoolLoad
+
+__all__ = ('LoadExchange',)
+
+_INTERVAL_SECONDS = 1.0
+_JITTER = 0.2
+#: Peers that each sidecar tells in each round, whatever the pool's size.
+_PEERS = 3
+#: Hosts in one message, the sender included.
+_RECORDS = 24
+_AGES_A_SECOND = 10
+
+
+class LoadExchange:
+    """Spreads loads through the pool by gossip with a fixed cost.
+
+    Each message carries the sender's own load and a sample of what it heard
+    from others, with its age.
+    """
+
+    def __init__(self, context: SidecarContext, rng: random.Random) -> None:
+        """Exchange from now on; ``rng`` draws peers and samples."""
+        self._context = context
+        self._rng = rng
+        self.loads = PoolLoads(lambda: context.process.timers.now)
+        context.view.subscribe(self._refresh)
+        context.process.timers.every(_INTERVAL_SECONDS, self.tell, _JITTER)
+
+    def tell(self) -> None:
+        """Send one round of reports."""
+        service = self._context.service
+        host = self._context.host
+        if service is None or host is None or not self._context.takes_work:
+            return
+        peers = self.loads.hosts
+        sent = self._report(service, host)
+        for peer in self._rng.sample(peers, min(_PEERS, len(peers))):
+            self._context.peers.send_message(sent, peer.address)
+        self.loads.refresh()
+
+    def learn(self, received: PoolLoad) -> None:
+        """Note what another sidecar told; refuse what is malformed."""
+        service = self._context.service
+        if service is None or received.service != service.ident:
+            self._context.process.metrics.count(Drop.wrong_service)
+            return
+        if not _is_sound(received):
+            self._context.process.metrics.count(Drop.malformed)
+            return
+        for seed, load, room, age in _records(received):
+            self.loads.note(seed, load, room, age / _AGES_A_SECOND)
+        self.loads.refresh()
+
+    def _report(self, service: Service, own: Host) -> PoolLoad:
+        now = self._context.process.timers.now
+        limits = self._context.limits
+        assert limits is not None
+        known = self.loads.fresh()
+        if len(known) >= _RECORDS:
+            known = self._rng.sample(known, _RECORDS - 1)
+        connections = limits.connections
+        return PoolLoad(
+            service.ident,
+            [own.seed, *(host.seed for host, _load in known)],
+            [connections.in_use, *(load.load for _host, load in known)],
+            [connections.room, *(load.room for _host, load in known)],
+            [0, *(_age(now - load.at) for _host, load in known)],
+        )
+
+    def _refresh(self) -> None:
+        site = self._context.view.site
+        service = self._context.service
+        if site is None or service is None:
+            return
+        leaving = self._context.view.leaving
+        self.loads.follow(
+            host
+            for host in service.hosts
+            if site.takes_work(host)
+            and host.name not in leaving
+            and host.name != self._context.process.name
+        )
+
+
+def _age(seconds: float) -> int:
+    return round(seconds * _AGES_A_SECOND)
+
+
+def _records(received: PoolLoad) -> Iterator[tuple[int, int, int, int]]:
+    return zip(
+        received.hosts,
+        received.loads,
+        received.rooms,
+        received.ages,
+        strict=True,
+    )
+
+
+def _is_sound(received: PoolLoad) -> bool:
+    columns = (received.hosts, received.loads, received.rooms, received.ages)
+    if any(len(column) != len(received.hosts) for column in columns):
+        return False
+    return len(received.hosts) <= _RECORDS and all(
+        type(number) is int and number >= 0
+        for column in columns
+        for number in column
+    )
--- /dev/null
+++ b/siskinbank/sidecar/watch.py
@@ -0,0 +1,120 @@
+"""Watch the upstream: probe it, and ask its health and load endpoints."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from urllib.parse import urlsplit
+
+import aiohttp
+
+from siskinbank.admission.judge import Health, LoadReport, UpstreamJudge
+from siskinbank.config.site import Address
+from siskinbank.sidecar.context import SidecarContext
+
+__all__ = ('probe', 'probe_address', 'read_report', 'start_watch')
+
+_INTERVAL_SECONDS = 0.3
+_PROBE_SECONDS = 0.5
+_REPORT_SECONDS = 0.5
+_MAX_REPORT_BYTES = 64 * 1024
+_OK = 200
+_HEALTH = {
+    'ok': Health.good,
+    'good': Health.good,
+    'healthy': Health.good,
+    'cold': Health.cold,
+    'starting': Health.cold,
+    'warming': Health.cold,
+}
+
+
+def start_watch(context: SidecarContext) -> None:
+    """Watch from now on, as far as the settings say how."""
+    busy: set[str] = set()
+
+    def start(name: str, work: Callable[[], Awaitable[None]]) -> None:
+        # A round that hangs is not joined by a second one.
+        if name not in busy and context.admission is not None:
+            busy.add(name)
+            context.process.start_task(run(name, work))
+
+    async def run(name: str, work: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await work()
+        finally:
+            busy.discard(name)
+
+    async def probe_upstream() -> None:
+        address = probe_address(context)
+        if address is not None and context.admission is not None:
+            await probe(address, context.admission.judge)
+
+    async def ask_upstream() -> None:
+        url = context.settings.upstream_health
+        if url is not None and context.admission is not None:
+            report = await read_report(url)
+            context.admission.judge.note_report(report)
+
+    def watch() -> None:
+        start('probe', probe_upstream)
+        start('report', ask_upstream)
+
+    context.process.timers.every(_INTERVAL_SECONDS, watch, jitter=0.1)
+
+
+def probe_address(context: SidecarContext) -> Address | None:
+    """Return where a connection shows that the upstream lives."""
+    settings = context.settings
+    if settings.upstream_tcp is not None:
+        return settings.upstream_tcp
+    if settings.upstream_http is None:
+        return None
+    base = urlsplit(settings.upstream_http)
+    return (base.hostname or '', base.port or 80)
+
+
+async def probe(address: Address, judge: UpstreamJudge) -> None:
+    """Open and close one connection."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    try:
+        async with asyncio.timeout(_PROBE_SECONDS):
+            _reader, writer = await asyncio.open_connection(*address)
+    except (OSError, TimeoutError):
+        judge.note_failure()
+        return
+    judge.note_answer(loop.time() - started)
+    writer.close()
+
+
+async def read_report(url: str) -> LoadReport:
+    """Ask a health or load endpoint; whatever it does, return a report."""
+    timeout = aiohttp.ClientTimeout(total=_REPORT_SECONDS)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(url, allow_redirects=False) as answer,
+        ):
+            raw = await answer.content.read(_MAX_REPORT_BYTES)
+            return _parse(answer.status, raw)
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        return LoadReport(Health.silent)
+
+
+def _parse(status: int, raw: bytes) -> LoadReport:
+    try:
+        document = json.loads(raw)
+    except ValueError:
+        document = None
+    if not isinstance(document, dict):
+        document = {}
+    health = _HEALTH.get(str(document.get('status', 'ok')), Health.bad)
+    if status != _OK and health is Health.good:
+        health = Health.bad
+    incarnation = document.get('incarnation')
+    uptime = document.get('uptime')
+    return LoadReport(
+        health,
+        None if incarnation is None else str(incarnation),
+        float(uptime) if isinstance(uptime, int | float) else None,
+    )
--- /dev/null
+++ b/siskinbank/wire/loads.py
@@ -0,0 +1,24 @@
+"""The message in which the sidecars of a pool tell each other their loads."""
+
+import dataclasses
+
+from siskinbank.wire.messages import Message, message
+
+__all__ = ('PoolLoad',)
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolLoad(Message):
+    """Loads of hosts of one service, the sender's own first.
+
+    The four lists have the same length: 64-bit host numbers, connections in
+    use, connections left, and the report's age in tenths of a second.
+    """
+
+    kind = 40
+    service: int
+    hosts: list  # type: ignore[type-arg]
+    loads: list  # type: ignore[type-arg]
+    rooms: list  # type: ignore[type-arg]
+    ages: list  # type: ignore[type-arg]
