Check documents harder: aliases, wildcard ports, unknown ingresses, removal by null

Cause: recursive aliases ended in a RecursionError, a port on all addresses clashed with the same port on one address unseen, and an overlay could not switch off what the base file says. Each has a finding with its line and a test case.

--- a/siskinbank/commands/check.py
+++ b/siskinbank/commands/check.py
@@ -2,7 +2,7 @@
 
 import click
 
-from siskinbank.config.overlay import load_files
+from siskinbank.config.overlay import load_files, served
 from siskinbank.kernel.findings import Findings
 
 __all__ = ('command',)
@@ -29,9 +29,14 @@
     if model is None:
         click.echo(f'{len(findings)} findings', err=True)
         return 1
-    hosts = sum(len(service.hosts) for service in model.services.values())
+    here = served(model).services
+    hosts = sum(len(service.hosts) for service in here.values())
     click.echo(
-        f'{model.site}: {len(model.services)} services, {hosts} hosts, '
+        f'{model.site}: {len(here)} services, {hosts} hosts, '
         f'{len(model.data_centres)} data centres',
     )
+    elsewhere = sorted(model.services.keys() - here.keys())
+    if elsewhere:
+        names = ', '.join(elsewhere)
+        click.echo(f'without hosts, so not served here: {names}')
     return 0
--- a/siskinbank/commands/render.py
+++ b/siskinbank/commands/render.py
@@ -7,7 +7,7 @@
 import yaml
 
 from siskinbank.config.models import DocumentModel
-from siskinbank.config.overlay import load_files
+from siskinbank.config.overlay import load_files, served
 from siskinbank.config.sections import split_sections
 from siskinbank.kernel.findings import Findings
 from siskinbank.util import hex_digest
@@ -64,7 +64,7 @@
     model = load_files(base, overlays, findings)
     for finding in findings:
         click.echo(str(finding), err=True)
-    return model
+    return served(model) if model else None
 
 
 def _published(model: DocumentModel, generation: int) -> dict[str, Any]:
--- a/siskinbank/config/check.py
+++ b/siskinbank/config/check.py
@@ -4,8 +4,9 @@
 from typing import Any
 
 from pydantic import ValidationError
+from pydantic_core import ErrorDetails
 
-from siskinbank.config.documents import KeyPath
+from siskinbank.config.documents import KeyPath, dotted
 from siskinbank.config.models import DocumentModel, ServiceModel
 from siskinbank.kernel.findings import Findings, Place
 
@@ -14,6 +15,8 @@
 #: Tells where a path of the effective document was written.
 Locate = Callable[[KeyPath], Place]
 
+_SHOWN_CHARACTERS = 60
+_ANY_ADDRESS = '0.0.0.0'
 _HINTS = {
     'extra_forbidden': ('unknown key', 'remove it or correct its name'),
     'missing': ('missing', 'write it here or in the base file'),
@@ -47,13 +50,19 @@
 ) -> None:
     for problem in error.errors(include_url=False):
         path = tuple(step for step in problem['loc'] if step != '[key]')
-        wrong, right = _HINTS.get(
-            problem['type'],
-            (f'{problem["input"]!r} is not allowed', problem['msg']),
-        )
+        wrong, right = _HINTS.get(problem['type'], _explain(problem))
         findings.add(locate(path), wrong, right)
 
 
+def _explain(problem: ErrorDetails) -> tuple[str, str]:
+    shown = repr(problem['input'])
+    if len(shown) > _SHOWN_CHARACTERS:
+        shown = f'{shown[:_SHOWN_CHARACTERS]}...'
+    message = problem['msg'].removeprefix('Value error, ')
+    right = message.replace('Input should', 'it should')
+    return f'{shown} is not allowed', right
+
+
 def _check_whole(
     model: DocumentModel,
     locate: Locate,
@@ -69,6 +78,7 @@
             here: KeyPath = (*path, 'ingress', kind)
             key = (_socket_family(kind), endpoint.address, endpoint.port)
             _check_twice(endpoints, key, here, locate, findings)
+            _check_any_address(endpoints, key, here, locate, findings)
         for host_name, host in service.hosts.items():
             there: KeyPath = (*path, 'hosts', host_name)
             _check_twice(names, host_name, there, locate, findings)
@@ -111,11 +121,36 @@
         return
     findings.add(
         locate(path),
-        f'{key!r} is taken by {".".join(map(str, first))}',
+        f'{_shown(key)} is taken by {dotted(first)}',
         'give each its own',
     )
 
 
+def _shown(key: Any) -> str:
+    if isinstance(key, tuple):
+        return ':'.join(str(part) for part in key[-2:])
+    return repr(key)
+
+
+def _check_any_address(
+    endpoints: dict[tuple[str, str, int], KeyPath],
+    key: tuple[str, str, int],
+    path: KeyPath,
+    locate: Locate,
+    findings: Findings,
+) -> None:
+    """Find a port that is taken on all addresses and again on one."""
+    family, address, port = key
+    for (other_family, other, other_port), first in endpoints.items():
+        same_port = (other_family, other_port) == (family, port)
+        if same_port and other != address and _ANY_ADDRESS in {other, address}:
+            findings.add(
+                locate(path),
+                f'port {port} is taken by {dotted(first)}',
+                'give each its own port, or each an address of its own',
+            )
+
+
 def _check_cold(
     service: ServiceModel,
     path: KeyPath,
--- a/siskinbank/config/documents.py
+++ b/siskinbank/config/documents.py
@@ -56,67 +56,73 @@
     document = Document(file)
     try:
         root = yaml.compose(text, Loader=_LOADER)
-    except (yaml.YAMLError, RecursionError) as error:
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
         mark = getattr(error, 'problem_mark', None)
         line = mark.line + 1 if mark else 1
-        problem = getattr(error, 'problem', None) or str(error)
+        problem = getattr(error, 'problem', None) or type(error).__name__
         findings.add(Place(file, line), f'not YAML ({problem})', 'mend it')
         return document
-    if not isinstance(root, yaml.MappingNode):
+    if isinstance(root, yaml.MappingNode):
+        reader = _Reader(document, findings)
+        document.content = reader.mapping(root, ())
+    else:
         findings.add(Place(file), 'not a mapping', 'write `site:` and so on')
-        return document
-    document.content = _convert(root, (), document, findings)
     return document
 
 
-def _convert(
-    node: yaml.Node,
-    path: KeyPath,
-    document: Document,
-    findings: Findings,
-) -> Any:
-    document.lines.setdefault(path, node.start_mark.line + 1)
-    if isinstance(node, yaml.MappingNode):
-        return _convert_mapping(node, path, document, findings)
-    if isinstance(node, yaml.SequenceNode):
-        return [
-            _convert(child, (*path, index), document, findings)
-            for index, child in enumerate(node.value)
-        ]
-    return _scalar(node, path, document, findings)
-
-
-def _convert_mapping(
-    node: yaml.MappingNode,
-    path: KeyPath,
-    document: Document,
-    findings: Findings,
-) -> dict[str, Any]:
-    mapping: dict[str, Any] = {}
-    for key_node, child in node.value:
-        key = str(key_node.value)
-        line = key_node.start_mark.line + 1
-        here = (*path, key)
-        if key in mapping:
-            findings.add(
-                Place(document.file, line, dotted(here)),
-                f'key written again (first on line {document.lines[here]})',
-                'keep one of the two',
-            )
-            continue
-        document.lines[here] = line
-        mapping[key] = _convert(child, here, document, findings)
-    return mapping
-
-
-def _scalar(
-    node: yaml.Node,
-    path: KeyPath,
-    document: Document,
-    findings: Findings,
-) -> Any:
-    try:
-        return yaml.load(yaml.serialize(node), Loader=_LOADER)
-    except (yaml.YAMLError, ValueError) as error:
-        findings.add(document.place(path), f'bad value ({error})', 'mend it')
-        return None
+class _Reader:
+    """Turns nodes into values and notes their lines."""
+
+    def __init__(self, document: Document, findings: Findings) -> None:
+        self._document = document
+        self._findings = findings
+        self._scalars = yaml.SafeLoader('')
+        self._seen: set[int] = set()
+
+    def mapping(self, node: yaml.MappingNode, path: KeyPath) -> dict[str, Any]:
+        """Return a mapping; a key that stands twice is a finding."""
+        mapping: dict[str, Any] = {}
+        for key_node, child in node.value:
+            line = key_node.start_mark.line + 1
+            if not isinstance(key_node, yaml.ScalarNode):
+                self._add(line, path, 'key is not a plain word', 'write one')
+                continue
+            key = str(key_node.value)
+            here = (*path, key)
+            if key in mapping:
+                first = self._document.lines[here]
+                wrong = f'key written again (first on line {first})'
+                self._add(line, here, wrong, 'keep one of the two')
+                continue
+            self._document.lines[here] = line
+            mapping[key] = self._value(child, here)
+        return mapping
+
+    def _value(self, node: yaml.Node, path: KeyPath) -> Any:
+        line = node.start_mark.line + 1
+        self._document.lines.setdefault(path, line)
+        if id(node) in self._seen:
+            wrong = 'an alias stands here'
+            self._add(line, path, wrong, 'write the value itself')
+            return None
+        self._seen.add(id(node))
+        if isinstance(node, yaml.MappingNode):
+            return self.mapping(node, path)
+        if isinstance(node, yaml.SequenceNode):
+            return [
+                self._value(child, (*path, index))
+                for index, child in enumerate(node.value)
+            ]
+        return self._scalar(node, path, line)
+
+    def _scalar(self, node: yaml.Node, path: KeyPath, line: int) -> Any:
+        try:
+            return self._scalars.construct_object(node, deep=True)
+        except (yaml.YAMLError, ValueError) as error:
+            problem = getattr(error, 'problem', None) or str(error)
+            self._add(line, path, f'bad value ({problem})', 'mend it')
+            return None
+
+    def _add(self, line: int, path: KeyPath, wrong: str, right: str) -> None:
+        place = Place(self._document.file, line, dotted(path))
+        self._findings.add(place, wrong, right)
--- a/siskinbank/kernel/registry.py
+++ b/siskinbank/kernel/registry.py
@@ -91,6 +91,15 @@
         self._load_all()
         return sorted({plugin.name for plugin in self._by_name.values()})
 
+    def module_names(self) -> set[str]:
+        """Return the names that can be found, without loading anything.
+
+        A built-in plug-in has the name of its module, one of another
+        distribution that of its entry point.
+        """
+        outside = {point.name for point in entry_points(group=self.group)}
+        return outside | (set(self._module_names()) - {'registry'})
+
     def _load_module(self, name: str) -> None:
         if name.isidentifier() and name in self._module_names():
             import_module(f'{self._package}.{name}')
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -1,8 +1,10 @@
 """Tests of the command line's errors and exit codes."""
 
 import json
+import socket
 import subprocess
 import sys
+import tempfile
 import unittest
 from pathlib import Path
 
@@ -73,17 +75,36 @@
                 self.assertIn(f'{site}: ', ended.stdout)
 
     def test_render_shows_changes(self) -> None:
-        """A rendering against itself shows none."""
+        """Only what differs from the earlier rendering is printed."""
+        files = ('examples/base.yaml', 'examples/norte.yaml')
+        with tempfile.TemporaryDirectory() as holder:
+            old = Path(holder) / 'old.yaml'
+            text = run('render', *files).stdout
+            old.write_text(
+                text.replace('slots: 2', 'slots: 1', 1),
+                encoding='utf-8',
+            )
+            changes = run('render', *files, '--against', str(old))
+        self.assertEqual(
+            changes.stdout,
+            '~ services.bitacora.slots: 1 -> 2\n',
+        )
+
+    def test_render_publishes(self) -> None:
+        """The published form carries generation, digests and sections."""
         files = ('examples/base.yaml', 'examples/norte.yaml')
         whole = run('render', *files, '--publish', '3')
         published = json.loads(whole.stdout)
-        self.assertEqual(published['manifest']['generation'], 3)
+        manifest = published['manifest']
+        self.assertEqual(manifest['generation'], 3)
+        self.assertEqual(
+            set(manifest['sections']),
+            {'site', 'service/bitacora', 'service/campo'},
+        )
 
     def test_port_in_use(self) -> None:
         """A taken port is one clear line."""
         port = free_ports(1)[0]
-        import socket
-
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
             taken.bind(('127.0.0.1', port))
             ended = run(*ENTRY, f'--bind=127.0.0.1:{port}', f'--keys={KEYS}')
--- a/tests/config/test_overlay.py
+++ b/tests/config/test_overlay.py
@@ -33,7 +33,10 @@
 
 #: What is added to the overlay, and the finding it must lead to.
 CASES = (
-    ('    slots: 3\n', '11: services.matcher.slots: says what the base'),
+    (
+        '    slots: 3\n',
+        '11: services.matcher.slots: says what an earlier file says already; remove it here',
+    ),
     ('    slot: 3\n', '11: services.matcher.slot: unknown key'),
     ('    slots: 0\n', '11: services.matcher.slots: 0 is not allowed'),
     ('    slots: 3\n    slots: 4\n', '12: services.matcher.slots: key written'),
@@ -48,8 +51,25 @@
     (
         '      matcher-2: '
         '{data_centre: gr-north-a, address: 10.0.0.1, port: 7100}\n',
-        '11: services.matcher.hosts.matcher-2: (',
+        '11: services.matcher.hosts.matcher-2: 10.0.0.1:7100 is taken by '
+        'services.matcher.hosts.matcher-1; give each its own',
+    ),
+    (
+        '    ingress:\n      quic: {port: 1}\n',
+        "12: services.matcher.ingress.quic: no ingress named 'quic'; one of",
+    ),
+    (
+        '    ingress:\n      tcp: {address: 10.1.1.1, port: 8080}\n',
+        '12: services.matcher.ingress.tcp: port 8080 is taken by '
+        'services.matcher.ingress.http',
     ),
+    ('    weight: null\n', '11: services.matcher.weight: removes what no'),
+    (
+        '    slots: &a 4\n    connections: *a\n',
+        '11: services.matcher.connections: an alias stands here',
+    ),
+    ('    cold: &c {x: *c}\n', '11: services.matcher.cold.x: an alias'),
+    ('    [a]: 1\n', '11: services.matcher: key is not a plain word'),
     ('    : [\n', '11: not YAML'),
     ('    slots: !!python/object:os.system x\n', '11: services.matcher.slots'),
 )
@@ -91,6 +111,14 @@
                 self.assertIsNone(model)
                 self.assertIn(f'site.yaml:{wanted}', findings)
 
+    def test_null_removes(self) -> None:
+        """An overlay takes off what the base file says."""
+        added = '    ingress: {http: null}\n'
+        model, findings = self.load(BASE, SITE + added)
+        self.assertEqual(findings, '')
+        assert model is not None
+        self.assertEqual(list(model.services['matcher'].ingress), ['fou'])
+
     def test_all_findings_come_together(self) -> None:
         """Several mistakes are reported in one go."""
         model, findings = self.load(
