--- a/siskinbank/commands/status.py
+++ b/siskinbank/commands/status.py
@@ -36,9 +36,13 @@
         click.echo(json.dumps(document, indent=1))
         return 0
     counts = document.pop('counts')
+    times = document.pop('times_seconds', {})
     for name, given in document.items():
         click.echo(f'{name.replace("_", " ")}: {given}')
     for family, reasons in counts.items():
         for reason, count in reasons.items():
             click.echo(f'{family} {reason}: {count}'.replace(' :', ':'))
+    for name, quantiles in times.items():
+        shown = ', '.join(f'{at}: {took:.6f}' for at, took in quantiles.items())
+        click.echo(f'time of {name} in seconds: {shown}')
     return 0
--- a/siskinbank/ingress/tcp.py
+++ b/siskinbank/ingress/tcp.py
@@ -65,7 +65,10 @@
             context.process.metrics.count(Refusal.no_host)
             return
         caller = '{0}:{1}'.format(*writer.get_extra_info('peername')[:2])
+        started = context.process.timers.now
         stream = await _open(context, service, caller)
+        took = context.process.timers.now - started
+        context.process.metrics.time('flow_opening', took)
         if stream is not None:
             context.process.metrics.tally('flows_opened')
             await pump_both(reader, writer, stream.reader, stream.writer)
--- a/siskinbank/kernel/metrics.py
+++ b/siskinbank/kernel/metrics.py
@@ -14,11 +14,14 @@
 )
 from prometheus_client.registry import Collector
 
+from siskinbank.kernel.reasons import Drop, Refusal, Retry
+
 __all__ = ('Metrics',)
 
 _PREFIX = 'siskinbank'
 _MAX_MICROSECONDS = 600_000_000
 _DIGITS = 2
+_PERCENTILES = (50, 90, 99)
 _MICROSECONDS = 1_000_000
 
 
@@ -39,6 +42,14 @@
             families.setdefault(family, {})[reason] = count
         return families
 
+    @property
+    def times(self) -> dict[str, dict[str, float]]:
+        """The durations: name, then quantile, to seconds."""
+        return {
+            name: _quantiles(histogram)
+            for name, histogram in sorted(self._times.items())
+        }
+
     def count(self, reason: enum.StrEnum, amount: int = 1) -> None:
         """Count one event of ``reason``; its class names the family."""
         family = type(reason).__name__.lower()
@@ -75,7 +86,7 @@
 
     def collect(self) -> Iterator[Metric]:
         """Yield every family for the exposition format."""
-        for family, reasons in self.counts.items():
+        for family, reasons in self._all_counts().items():
             counter = CounterMetricFamily(
                 f'{_PREFIX}_{family}',
                 f'Number of {family} events.',
@@ -99,6 +110,16 @@
         registry.register(self)
         return generate_latest(registry)
 
+    def _all_counts(self) -> dict[str, dict[str, int]]:
+        """Return the counters, those that are still zero included."""
+        families = {
+            kind.__name__.lower(): dict.fromkeys(kind, 0)
+            for kind in (Drop, Refusal, Retry)
+        }
+        for family, reasons in self.counts.items():
+            families.setdefault(family, {}).update(reasons)
+        return families
+
     def _summary(self, name: str, histogram: HdrHistogram) -> Metric:
         count = histogram.get_total_count()
         mean = histogram.get_mean_value() / _MICROSECONDS
@@ -108,11 +129,19 @@
             count_value=count,
             sum_value=mean * count,
         )
-        for quantile in (50, 90, 99):
-            seconds = histogram.get_value_at_percentile(quantile)
+        for quantile, seconds in _quantiles(histogram).items():
             summary.add_sample(
                 f'{_PREFIX}_{name}_seconds',
-                {'quantile': str(quantile / 100)},
-                seconds / _MICROSECONDS,
+                {'quantile': quantile},
+                seconds,
             )
         return summary
+
+
+def _quantiles(histogram: HdrHistogram) -> dict[str, float]:
+    return {
+        str(percentile / 100): (
+            histogram.get_value_at_percentile(percentile) / _MICROSECONDS
+        )
+        for percentile in _PERCENTILES
+    }
--- a/siskinbank/status.py
+++ b/siskinbank/status.py
@@ -33,6 +33,7 @@
         'instances': len(view.instances),
         'live_list_age_seconds': view.list_age,
         'counts': process.metrics.counts,
+        'times_seconds': process.metrics.times,
     }
 
 
--- a/tests/kernel/test_metrics.py
+++ b/tests/kernel/test_metrics.py
@@ -18,6 +18,13 @@
         self.assertIn('siskinbank_drop_total{reason="unkeyed"} 3.0', text)
         self.assertEqual(metrics.total('drop'), 3)
 
+    def test_zero_counts_are_shown(self) -> None:
+        """A reason can be watched before it first occurs."""
+        text = Metrics().exposition().decode()
+        for family in ('drop', 'refusal', 'retry'):
+            with self.subTest(family):
+                self.assertRegex(text, f'siskinbank_{family}_total.* 0.0')
+
     def test_times_have_quantiles(self) -> None:
         """Durations become a summary in seconds."""
         metrics = Metrics()
