--- a/siskinbank/commands/status.py
+++ b/siskinbank/commands/status.py
@@ -1,6 +1,7 @@
 """``siskinbank status``: print what one process believes."""
 
 import json
+from typing import Any
 from urllib.request import urlopen
 
 import click
@@ -35,14 +36,23 @@
     if as_json:
         click.echo(json.dumps(document, indent=1))
         return 0
+    click.echo('\n'.join(_lines(document)))
+    return 0
+
+
+def _lines(document: dict[str, Any]) -> list[str]:
+    """Return the status as operators read it, a fact a line."""
     counts = document.pop('counts')
     times = document.pop('times_seconds', {})
-    for name, given in document.items():
-        click.echo(f'{name.replace("_", " ")}: {given}')
-    for family, reasons in counts.items():
-        for reason, count in reasons.items():
-            click.echo(f'{family} {reason}: {count}'.replace(' :', ':'))
+    lines = [
+        f'{name.replace("_", " ")}: {given}' for name, given in document.items()
+    ]
+    lines.extend(
+        f'{family} {reason}'.rstrip() + f': {count}'
+        for family, reasons in counts.items()
+        for reason, count in reasons.items()
+    )
     for name, quantiles in times.items():
         shown = ', '.join(f'{at}: {took:.6f}' for at, took in quantiles.items())
-        click.echo(f'time of {name} in seconds: {shown}')
-    return 0
+        lines.append(f'time of {name} in seconds: {shown}')
+    return lines
--- a/siskinbank/kernel/metrics.py
+++ b/siskinbank/kernel/metrics.py
@@ -112,8 +112,8 @@
 
     def _all_counts(self) -> dict[str, dict[str, int]]:
         """Return the counters, those that are still zero included."""
-        families = {
-            kind.__name__.lower(): dict.fromkeys(kind, 0)
+        families: dict[str, dict[str, int]] = {
+            kind.__name__.lower(): {reason.value: 0 for reason in kind}
             for kind in (Drop, Refusal, Retry)
         }
         for family, reasons in self.counts.items():
