--- a/siskinbank/admission/balance.py
+++ b/siskinbank/admission/balance.py
@@ -103,12 +103,22 @@
         keys = {address: self._key(address) for address in addresses}
         return sorted(addresses, key=keys.__getitem__)
 
-    def others(self, tried: Sequence[bytes], count: int) -> list[bytes]:
-        """Return the least loaded hosts of the pool beyond ``tried``."""
-        left = [
-            address for address in self._addresses if address not in tried
-        ]
-        return self.sort(left)[:count]
+    def least_loaded(self, count: int) -> list[bytes]:
+        """Return the least loaded other hosts of the pool."""
+        return self.sort(list(self._addresses))[:count]
+
+    def most_room(self, count: int) -> list[bytes]:
+        """Return the other hosts of the pool that can take the most."""
+        rooms = {
+            pack_address(host.address): known.room
+            for host, known in self.fresh()
+        }
+        most = max(rooms.values(), default=1)
+
+        def room(address: bytes) -> int:
+            return rooms.get(address, most)
+
+        return sorted(self._addresses, key=room, reverse=True)[:count]
 
     def expect(self, address: bytes) -> None:
         """Count a first packet that was passed on to a host."""
--- a/siskinbank/admission/limit.py
+++ b/siskinbank/admission/limit.py
@@ -4,8 +4,10 @@
 
 __all__ = ('ClimbingLimit',)
 
-#: The share of the limit that may arrive at once while it is not full.
+#: While the limit is not full, at most its worth comes new in any second: this
+#: share of it at once, and the rest spread evenly.
 _BURST_SHARE = 0.1
+_PACE_SHARE = 1 - _BURST_SHARE
 #: What remains of the limit after a sign of trouble.
 _TROUBLE_SHARE = 0.7
 #: Seconds in which one trouble lowers the limit only once.
@@ -92,7 +94,7 @@
             if self._climb and self.limit < self._full:
                 wait = min(wait, missing / self._climb)
         elif self._paced and not self.is_full:
-            wait = (1 - self._refilled) / max(self.limit, 1)
+            wait = (1 - self._refilled) / max(self._pace, 1)
         return min(max(wait, _MIN_RETRY_SECONDS), _MAX_RETRY_SECONDS)
 
     @property
@@ -106,10 +108,14 @@
     def _burst(self) -> float:
         return max(1, self._climbed * _BURST_SHARE)
 
+    @property
+    def _pace(self) -> float:
+        return self.limit * _PACE_SHARE
+
     @property
     def _refilled(self) -> float:
         elapsed = self._clock() - self._paced_at
-        return min(self._tokens + elapsed * self.limit, self._burst)
+        return min(self._tokens + elapsed * self._pace, self._burst)
 
     def change(self, cold: int, full: int, warm_up_seconds: float) -> None:
         """Follow a new configuration from the limit of now."""
--- a/siskinbank/admission/places.py
+++ b/siskinbank/admission/places.py
@@ -1,6 +1,6 @@
 """Which of the upstream's flows hold a place within its limit."""
 
-from collections.abc import Container, Iterable
+from collections.abc import Container, Hashable, Iterable
 
 from siskinbank.admission.limit import ClimbingLimit
 from siskinbank.kernel.clock import Clock
@@ -26,22 +26,27 @@
         """Hold places within ``limit``."""
         self._limit = limit
         self._clock = clock
-        self._suspended: set[int] = set()
-        self._closing: set[int] = set()
-        self._deadlines: dict[int, float] = {}
+        self._suspended: set[Hashable] = set()
+        self._closing: set[Hashable] = set()
+        self._deadlines: dict[Hashable, float] = {}
 
     def __len__(self) -> int:
         """Return the number of flows without a place."""
         return len(self._suspended)
 
-    def suspend(self, flows: Iterable[int]) -> None:
+    @property
+    def closing(self) -> int:
+        """The flows with a place whose caller has sent all."""
+        return len(self._closing & self._deadlines.keys())
+
+    def suspend(self, flows: Iterable[Hashable]) -> None:
         """Take the places of all ``flows``."""
         self._suspended.update(flows)
         self._closing.clear()
         self._deadlines.clear()
         self._tell()
 
-    def admits(self, flow: int, *, closing: bool) -> bool:
+    def admits(self, flow: Hashable, *, closing: bool) -> bool:
         """Whether a packet of an owned flow may go to the upstream now."""
         if closing:
             self._closing.add(flow)
@@ -58,29 +63,27 @@
     def sweep(self) -> None:
         """Free the places of flows that were silent for too long."""
         now = self._clock()
-        silent = [
-            flow for flow, due in self._deadlines.items() if due <= now
-        ]
+        silent = [flow for flow, due in self._deadlines.items() if due <= now]
         for flow in silent:
             del self._deadlines[flow]
             self._suspended.add(flow)
         self._tell()
 
-    def forget(self, flow: int) -> None:
+    def forget(self, flow: Hashable) -> None:
         """Forget a flow that is owned no more."""
         self._suspended.discard(flow)
         self._closing.discard(flow)
         self._deadlines.pop(flow, None)
         self._tell()
 
-    def keep_only(self, flows: Container[int]) -> None:
+    def keep_only(self, flows: Container[object]) -> None:
         """Forget all flows that are not in ``flows``."""
         known = self._suspended | self._closing | self._deadlines.keys()
         for flow in known:
             if flow not in flows:
                 self.forget(flow)
 
-    def _resume(self, flow: int) -> bool:
+    def _resume(self, flow: Hashable) -> bool:
         # The upstream has a closing flow anyhow, so its last packets pass.
         if flow in self._closing:
             self._deadlines[flow] = self._clock() + _CLOSING_SECONDS
--- a/siskinbank/admission/upstream.py
+++ b/siskinbank/admission/upstream.py
@@ -1,6 +1,6 @@
 """The admission of one upstream: its limits, its flows' places, its judge."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass
 
 from siskinbank.admission.judge import UpstreamJudge, Verdict
@@ -9,9 +9,10 @@
 from siskinbank.config.site import Service
 from siskinbank.kernel.clock import Clock
 
-__all__ = ('Limits', 'UpstreamAdmission', 'make_admission')
+__all__ = ('Limits', 'OwnedFlows', 'UpstreamAdmission', 'make_admission')
 
-OwnedFlows = Callable[[], Iterable[int]]
+#: Returns the open flows of the upstream.
+OwnedFlows = Callable[[], Iterable[Hashable]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +44,11 @@
     judge: UpstreamJudge
     owned_flows: OwnedFlows
 
+    @property
+    def load(self) -> int:
+        """The open connections, without those that are closing."""
+        return self.limits.connections.in_use - self.places.closing
+
     def turn_cold(self) -> None:
         """Start again from cold, with the flows that are open."""
         self.limits.restart()
@@ -53,6 +59,7 @@
     service: Service,
     clock: Clock,
     tell: Callable[[Verdict], None],
+    owned_flows: OwnedFlows = tuple,
 ) -> UpstreamAdmission:
     """Return the admission of a cold upstream.
 
@@ -60,6 +67,7 @@
         service: says the limits.
         clock: the time in seconds.
         tell: is told each verdict after it was acted upon.
+        owned_flows: returns the upstream's open flows.
     """
     cold = service.cold
     limits = Limits(
@@ -88,6 +96,6 @@
         limits,
         FlowPlaces(limits.connections, clock),
         UpstreamJudge(clock, conclude, 2 * max(cold.warm_up_seconds, 1)),
-        tuple,
+        owned_flows,
     )
     return admission
--- a/siskinbank/lab/pool.py
+++ b/siskinbank/lab/pool.py
@@ -111,10 +111,16 @@
         self.entries[name] = entry
         return entry
 
-    def add_sidecar(self, name: str, address: Address) -> PoolSidecar:
-        """Start a sidecar with a fresh upstream; it replaces one of its name.
-
-        The name must be a host's name in the site that is published.
+    def add_sidecar(
+        self,
+        name: str,
+        address: Address,
+        upstream: FakeUpstream | None = None,
+    ) -> PoolSidecar:
+        """Start a sidecar beside an upstream, a fresh one by default.
+
+        It replaces one of its name, which must be a host's name in the site
+        that is published.
         """
         process = self._process('sidecar', name)
         view = FleetView(process.log, self.clock)
@@ -124,12 +130,12 @@
             name, 'a', address, address, '', _KEYS, None, None, None
         )
         context = SidecarContext(process, settings, view, peers)
-        upstream = FakeUpstream()
+        beside = upstream or FakeUpstream()
 
         def receive(datagram: bytes, _sender: Address) -> None:
             packet = parse_inner(datagram)
             if packet is not None:
-                upstream.receive(packet, self.clock.now)
+                beside.receive(packet, self.clock.now)
 
         inner: Address = (address[0], _UPSTREAM_PORT)
         self.network.bind(inner, receive)
@@ -140,7 +146,7 @@
             view,
             context,
             handler,
-            upstream,
+            beside,
             address,
         )
         self.sidecars[name] = sidecar
--- a/siskinbank/sidecar/context.py
+++ b/siskinbank/sidecar/context.py
@@ -3,6 +3,7 @@
 from siskinbank.admission.judge import Verdict
 from siskinbank.admission.upstream import (
     Limits,
+    OwnedFlows,
     UpstreamAdmission,
     make_admission,
 )
@@ -17,6 +18,7 @@
 __all__ = ('Limits', 'SidecarContext')
 
 
+_SWEEP_SECONDS = 1.0
 _EVENTS = {
     Verdict.cold: events.UPSTREAM_COLD,
     Verdict.unreachable: events.UPSTREAM_UNREACHABLE,
@@ -42,6 +44,7 @@
         self.peers = peers
         self.router = Router(view)
         self.admission: UpstreamAdmission | None = None
+        self.owned_flows: OwnedFlows = tuple
         self._was_out = False
         self.service: Service | None = None
         self.host: Host | None = None
@@ -86,6 +89,11 @@
                 self.service,
                 lambda: self.process.timers.now,
                 self._note,
+                lambda: self.owned_flows(),
+            )
+            self.process.timers.every(
+                _SWEEP_SECONDS,
+                self.admission.places.sweep,
             )
         self.admission.limits.follow(self.service)
         # A data centre that returns counts as cold.
--- a/siskinbank/sidecar/daemon.py
+++ b/siskinbank/sidecar/daemon.py
@@ -1,13 +1,11 @@
 """Start a sidecar beside its upstream."""
 
 import asyncio
-import random
 
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.node import start_node
 from siskinbank.settings import SidecarSettings
 from siskinbank.sidecar.context import SidecarContext
-from siskinbank.sidecar.exchange import LoadExchange
 from siskinbank.sidecar.packets import PacketHandler
 from siskinbank.sidecar.requests import RequestServer
 from siskinbank.sidecar.streams import start_streams
@@ -27,8 +25,7 @@
     """
     node = await start_node(process, settings)
     context = SidecarContext(process, settings, node.view, node.peers)
-    exchange = LoadExchange(context, random.Random())
-    PacketHandler(context, await _open_upstream(settings), exchange)
+    PacketHandler(context, await _open_upstream(settings))
     start_watch(context)
     await start_streams(context, RequestServer(context))
 
--- a/siskinbank/sidecar/exchange.py
+++ b/siskinbank/sidecar/exchange.py
@@ -62,17 +62,17 @@
 
     def _report(self, service: Service, own: Host) -> PoolLoad:
         now = self._context.process.timers.now
-        limits = self._context.limits
-        assert limits is not None
+        admission = self._context.admission
+        assert admission is not None
         known = self.loads.fresh()
         if len(known) >= _RECORDS:
             known = self._rng.sample(known, _RECORDS - 1)
-        connections = limits.connections
+        room = admission.limits.connections.room
         return PoolLoad(
             service.ident,
             [own.seed, *(host.seed for host, _load in known)],
-            [connections.in_use, *(load.load for _host, load in known)],
-            [connections.room, *(load.room for _host, load in known)],
+            [admission.load, *(load.load for _host, load in known)],
+            [room, *(load.room for _host, load in known)],
             [0, *(_age(now - load.at) for _host, load in known)],
         )
 
--- a/siskinbank/sidecar/flows.py
+++ b/siskinbank/sidecar/flows.py
@@ -23,6 +23,10 @@
         """Return the number of open flows."""
         return len(self._flows)
 
+    def __contains__(self, flow: object) -> bool:
+        """Return whether a flow is owned."""
+        return flow in self._flows
+
     def __iter__(self) -> Iterator[int]:
         """Go through the flow numbers."""
         return iter(self._flows)
--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -1,12 +1,16 @@
 """Admit packets to the upstream, or pass them on to the flow's owner."""
 
 import asyncio
+import random
 import socket
 
 from siskinbank.config.site import Address, Service
 from siskinbank.kernel.reasons import Drop
 from siskinbank.sidecar.context import SidecarContext
+from siskinbank.sidecar.deflection import bears, next_candidates
+from siskinbank.sidecar.exchange import LoadExchange
 from siskinbank.sidecar.flows import FlowTable, Pointers
+from siskinbank.wire.loads import PoolLoad
 from siskinbank.wire.messages import Message, Moved, Owner
 from siskinbank.wire.packets import (
     UNCACHED,
@@ -44,6 +48,10 @@
         self._own = pack_address(context.settings.bind)
         self.flows = FlowTable()
         self.pointers = Pointers()
+        self.exchange = LoadExchange(
+            context, random.Random(context.process.name)
+        )
+        context.owned_flows = lambda: tuple(self.flows)
         context.peers.on_envelope = self.receive
         context.peers.on_message = self.learn
         context.view.subscribe(self._refresh)
@@ -68,8 +76,12 @@
 
     def learn(self, received: Message, _sender: Address) -> None:
         """Take word of flows that live elsewhere."""
-        if not isinstance(received, Moved):
-            return
+        if isinstance(received, PoolLoad):
+            self.exchange.learn(received)
+        elif isinstance(received, Moved):
+            self._learn_moved(received)
+
+    def _learn_moved(self, received: Moved) -> None:
         service = self._context.service
         if service is None or received.service != service.ident:
             self._metrics.count(Drop.wrong_service)
@@ -83,13 +95,24 @@
         closing = packet.closing
         if not self.flows.touch(envelope.flow, now, closing=closing):
             return False
+        if not self._has_place(envelope, packet):
+            self._metrics.count(Drop.upstream_cold)
+            return True
         self._hand_over(packet)
         if envelope.flags & UNCACHED and not packet.first:
             self._tell_entry(envelope)
         if packet.last and self.flows.remove(envelope.flow):
             self._give_back(1)
+            if self._context.admission is not None:
+                self._context.admission.places.forget(envelope.flow)
         return True
 
+    def _has_place(self, envelope: Envelope, packet: InnerPacket) -> bool:
+        admission = self._context.admission
+        if admission is None or packet.last:
+            return True
+        return admission.places.admits(envelope.flow, closing=packet.closing)
+
     def _find_owner(self, envelope: Envelope, packet: InnerPacket) -> None:
         owner = self.pointers.get(envelope.flow, self._timers.now)
         if owner is not None and self._context.router.allows(owner):
@@ -102,15 +125,16 @@
             self._pass_on(envelope, packet)
 
     def _admit(self, envelope: Envelope, packet: InnerPacket) -> bool:
-        limits = self._context.limits
-        if limits is None or not self._context.takes_work:
+        admission = self._context.admission
+        host = self._context.host
+        if admission is None or host is None or not self._context.takes_work:
             return False
-        if not limits.connections.take():
+        if not bears(envelope, admission, self.exchange.loads, host.weight):
             return False
         self.flows.add(envelope.flow, self._timers.now)
         self._metrics.tally('flows_opened')
         self._hand_over(packet)
-        if envelope.position:
+        if envelope.hops:
             self._tell_entry(envelope)
         self._announce_flows((envelope.flow,))
         return True
@@ -122,6 +146,9 @@
             envelope.flags |= UNCACHED
             envelope.candidates = candidates
             envelope.position = -1
+        elif packet.first:
+            self._choose_next(envelope)
+            candidates = envelope.candidates
         position = envelope.position + 1
         while position < len(candidates):
             candidate = candidates[position]
@@ -136,6 +163,16 @@
             Drop.at_limit if packet.first else Drop.unknown_flow,
         )
 
+    def _choose_next(self, envelope: Envelope) -> None:
+        limits = self._context.limits
+        if limits is not None:
+            next_candidates(
+                envelope,
+                self._own,
+                limits.connections,
+                self.exchange.loads,
+            )
+
     def _own_candidates(self, envelope: Envelope) -> tuple[bytes, ...]:
         service = self._context.service
         if service is None:
@@ -184,12 +221,17 @@
     def _refresh(self) -> None:
         if self._context.is_out:
             self._give_back(self.flows.clear())
+            if self._context.admission is not None:
+                self._context.admission.places.keep_only(self.flows)
         self._announce()
 
     def _expire(self) -> None:
         now = self._timers.now
         gone = self.flows.expire(now, _IDLE_SECONDS, _CLOSING_IDLE_SECONDS)
         self._give_back(gone)
+        admission = self._context.admission
+        if admission is not None:
+            admission.places.keep_only(self.flows)
         self.pointers.expire(now)
 
     def _give_back(self, count: int) -> None:
--- a/siskinbank/wire/packets.py
+++ b/siskinbank/wire/packets.py
@@ -131,6 +131,8 @@
 PACKET_KIND = 1
 #: The entry sent the packet by rank, not because it knows the owner.
 UNCACHED = 0x01
+#: The candidates are all loaded: whoever has room takes the flow.
+URGENT = 0x80
 
 
 @dataclass(slots=True)
