--- a/siskinbank/admission/balance.py
+++ b/siskinbank/admission/balance.py
@@ -1,6 +1,7 @@
 """What a sidecar knows of its pool's loads, and its own fair part."""
 
 import math
+import random
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -11,9 +12,12 @@
 __all__ = ('HostLoad', 'PoolLoads')
 
 #: How far above the mean a host goes before it passes first packets on.
-FAIR_FACTOR = 1.03
+FAIR_FACTOR = 1.02
 #: Age in seconds at which a load report says nothing any more.
 MAX_AGE_SECONDS = 20.0
+#: Other hosts that are drawn, and how many of them are asked.
+_DRAWN = 5
+_LESS_LOADED = 2
 
 
 @dataclass(slots=True)
@@ -42,6 +46,7 @@
         self._addresses: dict[bytes, Host] = {}
         self._loads: dict[int, HostLoad] = {}
         self._others = (0.0, 0.0)
+        self._rooms: dict[bytes, int] = {}
 
     @property
     def hosts(self) -> list[Host]:
@@ -82,6 +87,10 @@
                 load += known.load
                 weight += host.weight
         self._others = (load, weight)
+        self._rooms = {
+            pack_address(host.address): known.room
+            for host, known in self.fresh()
+        }
 
     def fair_load(self, own_load: int, own_weight: float) -> float:
         """Return the connections up to which this host takes first packets.
@@ -103,22 +112,25 @@
         keys = {address: self._key(address) for address in addresses}
         return sorted(addresses, key=keys.__getitem__)
 
-    def least_loaded(self, count: int) -> list[bytes]:
-        """Return the least loaded other hosts of the pool."""
-        return self.sort(list(self._addresses))[:count]
+    def less_loaded(self, rng: random.Random) -> list[bytes]:
+        """Return the less loaded of a few hosts drawn at random.
 
-    def most_room(self, count: int) -> list[bytes]:
-        """Return the other hosts of the pool that can take the most."""
-        rooms = {
-            pack_address(host.address): known.room
-            for host, known in self.fresh()
-        }
-        most = max(rooms.values(), default=1)
-
-        def room(address: bytes) -> int:
-            return rooms.get(address, most)
-
-        return sorted(self._addresses, key=room, reverse=True)[:count]
+        Reports are a little old: if all took the least loaded host, they would
+        overload it until the next report (Mitzenmacher, "How useful is old
+        information?", 2000).
+        """
+        drawn = rng.sample(
+            list(self._addresses),
+            min(_DRAWN, len(self._addresses)),
+        )
+        return self.sort(drawn)[:_LESS_LOADED]
+
+    def with_room(self, rng: random.Random, count: int) -> list[bytes]:
+        """Return hosts that are not known to be full, less loaded ones."""
+        rooms = self._rooms
+        left = [address for address in self._addresses if rooms.get(address, 1)]
+        drawn = rng.sample(left, min(_DRAWN, len(left)))
+        return self.sort(drawn)[:count]
 
     def expect(self, address: bytes) -> None:
         """Count a first packet that was passed on to a host."""
--- a/siskinbank/admission/judge.py
+++ b/siskinbank/admission/judge.py
@@ -27,6 +27,8 @@
 _UPTIME_SLACK_SECONDS = 1.0
 #: Restarts that a report may claim without any other sign.
 _MAX_CLAIMS = 3
+#: Seconds by which a report may lag behind what the answers show.
+_LATE_SECONDS = 15.0
 
 
 class Verdict(enum.StrEnum):
@@ -96,12 +98,17 @@
         self._reported_at = 0.0
         self._claims: deque[float] = deque()
         self._distrusting = False
+        self._cold_at = float('-inf')
 
     @property
     def unreachable(self) -> bool:
         """Whether the upstream answers nothing."""
         return self._unreachable
 
+    def note_cold(self) -> None:
+        """Note that the upstream counts as cold, whatever its report says."""
+        self._cold_at = self._clock()
+
     def note_answer(self, seconds: float, *, good: bool = True) -> None:
         """Note an answer to a probe or request and the time it took."""
         self._failures = 0
@@ -109,6 +116,7 @@
         if self._unreachable:
             self._unreachable = False
             self._forget_answers()
+            self.note_cold()
             self._conclude(Verdict.back)
             return
         self._judge_failed()
@@ -154,6 +162,10 @@
 
     def _hear_claim(self, verdict: Verdict) -> None:
         now = self._clock()
+        if verdict is Verdict.cold and now - self._cold_at < _LATE_SECONDS:
+            # Most likely the late word of what the answers showed before.
+            self._cold_at = float('-inf')
+            return
         claims = self._claims
         while claims and now - claims[0] > self._believe_seconds:
             claims.popleft()
@@ -179,6 +191,7 @@
         if count < _MIN_ANSWERS:
             return
         if failed >= count * _COLD_FAILED:
+            self.note_cold()
             self._conclude(Verdict.cold)
             self._answers.clear()
         elif failed >= count * _TROUBLE_FAILED:
@@ -202,6 +215,7 @@
         if seconds <= usual * _COLD_SLOWER + _NOISE_SECONDS:
             self._conclude(Verdict.trouble)
         elif self._slow == _SLOW_ANSWERS:
+            self.note_cold()
             self._conclude(Verdict.cold)
         else:
             self._conclude(Verdict.trouble)
--- a/siskinbank/admission/limit.py
+++ b/siskinbank/admission/limit.py
@@ -23,7 +23,8 @@
 
     All ingresses of a sidecar share the one object, so that any number of
     entries that act at once stays within it. ``used`` counts the units taken;
-    ``suspended`` of them belong to work that gets no packets at present.
+    ``suspended`` of them belong to work that gets no packets at present, and
+    ``presumed_ended`` of these to work that has ended unseen.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self._tokens = self._burst
         self.used = 0
         self.suspended = 0
+        self.presumed_ended = 0
 
     @property
     def limit(self) -> int:
@@ -75,7 +77,8 @@
     @property
     def room(self) -> int:
         """The units that are left."""
-        return max(self.limit - self.in_use, 0)
+        left = self.limit - self.in_use
+        return max(min(left, self._full - self._open), 0)
 
     @property
     def is_full(self) -> bool:
@@ -97,6 +100,11 @@
             wait = (1 - self._refilled) / max(self._pace, 1)
         return min(max(wait, _MIN_RETRY_SECONDS), _MAX_RETRY_SECONDS)
 
+    @property
+    def _open(self) -> int:
+        """What may be open at the upstream, suspended or not."""
+        return self.used - min(self.presumed_ended, self.suspended)
+
     @property
     def _climbed(self) -> int:
         elapsed = self._clock() - self._since
@@ -144,7 +152,7 @@
 
     def take(self) -> bool:
         """Take one unit if there is one."""
-        if not self.claim():
+        if self._open >= self._full or not self.claim():
             return False
         self.used += 1
         return True
--- a/siskinbank/admission/places.py
+++ b/siskinbank/admission/places.py
@@ -11,6 +11,10 @@
 _CLOSING_SECONDS = 2
 #: The same for a flow from before the upstream turned cold: it may be dead.
 _PROVING_SECONDS = 10
+#: Silence after which a suspended flow counts as ended at the upstream too.
+_ENDED_SECONDS = 10
+#: Seconds for which new flows stand back after an open one was denied.
+_WAITING_SECONDS = 1.0
 
 
 class FlowPlaces:
@@ -26,9 +30,10 @@
         """Hold places within ``limit``."""
         self._limit = limit
         self._clock = clock
-        self._suspended: set[Hashable] = set()
+        self._suspended: dict[Hashable, float] = {}
         self._closing: set[Hashable] = set()
         self._deadlines: dict[Hashable, float] = {}
+        self._denied_at = float('-inf')
 
     def __len__(self) -> int:
         """Return the number of flows without a place."""
@@ -39,9 +44,15 @@
         """The flows with a place whose caller has sent all."""
         return len(self._closing & self._deadlines.keys())
 
+    @property
+    def waiting(self) -> bool:
+        """Whether open flows wait for a place; they go before new ones."""
+        return self._clock() - self._denied_at < _WAITING_SECONDS
+
     def suspend(self, flows: Iterable[Hashable]) -> None:
         """Take the places of all ``flows``."""
-        self._suspended.update(flows)
+        now = self._clock()
+        self._suspended.update((flow, now) for flow in flows)
         self._closing.clear()
         self._deadlines.clear()
         self._tell()
@@ -66,19 +77,24 @@
         silent = [flow for flow, due in self._deadlines.items() if due <= now]
         for flow in silent:
             del self._deadlines[flow]
-            self._suspended.add(flow)
+            self._suspended[flow] = now
+        latest = now - _ENDED_SECONDS
+        self._limit.presumed_ended = sum(
+            seen < latest or flow in self._closing
+            for flow, seen in self._suspended.items()
+        )
         self._tell()
 
     def forget(self, flow: Hashable) -> None:
         """Forget a flow that is owned no more."""
-        self._suspended.discard(flow)
+        self._suspended.pop(flow, None)
         self._closing.discard(flow)
         self._deadlines.pop(flow, None)
         self._tell()
 
     def keep_only(self, flows: Container[object]) -> None:
         """Forget all flows that are not in ``flows``."""
-        known = self._suspended | self._closing | self._deadlines.keys()
+        known = self._suspended.keys() | self._closing | self._deadlines.keys()
         for flow in known:
             if flow not in flows:
                 self.forget(flow)
@@ -90,8 +106,10 @@
         elif self._limit.claim():
             self._deadlines[flow] = self._clock() + _PROVING_SECONDS
         else:
+            self._denied_at = self._clock()
+            self._suspended[flow] = self._denied_at
             return False
-        self._suspended.discard(flow)
+        self._suspended.pop(flow, None)
         self._tell()
         return True
 
--- a/siskinbank/sidecar/context.py
+++ b/siskinbank/sidecar/context.py
@@ -98,6 +98,7 @@
         self.admission.limits.follow(self.service)
         # A data centre that returns counts as cold.
         if self._was_out and not self.is_out:
+            self.admission.judge.note_cold()
             self.admission.turn_cold()
         self._was_out = self.is_out
 
--- a/siskinbank/sidecar/exchange.py
+++ b/siskinbank/sidecar/exchange.py
@@ -11,7 +11,7 @@
 
 __all__ = ('LoadExchange',)
 
-_INTERVAL_SECONDS = 1.0
+_INTERVAL_SECONDS = 0.5
 _JITTER = 0.2
 #: Peers that each sidecar tells in each round, whatever the pool's size.
 _PEERS = 3
--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -48,9 +48,8 @@
         self._own = pack_address(context.settings.bind)
         self.flows = FlowTable()
         self.pointers = Pointers()
-        self.exchange = LoadExchange(
-            context, random.Random(context.process.name)
-        )
+        self._rng = random.Random(context.process.name)
+        self.exchange = LoadExchange(context, self._rng)
         context.owned_flows = lambda: tuple(self.flows)
         context.peers.on_envelope = self.receive
         context.peers.on_message = self.learn
@@ -69,7 +68,7 @@
             self._metrics.count(Drop.wrong_service)
             return
         if self._context.is_out:
-            self._metrics.count(Drop.centre_out)
+            self._receive_out(envelope, packet)
             return
         if not self._deliver_owned(envelope, packet):
             self._find_owner(envelope, packet)
@@ -90,6 +89,13 @@
         for flow in received.flows:
             self.pointers.put(flow, received.address, expires)
 
+    def _receive_out(self, envelope: Envelope, packet: InnerPacket) -> None:
+        """Give up flows of a data centre that is out; pass new ones on."""
+        if packet.first:
+            self._pass_on(envelope, packet)
+        else:
+            self._metrics.count(Drop.centre_out)
+
     def _deliver_owned(self, envelope: Envelope, packet: InnerPacket) -> bool:
         now = self._timers.now
         closing = packet.closing
@@ -166,11 +172,12 @@
     def _choose_next(self, envelope: Envelope) -> None:
         limits = self._context.limits
         if limits is not None:
+            is_open = self._context.takes_work
             next_candidates(
                 envelope,
-                self._own,
-                limits.connections,
+                self._own if is_open and limits.connections.room else None,
                 self.exchange.loads,
+                self._rng,
             )
 
     def _own_candidates(self, envelope: Envelope) -> tuple[bytes, ...]:
