--- a/siskinbank/admission/balance.py
+++ b/siskinbank/admission/balance.py
@@ -15,9 +15,8 @@
 FAIR_FACTOR = 1.02
 #: Age in seconds at which a load report says nothing any more.
 MAX_AGE_SECONDS = 20.0
-#: Other hosts that are drawn, and how many of them are asked.
-_DRAWN = 5
-_LESS_LOADED = 2
+#: Hosts that are drawn beyond those to ask, so that the most loaded drop out.
+_SPARE = 2
 
 
 @dataclass(slots=True)
@@ -112,24 +111,20 @@
         keys = {address: self._key(address) for address in addresses}
         return sorted(addresses, key=keys.__getitem__)
 
-    def less_loaded(self, rng: random.Random) -> list[bytes]:
-        """Return the less loaded of a few hosts drawn at random.
+    def among(self, addresses: Sequence[bytes]) -> list[bytes]:
+        """Return those that are other hosts which take new work."""
+        return [address for address in addresses if address in self._addresses]
+
+    def with_room(self, rng: random.Random, count: int) -> list[bytes]:
+        """Return hosts drawn from those not known to be full, sorted by load.
 
         Reports are a little old: if all took the least loaded host, they would
         overload it until the next report (Mitzenmacher, "How useful is old
         information?", 2000).
         """
-        drawn = rng.sample(
-            list(self._addresses),
-            min(_DRAWN, len(self._addresses)),
-        )
-        return self.sort(drawn)[:_LESS_LOADED]
-
-    def with_room(self, rng: random.Random, count: int) -> list[bytes]:
-        """Return hosts that are not known to be full, less loaded ones."""
         rooms = self._rooms
         left = [address for address in self._addresses if rooms.get(address, 1)]
-        drawn = rng.sample(left, min(_DRAWN, len(left)))
+        drawn = rng.sample(left, min(count + _SPARE, len(left)))
         return self.sort(drawn)[:count]
 
     def expect(self, address: bytes) -> None:
--- a/siskinbank/admission/limit.py
+++ b/siskinbank/admission/limit.py
@@ -77,8 +77,10 @@
     @property
     def room(self) -> int:
         """The units that are left."""
-        left = self.limit - self.in_use
-        return max(min(left, self._full - self._open), 0)
+        left = max(self.limit - self._open, 0)
+        if self._paced and not self.is_full:
+            return min(left, int(self._refilled))
+        return left
 
     @property
     def is_full(self) -> bool:
@@ -89,7 +91,7 @@
     def retry_after(self) -> float:
         """Seconds until a unit can be expected to be free."""
         wait = _MIN_RETRY_SECONDS
-        missing = self.in_use + 1 - self.limit
+        missing = self._open + 1 - self.limit
         if self._blocked:
             wait = self._warm_up
         elif missing > 0:
@@ -152,7 +154,7 @@
 
     def take(self) -> bool:
         """Take one unit if there is one."""
-        if self._open >= self._full or not self.claim():
+        if self._open >= self.limit or not self.claim():
             return False
         self.used += 1
         return True
--- a/siskinbank/admission/places.py
+++ b/siskinbank/admission/places.py
@@ -13,8 +13,6 @@
 _PROVING_SECONDS = 10
 #: Silence after which a suspended flow counts as ended at the upstream too.
 _ENDED_SECONDS = 10
-#: Seconds for which new flows stand back after an open one was denied.
-_WAITING_SECONDS = 1.0
 
 
 class FlowPlaces:
@@ -33,7 +31,6 @@
         self._suspended: dict[Hashable, float] = {}
         self._closing: set[Hashable] = set()
         self._deadlines: dict[Hashable, float] = {}
-        self._denied_at = float('-inf')
 
     def __len__(self) -> int:
         """Return the number of flows without a place."""
@@ -44,11 +41,6 @@
         """The flows with a place whose caller has sent all."""
         return len(self._closing & self._deadlines.keys())
 
-    @property
-    def waiting(self) -> bool:
-        """Whether open flows wait for a place; they go before new ones."""
-        return self._clock() - self._denied_at < _WAITING_SECONDS
-
     def suspend(self, flows: Iterable[Hashable]) -> None:
         """Take the places of all ``flows``."""
         now = self._clock()
@@ -106,8 +98,7 @@
         elif self._limit.claim():
             self._deadlines[flow] = self._clock() + _PROVING_SECONDS
         else:
-            self._denied_at = self._clock()
-            self._suspended[flow] = self._denied_at
+            self._suspended[flow] = self._clock()
             return False
         self._suspended.pop(flow, None)
         self._tell()
--- a/siskinbank/sidecar/deflection.py
+++ b/siskinbank/sidecar/deflection.py
@@ -9,8 +9,14 @@
 
 __all__ = ('bears', 'next_candidates')
 
-#: Hosts that are asked at the end because of their room, whatever their load.
-_ROOMY = 2
+#: Hosts with room that are asked after the entry's candidates; the first ones
+#: still refuse above their fair load.
+_ASKED = 4
+_BALANCED = 2
+#: The hop from which a host with room takes a first packet at any load.
+_LAST_HOP = 6
+#: The hop from which an urgent packet gets no further hosts to ask.
+_LAST_PLAN_HOP = 4
 
 
 def bears(
@@ -23,16 +29,21 @@
 
     Above its fair load a host takes only what the candidates could not.
     """
-    if admission.places.waiting:
-        return False
-    asked_last = envelope.position >= len(envelope.candidates) - _ROOMY
-    if not (envelope.flags & URGENT and asked_last):
+    if not _is_last_chance(envelope):
         load = admission.load
         if load and load >= loads.fair_load(load, weight):
             return False
     return admission.limits.connections.take()
 
 
+def _is_last_chance(envelope: Envelope) -> bool:
+    if envelope.hops >= _LAST_HOP:
+        return True
+    left = len(envelope.candidates) - envelope.position
+    asked_last = left <= _ASKED - _BALANCED
+    return bool(envelope.flags & URGENT) and asked_last
+
+
 def next_candidates(
     envelope: Envelope,
     own: bytes | None,
@@ -42,8 +53,9 @@
     """Change a first packet's candidates to the hosts to ask next.
 
     Of the candidates that are left, the least loaded one is asked. Then the
-    packet is urgent: less loaded hosts of the whole pool are asked, and last,
-    whatever their load, others that have room, or this one.
+    packet is urgent: hosts of the whole pool that have room are
+    asked, less loaded ones first, and at the end this one. A pool that is
+    known to be full is not asked.
 
     Args:
         envelope: the first packet.
@@ -52,8 +64,8 @@
         rng: draws hosts.
     """
     position = envelope.position + 1
-    left = envelope.candidates[position:]
-    if envelope.flags & URGENT and left:
+    left = loads.among(envelope.candidates[position:])
+    if envelope.flags & URGENT and (left or envelope.hops >= _LAST_PLAN_HOP):
         return
     if left and not envelope.position:
         second = loads.sort(left)[0]
@@ -70,14 +82,9 @@
     loads: PoolLoads,
     rng: random.Random,
 ) -> tuple[bytes, ...]:
-    less = loads.less_loaded(rng)
-    for address in less:
+    asked = loads.with_room(rng, _ASKED)
+    for address in asked[:_BALANCED]:
         loads.expect(address)
-    roomy = [
-        address
-        for address in loads.with_room(rng, _ROOMY + len(less))
-        if address not in less
-    ]
     if own is not None:
-        roomy[_ROOMY - 1 :] = [own]
-    return (*less, *roomy[:_ROOMY])
+        asked[_ASKED - 1 :] = [own]
+    return tuple(asked)
--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -23,7 +23,7 @@
 
 __all__ = ('PacketHandler',)
 
-MAX_HOPS = 6
+MAX_HOPS = 8
 _IDLE_SECONDS = 300
 _CLOSING_IDLE_SECONDS = 30
 _LEASE_SECONDS = 30
