Let several parts subscribe to peer messages by class

Cause: the peer socket had one callback for all control messages; the dissemination and the packet side both need some. Change: PeerSocket.subscribe(class, handler); on_message gets the rest, so that its users go on unchanged. Conclusion: parts no longer overwrite each other's handler.

--- a/siskinbank/peers/datagrams.py
+++ b/siskinbank/peers/datagrams.py
@@ -64,13 +64,26 @@
     """Sends and receives sealed envelopes and messages."""
 
     def __init__(self, keys: KeyRing, metrics: Metrics) -> None:
-        """Seal and open with ``keys``; handlers are set before ``open``."""
+        """Seal and open with ``keys``; handlers are set before ``open``.
+
+        ``on_message`` gets the messages of classes without a subscriber.
+        """
         self.keys = keys
         self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
+        self._subscribers: dict[type[Message], MessageHandler] = {}
         self.on_envelope: EnvelopeHandler = _ignore
         self.on_message: MessageHandler = _ignore
 
+    def subscribe(self, kind: type[Message], handler: MessageHandler) -> None:
+        """Hand messages of one class to ``handler``.
+
+        Raises:
+            ValueError: the class has a subscriber.
+        """
+        if self._subscribers.setdefault(kind, handler) is not handler:
+            raise ValueError(f'{kind.__name__} has a subscriber')
+
     async def open(self, address: Address) -> None:
         """Bind to ``address``."""
         self.use(await open_udp(address, self.receive))
@@ -116,7 +129,8 @@
         except MessageError:
             self._metrics.count(Drop.malformed)
             return
-        self.on_message(received, sender)
+        handler = self._subscribers.get(type(received), self.on_message)
+        handler(received, sender)
 
 
 def _ignore(_received: object, _sender: Address) -> None:
