Give known flows a short way through entry and sidecar; fence owners by incarnation

Change: the route cache is keyed by the flow's 13 bytes and holds the packed envelope head and the receiver; sealing copies once less; counts on the hot path are plain numbers. Sidecars deliver plain packets of owned flows without unpacking the envelope. Owner hints and pointers carry incarnation and generation; a flow that looks new is asked for where it may live already, and a restarted sidecar adopts the flows of its earlier life that nobody else owns.

--- a/siskinbank/ingress/fou.py
+++ b/siskinbank/ingress/fou.py
@@ -4,23 +4,26 @@
 from typing import cast
 
 from siskinbank.config.site import Address, Service
-from siskinbank.entry.cache import OwnerCache
+from siskinbank.entry.cache import Receiver, Route, RouteCache
 from siskinbank.entry.context import EntryContext
+from siskinbank.entry.searches import Searches
 from siskinbank.ingress.registry import (
     IngressHandle,
     IngressPlugin,
     ingresses,
 )
 from siskinbank.kernel.reasons import Drop
+from siskinbank.kernel.suspension import SuspensionGuard
 from siskinbank.peers.datagrams import open_udp
+from siskinbank.wire.envelopes import NAMED, UNCACHED, Envelope
 from siskinbank.wire.messages import Message, Owner
 from siskinbank.wire.packets import (
     MAX_PACKET_BYTES,
-    UNCACHED,
-    Envelope,
     InnerPacket,
     pack_address,
     parse_inner,
+    plain_flow,
+    read_ends,
     unpack_address,
 )
 
@@ -39,15 +42,63 @@
         self._router = context.router
         self._peers = context.peers
         self._metrics = context.process.metrics
+        self._passed = self._metrics.cell(_PASSED)
+        self._clock = context.process.timers.clock
+        self._guard = SuspensionGuard(
+            context.process.timers,
+            lambda: context.view.list_age,
+        )
         self._own = pack_address(context.settings.bind)
-        self._cache = OwnerCache(_CACHED_FLOWS)
+        self._routes = RouteCache(_CACHED_FLOWS)
+        self._searches = Searches()
+        self._receivers: dict[bytes, Receiver] = {}
         self._services: dict[tuple[bytes, int], Service] = {}
         context.view.subscribe(self._refresh)
         context.peers.on_message = self.learn
         self._refresh()
 
     def receive(self, datagram: bytes, _sender: Address) -> None:
-        """Take one datagram from the fabric."""
+        """Take one datagram from the fabric.
+
+        The packet of a flow with a known owner takes the short way: no
+        parsing beyond its fixed fields, and a head that is packed already.
+        """
+        flow = plain_flow(datagram)
+        if flow is not None:
+            route = self._routes.get(flow)
+            if (
+                route is not None
+                and route.receiver.allowed
+                and self._clock() <= self._guard.until
+            ):
+                self._passed[0] += 1
+                self._peers.send_packet(
+                    route.head,
+                    datagram,
+                    route.receiver.address,
+                )
+                return
+        self._receive_other(datagram)
+
+    def learn(self, received: Message, _sender: Address) -> None:
+        """Remember the owner that a sidecar told."""
+        if not isinstance(received, Owner):
+            return
+        service = self._services.get(read_ends(received.flow))
+        if service is None or not self._router.allows(
+            received.address,
+            received.generation,
+        ):
+            self._metrics.count(Drop.stale_hint)
+            return
+        receiver = self._receiver(received.address, received.generation)
+        head = self._envelope(service, b'', NAMED, (receiver.packed,))
+        head.incarnation = received.incarnation
+        route = Route(receiver, received.incarnation, head.pack_head())
+        self._routes.put(received.flow, route)
+        self._searches.end(received.flow)
+
+    def _receive_other(self, datagram: bytes) -> None:
         if len(datagram) > MAX_PACKET_BYTES:
             self._metrics.count(Drop.too_large)
             return
@@ -59,61 +110,102 @@
         if service is None:
             self._metrics.count(Drop.unknown_service)
             return
-        self._pass_on(packet, service)
-
-    def learn(self, received: Message, _sender: Address) -> None:
-        """Remember the owner that a sidecar told."""
-        if isinstance(received, Owner):
-            self._cache.put(received.flow, received.address)
-
-    def _pass_on(self, packet: InnerPacket, service: Service) -> None:
-        flow = packet.key
-        owner = self._cache.get(flow)
-        flags = 0
-        if owner is not None and self._router.allows(owner):
-            candidates: tuple[bytes, ...] = (owner,)
-        else:
-            flags = UNCACHED
-            candidates = self._candidates(packet, service, flow)
+        if not self._guard.awake:
+            self._metrics.count(Drop.stale_view)
+            return
+        if not self._pass_on_known(packet):
+            self._search(packet, service)
+
+    def _pass_on_known(self, packet: InnerPacket) -> bool:
+        """Follow the flow's route; return whether the packet is done with."""
+        flow = packet.flow
+        route = self._routes.get(flow)
+        if route is None:
+            return False
+        receiver = route.receiver
+        if receiver.allowed:
+            self._passed[0] += 1
+            self._peers.send_packet(route.head, packet.raw, receiver.address)
+            return True
+        if packet.may_open:
+            self._routes.forget(flow)
+            return False
+        self._metrics.count(Drop.owner_gone)
+        return True
+
+    def _search(self, packet: InnerPacket, service: Service) -> None:
+        candidates = self._candidates(packet, service)
         if not candidates:
             self._metrics.count(Drop.no_host)
             return
-        envelope = Envelope(
-            flags,
-            0,
-            0,
-            service.ident,
-            self._view.generation,
-            flow,
-            self._own,
-            candidates,
-            packet.raw,
-        )
-        self._metrics.tally(_PASSED)
+        envelope = self._envelope(service, packet.raw, UNCACHED, candidates)
+        self._passed[0] += 1
         self._peers.send_envelope(envelope, unpack_address(candidates[0]))
 
     def _candidates(
         self,
         packet: InnerPacket,
         service: Service,
-        flow: int,
     ) -> tuple[bytes, ...]:
         if packet.first:
-            hosts = self._router.fresh(service, flow)
+            hosts = self._router.fresh(service, packet.key)
         else:
-            hosts = self._router.known(service, flow)
+            hosts = self._router.known(service, packet.key)
+            now = self._clock()
+            turn = self._searches.turn(packet.flow, now, len(hosts))
+            hosts = hosts[turn:] + hosts[:turn]
         return tuple(pack_address(host.address) for host in hosts)
 
+    def _envelope(
+        self,
+        service: Service,
+        raw: bytes,
+        flags: int,
+        candidates: tuple[bytes, ...],
+    ) -> Envelope:
+        return Envelope(
+            flags,
+            0,
+            0,
+            service.ident,
+            self._view.generation,
+            0,
+            self._own,
+            candidates,
+            raw,
+        )
+
+    def _receiver(self, packed: bytes, generation: int) -> Receiver:
+        receiver = self._receivers.get(packed)
+        if receiver is None:
+            address = unpack_address(packed)
+            receiver = Receiver(packed, address, generation)
+            self._receivers[packed] = receiver
+        receiver.generation = max(receiver.generation, generation)
+        receiver.allowed = self._router.allows(packed, receiver.generation)
+        return receiver
+
     def _refresh(self) -> None:
         site = self._view.site
         if site is None:
             return
-        self._services = {
+        services = {
             (socket.inet_aton(endpoint.address), endpoint.port): service
             for service in site.services.values()
             for endpoint in service.endpoints
             if endpoint.ingress == 'fou'
         }
+        if _idents(services) != _idents(self._services):
+            self._routes.clear()
+        self._services = services
+        for packed, receiver in self._receivers.items():
+            receiver.allowed = self._router.allows(packed, receiver.generation)
+
+
+def _idents(
+    services: dict[tuple[bytes, int], Service],
+) -> dict[tuple[bytes, int], int]:
+    return {ends: service.ident for ends, service in services.items()}
 
 
 async def start_fou(
--- a/siskinbank/kernel/metrics.py
+++ b/siskinbank/kernel/metrics.py
@@ -30,6 +30,7 @@
         self._counts: Counter[tuple[str, str]] = Counter()
         self._gauges: dict[str, float] = {}
         self._times: dict[str, HdrHistogram] = {}
+        self._cells: dict[str, list[int]] = {}
 
     @property
     def counts(self) -> dict[str, dict[str, int]]:
@@ -37,6 +38,10 @@
         families: dict[str, dict[str, int]] = {}
         for (family, reason), count in sorted(self._counts.items()):
             families.setdefault(family, {})[reason] = count
+        for name, cell in sorted(self._cells.items()):
+            if cell[0]:
+                reasons = families.setdefault(name, {})
+                reasons[''] = reasons.get('', 0) + cell[0]
         return families
 
     def count(self, reason: enum.StrEnum, amount: int = 1) -> None:
@@ -48,17 +53,17 @@
         """Count events that have no reasons, such as packets passed."""
         self._counts[family, ''] += amount
 
+    def cell(self, family: str) -> list[int]:
+        """Return a list of one number that a hot path adds to by itself."""
+        return self._cells.setdefault(family, [0])
+
     def value(self, reason: enum.StrEnum) -> int:
         """Return the count of one reason."""
         return self._counts[type(reason).__name__.lower(), reason.value]
 
     def total(self, family: str) -> int:
         """Return the count of all reasons in a family."""
-        return sum(
-            count
-            for (name, _reason), count in self._counts.items()
-            if name == family
-        )
+        return sum(self.counts.get(family, {}).values())
 
     def gauge(self, name: str, amount: float) -> None:
         """Set a figure that goes up and down."""
--- a/siskinbank/kernel/reasons.py
+++ b/siskinbank/kernel/reasons.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ('Drop', 'Refusal', 'Retry')
+__all__ = ('Drop', 'GivenUp', 'Refusal', 'Retry')
 
 
 class Refusal(enum.StrEnum):
@@ -40,3 +40,17 @@
     at_limit = 'at-limit'
     centre_out = 'data-centre-out'
     too_large = 'too-large'
+    wrong_host = 'wrong-host'
+    owner_gone = 'owner-gone'
+    ended = 'flow-ended'
+    stale_view = 'stale-view'
+    stale_hint = 'stale-hint'
+
+
+class GivenUp(enum.StrEnum):
+    """Why an owned flow was given up."""
+
+    centre_out = 'data-centre-out'
+    removed = 'host-removed'
+    reassigned = 'address-reassigned'
+    idle = 'idle'
--- a/siskinbank/kernel/timers.py
+++ b/siskinbank/kernel/timers.py
@@ -58,6 +58,11 @@
         self._queue: list[tuple[float, int, Subscription]] = []
         self._order = itertools.count()
 
+    @property
+    def clock(self) -> Clock:
+        """The clock itself, for hot paths."""
+        return self._clock
+
     @property
     def now(self) -> float:
         """The clock's time in seconds."""
--- a/siskinbank/lab/forwarding.py
+++ b/siskinbank/lab/forwarding.py
@@ -134,7 +134,7 @@
         for packet in _make_packets(_service(fleet)):
             inner = parse_inner(packet)
             assert inner is not None
-            told = encode(Owner(inner.key, pack_address(sink)))
+            told = encode(Owner(inner.flow, pack_address(sink), 1, 1))
             sender.sendto(keys.seal(_CONTROL + told), bind)
             time.sleep(_PACE_SECONDS)
 
--- a/siskinbank/peers/datagrams.py
+++ b/siskinbank/peers/datagrams.py
@@ -7,9 +7,9 @@
 from siskinbank.config.site import Address
 from siskinbank.kernel.metrics import Metrics
 from siskinbank.kernel.reasons import Drop
+from siskinbank.wire.envelopes import PACKET_KIND, Envelope
 from siskinbank.wire.keys import KeyRing
 from siskinbank.wire.messages import Message, MessageError, decode, encode
-from siskinbank.wire.packets import PACKET_KIND, Envelope
 
 __all__ = ('PeerSocket', 'open_udp')
 
@@ -70,6 +70,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self.on_envelope: EnvelopeHandler = _ignore
         self.on_message: MessageHandler = _ignore
+        self.take_body: Callable[[bytes], bool] = _take_nothing
 
     async def open(self, address: Address) -> None:
         """Bind to ``address``."""
@@ -85,18 +86,21 @@
         if body is None:
             self._metrics.count(Drop.unkeyed)
         elif body[0] == PACKET_KIND:
-            envelope = Envelope.unpack(body)
-            if envelope is None:
-                self._metrics.count(Drop.malformed)
-            else:
-                self.on_envelope(envelope, sender)
+            if not self.take_body(body):
+                self._receive_envelope(body, sender)
         else:
             self._receive_message(body, sender)
 
+    def send_packet(self, head: bytes, raw: bytes, receiver: Address) -> None:
+        """Send a packet behind an envelope's head that is packed already."""
+        if self._transport is not None:
+            sealed = self.keys.seal_parts(head, raw)
+            self._transport.sendto(sealed, receiver)
+
     def send_envelope(self, envelope: Envelope, receiver: Address) -> None:
         """Send a packet on to another process."""
         if self._transport is not None:
-            sealed = self.keys.seal(envelope.pack())
+            sealed = self.keys.seal_parts(envelope.pack_head(), envelope.raw)
             self._transport.sendto(sealed, receiver)
 
     def send_message(self, sent: Message, receiver: Address) -> None:
@@ -110,6 +114,13 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _receive_envelope(self, body: bytes, sender: Address) -> None:
+        envelope = Envelope.unpack(body)
+        if envelope is None:
+            self._metrics.count(Drop.malformed)
+        else:
+            self.on_envelope(envelope, sender)
+
     def _receive_message(self, body: bytes, sender: Address) -> None:
         try:
             received = decode(body[len(_CONTROL_PREFIX) :])
@@ -121,3 +132,7 @@
 
 def _ignore(_received: object, _sender: Address) -> None:
     """Drop what nobody handles."""
+
+
+def _take_nothing(_body: bytes) -> bool:
+    return False
--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -4,28 +4,43 @@
 import socket
 
 from siskinbank.config.site import Address, Service
-from siskinbank.kernel.reasons import Drop
+from siskinbank.kernel.incarnation import make_incarnation, same_host
+from siskinbank.kernel.reasons import Drop, GivenUp
+from siskinbank.kernel.suspension import SuspensionGuard
+from siskinbank.sidecar.announcer import Announcer, read_numbers
 from siskinbank.sidecar.context import SidecarContext
-from siskinbank.sidecar.flows import FlowTable, Pointers
-from siskinbank.wire.messages import Message, Moved, Owner
+from siskinbank.sidecar.forwarder import Forwarder
+from siskinbank.sidecar.flows import FlowTable, OwnedFlow, Pointer, Pointers
+from siskinbank.sidecar.pool_history import PoolHistory
+from siskinbank.sidecar.probes import Probes
+from siskinbank.wire.messages import Message, Moved, Started
 from siskinbank.wire.packets import (
-    UNCACHED,
-    Envelope,
     InnerPacket,
-    pack_address,
     parse_inner,
-    unpack_address,
+    read_ends,
+)
+from siskinbank.wire.envelopes import (
+    NAMED,
+    ORPHAN,
+    PROBE,
+    PROBED,
+    UNCACHED,
+    Envelope,
+    read_owned,
 )
 
 __all__ = ('PacketHandler',)
 
-MAX_HOPS = 6
-_IDLE_SECONDS = 300
-_CLOSING_IDLE_SECONDS = 30
-_LEASE_SECONDS = 30
-_ANNOUNCE_SECONDS = 5
 _EXPIRE_SECONDS = 5
-_FLOWS_A_MESSAGE = 100
+_MAX_POINTERS = 100_000
+#: How long a flow that was passed on as new is sought where it went.
+_PASSED_SECONDS = 10
+#: Within this time of a start the pool has refilled the pointers.
+_REFILL_SECONDS = 8
+#: How long after a start an unknown flow may be one of an earlier life.
+_RECOVERY_SECONDS = 900
+#: How long the pointers to a host are kept after it has restarted.
+_RESTART_LEASE_SECONDS = 900
 
 
 class PacketHandler:
@@ -40,15 +55,58 @@
         self._context = context
         self._upstream = upstream
         self._metrics = context.process.metrics
+        self._delivered = self._metrics.cell('packets_delivered')
         self._timers = context.process.timers
-        self._own = pack_address(context.settings.bind)
+        self._clock = self._timers.clock
+        self._guard = SuspensionGuard(
+            self._timers,
+            lambda: context.view.list_age,
+        )
+        self._name = context.process.name
+        self._started: float | None = None
+        self._service = 0
+        self.incarnation = make_incarnation(self._name)
         self.flows = FlowTable()
-        self.pointers = Pointers()
+        self.pointers = Pointers(_MAX_POINTERS)
+        self._forwarder = Forwarder(context, self.incarnation)
+        self._own = self._forwarder.own
+        self._probes = Probes()
+        self._history = PoolHistory(self._clock)
+        self._announcer = Announcer(
+            context,
+            self.flows,
+            self._history,
+            self.incarnation,
+        )
+        context.peers.take_body = self.take_owned
         context.peers.on_envelope = self.receive
         context.peers.on_message = self.learn
         context.view.subscribe(self._refresh)
         self._timers.every(_EXPIRE_SECONDS, self._expire)
-        self._timers.every(_ANNOUNCE_SECONDS, self._announce, jitter=0.2)
+
+    @property
+    def age(self) -> float:
+        """Seconds since this process first knew its pool."""
+        if self._started is None:
+            return 0
+        return self._timers.now - self._started
+
+    def take_owned(self, body: bytes) -> bool:
+        """Deliver a plain packet of an owned flow the short way.
+
+        Returns:
+            False when the packet needs more than that.
+        """
+        plain = read_owned(body, self._service)
+        if plain is None:
+            return False
+        owned = self.flows.get(plain[0])
+        now = self._clock()
+        if owned is None or now > self._guard.until:
+            return False
+        owned.seen = now
+        self._hand_over(plain[1])
+        return True
 
     def receive(self, envelope: Envelope, _sender: Address) -> None:
         """Take a packet from an entry or another sidecar."""
@@ -56,50 +114,126 @@
         if packet is None:
             self._metrics.count(Drop.malformed)
             return
-        service = self._context.service
-        if not _belongs(envelope, packet, service):
-            self._metrics.count(Drop.wrong_service)
+        if not self._guard.awake:
+            self._metrics.count(Drop.stale_view)
             return
-        if self._context.is_out:
-            self._metrics.count(Drop.centre_out)
-            return
-        if not self._deliver_owned(envelope, packet):
+        if not _belongs(envelope, packet, self._context.service):
+            self._pass_on_ahead(envelope)
+        elif self._context.is_out:
+            self._pass_on_out(envelope, packet)
+        elif not self._deliver_owned(envelope, packet):
             self._find_owner(envelope, packet)
 
     def learn(self, received: Message, _sender: Address) -> None:
-        """Take word of flows that live elsewhere."""
-        if not isinstance(received, Moved):
+        """Take word of flows that live elsewhere, and of restarts."""
+        if not isinstance(received, Moved | Started):
             return
-        service = self._context.service
-        if service is None or received.service != service.ident:
+        if received.service != self._service:
             self._metrics.count(Drop.wrong_service)
+        elif isinstance(received, Moved):
+            self._learn_moved(received)
+        else:
+            expires = self._timers.now + _RESTART_LEASE_SECONDS
+            self.pointers.extend(
+                received.address,
+                received.incarnation,
+                expires,
+            )
+            self._announcer.answer(received.address)
+
+    def _learn_moved(self, received: Moved) -> None:
+        if received.address == self._own:
             return
-        expires = self._timers.now + received.lease_seconds
-        for flow in received.flows:
-            self.pointers.put(flow, received.address, expires)
+        pointer = Pointer(
+            received.address,
+            received.incarnation,
+            received.generation,
+            self._timers.now + received.lease_seconds,
+        )
+        for number in read_numbers(received.flows):
+            self.pointers.put(number, pointer)
 
     def _deliver_owned(self, envelope: Envelope, packet: InnerPacket) -> bool:
-        now = self._timers.now
-        closing = packet.closing
-        if not self.flows.touch(envelope.flow, now, closing=closing):
+        flow = packet.flow
+        owned = self.flows.get(flow)
+        if owned is None:
             return False
-        self._hand_over(packet)
+        if packet.first and owned.closing and not self._context.takes_work:
+            self.flows.remove(flow)
+            self._give_back((owned,))
+            return False
+        owned.seen = self._timers.now
+        if packet.first:
+            owned.reopen()
+        elif packet.closing or packet.last:
+            owned.close()
+        self._hand_over(packet.raw)
         if envelope.flags & UNCACHED and not packet.first:
-            self._tell_entry(envelope)
-        if packet.last and self.flows.remove(envelope.flow):
-            self._give_back(1)
+            self._forwarder.tell_entry(envelope, packet)
         return True
 
     def _find_owner(self, envelope: Envelope, packet: InnerPacket) -> None:
-        owner = self.pointers.get(envelope.flow, self._timers.now)
-        if owner is not None and self._context.router.allows(owner):
-            envelope.candidates = (owner,)
-            envelope.position = 0
-            self._send_on(envelope, owner)
-        elif packet.first and self._admit(envelope, packet):
+        number = packet.key
+        pointer = self.pointers.get(number, self._timers.now)
+        if pointer is not None and self._forwarder.follow(envelope, pointer):
             return
+        if packet.may_open:
+            self._open(envelope, packet, number)
+        elif envelope.flags & ORPHAN and self._forwarder.is_last(envelope):
+            self._adopt(envelope, packet)
+        elif self._may_be_ours(envelope):
+            self._search_then_adopt(envelope, packet, number)
         else:
-            self._pass_on(envelope, packet)
+            self._pass_on(envelope, packet, number)
+
+    def _open(
+        self,
+        envelope: Envelope,
+        packet: InnerPacket,
+        number: int,
+    ) -> None:
+        """Take a flow that no pointer knows, unless another host owns it."""
+        if envelope.flags & PROBE and not self._forwarder.is_last(envelope):
+            if not self._wins_race(envelope, packet):
+                self._pass_on(envelope, packet, number)
+            return
+        if envelope.flags & PROBE:
+            self._forwarder.restart(envelope)
+            envelope.flags |= PROBED
+        elif not envelope.flags & PROBED:
+            suspects = self._suspects(envelope, packet, number)
+            if suspects and self._probes.start(packet.flow, self._timers.now):
+                flags = PROBE | UNCACHED
+                self._forwarder.send_to_all(envelope, flags, suspects)
+                return
+        if not self._admit(envelope, packet):
+            self._pass_on(envelope, packet, number)
+
+    def _wins_race(self, envelope: Envelope, packet: InnerPacket) -> bool:
+        """Settle who takes a flow that two hosts were offered at once.
+
+        Both ask each other; the lower address takes it.
+        """
+        prober = envelope.candidates[-1]
+        if self._own > prober or not self._probes.is_open(
+            packet.flow,
+            self._timers.now,
+        ):
+            return False
+        return self._admit(envelope, packet)
+
+    def _suspects(
+        self,
+        envelope: Envelope,
+        packet: InnerPacket,
+        number: int,
+    ) -> list[bytes]:
+        hosts = self._history.suspects(number, self._name, first=packet.first)
+        if self.age < _REFILL_SECONDS:
+            hosts.extend(self._history.known(number)[:3])
+        visited = envelope.candidates[: envelope.position]
+        suspects = self._forwarder.addresses(hosts)
+        return [address for address in suspects if address not in visited]
 
     def _admit(self, envelope: Envelope, packet: InnerPacket) -> bool:
         limits = self._context.limits
@@ -107,97 +241,162 @@
             return False
         if not limits.connections.take():
             return False
-        self.flows.add(envelope.flow, self._timers.now)
+        self.flows.add(packet.flow, self._timers.now)
+        self._probes.end(packet.flow)
         self._metrics.tally('flows_opened')
-        self._hand_over(packet)
-        if envelope.position:
-            self._tell_entry(envelope)
-        self._announce_flows((envelope.flow,))
+        self._hand_over(packet.raw)
+        if envelope.position or envelope.flags & (PROBE | PROBED):
+            self._forwarder.tell_entry(envelope, packet)
+        self._announcer.announce_new(packet.flow)
         return True
 
-    def _pass_on(self, envelope: Envelope, packet: InnerPacket) -> None:
-        candidates = envelope.candidates
-        if len(candidates) == 1 and not envelope.flags & UNCACHED:
-            candidates = self._own_candidates(envelope)
-            envelope.flags |= UNCACHED
-            envelope.candidates = candidates
-            envelope.position = -1
-        position = envelope.position + 1
-        while position < len(candidates):
-            candidate = candidates[position]
-            if candidate != self._own and self._context.router.allows(
-                candidate
-            ):
-                envelope.position = position
-                self._send_on(envelope, candidate)
-                return
-            position += 1
-        self._metrics.count(
-            Drop.at_limit if packet.first else Drop.unknown_flow,
-        )
+    def _may_be_ours(self, envelope: Envelope) -> bool:
+        """Whether an unknown flow may have been owned here earlier.
 
-    def _own_candidates(self, envelope: Envelope) -> tuple[bytes, ...]:
-        service = self._context.service
-        if service is None:
-            return ()
-        hosts = self._context.router.known(service, envelope.flow)
-        return tuple(pack_address(host.address) for host in hosts)
-
-    def _send_on(self, envelope: Envelope, receiver: bytes) -> None:
-        envelope.hops += 1
-        if envelope.hops > MAX_HOPS:
-            self._metrics.count(Drop.hop_limit)
-            return
-        self._metrics.tally('packets_passed_on')
-        self._context.peers.send_envelope(envelope, unpack_address(receiver))
+        That is so when somebody remembers it, or when this process started
+        lately and the entry offered the packet here first. A restart of the
+        sidecar alone leaves the upstream's connections whole.
+        """
+        if envelope.flags & ORPHAN:
+            return False
+        if envelope.flags & NAMED:
+            return same_host(envelope.incarnation, self.incarnation)
+        recovering = _REFILL_SECONDS / 4 < self.age < _RECOVERY_SECONDS
+        return recovering and envelope.position == 0
 
-    def _hand_over(self, packet: InnerPacket) -> None:
-        if self._upstream is not None:
-            self._metrics.tally('packets_delivered')
-            self._upstream.sendto(packet.raw)
+    def _search_then_adopt(
+        self,
+        envelope: Envelope,
+        packet: InnerPacket,
+        number: int,
+    ) -> None:
+        """Ask all others for a flow, and take it if it comes back."""
+        others = self._forwarder.addresses(self._history.known(number))
+        if others:
+            flags = ORPHAN | UNCACHED
+            self._forwarder.send_to_all(envelope, flags, others)
+        else:
+            self._adopt(envelope, packet)
+
+    def _adopt(self, envelope: Envelope, packet: InnerPacket) -> None:
+        """Take over a flow that this host owned in an earlier life.
+
+        If the upstream has lost it too, it answers with a reset: the caller
+        learns at once.
+        """
+        limits = self._context.limits
+        charged = limits is not None and limits.connections.take()
+        self.flows.adopt(packet.flow, self._timers.now, charged=charged)
+        self._metrics.tally('flows_adopted')
+        self._hand_over(packet.raw)
+        self._forwarder.tell_entry(envelope, packet)
+        self._announcer.announce_new(packet.flow)
+
+    def _pass_on(
+        self,
+        envelope: Envelope,
+        packet: InnerPacket,
+        number: int,
+    ) -> None:
+        if envelope.flags & NAMED:
+            self._forwarder.restart(envelope)
+        receiver = self._forwarder.send_to_next(envelope)
+        if receiver is None:
+            history = self._history
+            rank = history.fresh if packet.may_open else history.known
+            self._forwarder.extend(envelope, rank(number))
+            receiver = self._forwarder.send_to_next(envelope)
+        if receiver is None:
+            self._metrics.count(
+                Drop.at_limit if packet.may_open else Drop.unknown_flow,
+            )
+        elif packet.may_open and not envelope.flags & PROBE:
+            self._remember_passed(number, receiver)
 
-    def _tell_entry(self, envelope: Envelope) -> None:
-        self._context.peers.send_message(
-            Owner(envelope.flow, self._own),
-            unpack_address(envelope.entry),
+    def _remember_passed(self, number: int, receiver: bytes) -> None:
+        """Send a copy of a new flow's packet the same way, for a while."""
+        self.pointers.put(
+            number,
+            Pointer(
+                receiver,
+                0,
+                self._context.view.generation,
+                self._timers.now + _PASSED_SECONDS,
+            ),
         )
 
-    def _announce(self) -> None:
-        self._announce_flows(tuple(self.flows))
+    def _pass_on_ahead(self, envelope: Envelope) -> None:
+        """Pass on what a process with a newer generation sent too early.
 
-    def _announce_flows(self, flows: tuple[int, ...]) -> None:
-        """Tell the hosts that rank first for flows which are owned here."""
-        service = self._context.service
-        if service is None:
+        A packet of another service is dropped.
+        """
+        ahead = envelope.generation > self._context.view.generation
+        if not ahead or not self._forwarder.send_to_next(envelope):
+            self._metrics.count(Drop.wrong_service)
+
+    def _pass_on_out(self, envelope: Envelope, packet: InnerPacket) -> None:
+        """Pass on what lives elsewhere; what lived here was given up."""
+        number = packet.key
+        pointer = self.pointers.get(number, self._timers.now)
+        if pointer is not None and self._forwarder.follow(envelope, pointer):
             return
-        homes: dict[Address, list[int]] = {}
-        for flow in flows:
-            ranked = self._context.router.known(service, flow)
-            if ranked and ranked[0].name != self._context.process.name:
-                homes.setdefault(ranked[0].address, []).append(flow)
-        for address, moved in homes.items():
-            for start in range(0, len(moved), _FLOWS_A_MESSAGE):
-                part = moved[start : start + _FLOWS_A_MESSAGE]
-                sent = Moved(service.ident, self._own, _LEASE_SECONDS, part)
-                self._context.peers.send_message(sent, address)
+        if not self._forwarder.send_to_next(envelope):
+            self._metrics.count(Drop.centre_out)
+
+    def _hand_over(self, raw: bytes) -> None:
+        if self._upstream is not None:
+            self._delivered[0] += 1
+            self._upstream.sendto(raw)
 
     def _refresh(self) -> None:
+        service = self._context.service
+        self._service = service.ident if service else 0
+        if service is None:
+            self._give_up(self.flows.clear(), GivenUp.removed)
+            return
         if self._context.is_out:
-            self._give_back(self.flows.clear())
-        self._announce()
+            self._service = 0
+            self._give_up(self.flows.clear(), GivenUp.centre_out)
+            return
+        self._give_up_reassigned(service)
+        changed = self._history.update(self._context.router.ranks(service))
+        if self._started is None:
+            self._started = self._timers.now
+            self._announcer.started()
+        if changed:
+            self._announcer.pool_changed()
+
+    def _give_up_reassigned(self, service: Service) -> None:
+        """Give up the flows to addresses that the service has lost."""
+        ends = _service_ends(service)
+        gone = [flow for flow in self.flows if read_ends(flow) not in ends]
+        removed = [self.flows.remove(flow) for flow in gone]
+        self._give_up(
+            [owned for owned in removed if owned is not None],
+            GivenUp.reassigned,
+        )
 
     def _expire(self) -> None:
         now = self._timers.now
-        gone = self.flows.expire(now, _IDLE_SECONDS, _CLOSING_IDLE_SECONDS)
-        self._give_back(gone)
+        gone = self.flows.expire(now)
+        open_ones = [owned for owned in gone if not owned.closing]
+        closed = [owned for owned in gone if owned.closing]
+        self._give_up(open_ones, GivenUp.idle)
+        self._give_back(closed)
         self.pointers.expire(now)
 
-    def _give_back(self, count: int) -> None:
+    def _give_up(self, gone: list[OwnedFlow], reason: GivenUp) -> None:
+        if gone:
+            self._metrics.count(reason, len(gone))
+            self._give_back(gone)
+
+    def _give_back(self, gone: list[OwnedFlow] | tuple[OwnedFlow, ...]) -> None:
         limits = self._context.limits
         if limits is None:
             return
-        for _ in range(count):
-            limits.connections.give_back()
+        for owned in gone:
+            if owned.charged:
+                limits.connections.give_back()
 
 
 def _belongs(
@@ -207,9 +406,12 @@
 ) -> bool:
     if service is None or envelope.service != service.ident:
         return False
-    return any(
-        endpoint.ingress == 'fou'
-        and endpoint.port == packet.target_port
-        and socket.inet_aton(endpoint.address) == packet.target
+    return (packet.target, packet.target_port) in _service_ends(service)
+
+
+def _service_ends(service: Service) -> set[tuple[bytes, int]]:
+    return {
+        (socket.inet_aton(endpoint.address), endpoint.port)
         for endpoint in service.endpoints
-    )
+        if endpoint.ingress == 'fou'
+    }
--- a/siskinbank/wire/keys.py
+++ b/siskinbank/wire/keys.py
@@ -74,6 +74,13 @@
         mac.update(body)
         return b''.join((self._sealing, mac.digest(), body))
 
+    def seal_parts(self, head: bytes, tail: bytes) -> bytes:
+        """Return ``head + tail`` sealed, with one copy less."""
+        mac = self._sealer.copy()
+        mac.update(head)
+        mac.update(tail)
+        return b''.join((self._sealing, mac.digest(), head, tail))
+
     def open(self, datagram: bytes) -> bytes | None:
         """Return the body of a sealed datagram, or None when it is not ours."""
         if len(datagram) <= _HEAD_BYTES:
--- a/siskinbank/wire/messages.py
+++ b/siskinbank/wire/messages.py
@@ -11,6 +11,7 @@
     'MessageError',
     'Moved',
     'Owner',
+    'Started',
     'decode',
     'encode',
     'message',
@@ -112,28 +113,43 @@
 class Owner(Message):
     """Tells an entry which host owns a flow.
 
-    ``address`` is the owner's 6-byte address.
+    ``flow`` is its 13 bytes, ``address`` the owner's 6-byte address.
     """
 
     kind = 2
-    flow: int
+    flow: bytes
     address: bytes
+    incarnation: int
+    generation: int
 
 
 @message
 @dataclasses.dataclass(frozen=True, slots=True)
 class Moved(Message):
-    """Tells a sidecar that the sender owns flows which rank it first.
+    """Tells a sidecar that the sender owns flows which rank it high.
 
-    ``flows`` are 64-bit flow numbers. The receiver passes their packets on
-    until the lease ends.
+    ``flows`` are 64-bit flow numbers, 8 bytes each. The receiver passes their
+    packets on until the lease ends.
     """
 
     kind = 3
     service: int
     address: bytes
+    incarnation: int
+    generation: int
     lease_seconds: float
-    flows: list  # type: ignore[type-arg]
+    flows: bytes
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started(Message):
+    """Tells the sidecars of a service that the sender lost its memory."""
+
+    kind = 40
+    service: int
+    address: bytes
+    incarnation: int
 
 
 @message
--- a/siskinbank/wire/packets.py
+++ b/siskinbank/wire/packets.py
@@ -1,4 +1,4 @@
-"""Inner IPv4 packets, and the header under which processes pass them on."""
+"""Inner IPv4 packets as callers send them, and their flows."""
 
 import socket
 import struct
@@ -9,17 +9,21 @@
 from siskinbank.config.site import Address
 
 __all__ = (
-    'MAX_CANDIDATES',
     'MAX_PACKET_BYTES',
-    'Envelope',
+    'ADDRESS_BYTES',
     'InnerPacket',
+    'flow_number',
+    'is_plain_data',
     'pack_address',
     'parse_inner',
+    'plain_flow',
+    'read_ends',
     'unpack_address',
 )
 
 MAX_PACKET_BYTES = 65_000
-MAX_CANDIDATES = 8
+FLOW_BYTES = 13
+ADDRESS_BYTES = 6
 TCP = 6
 UDP = 17
 
@@ -38,7 +42,11 @@
 _IP = struct.Struct('!BxHxxHxB2x4s4s')
 _PORTS = struct.Struct('!HH')
 _ADDRESS = struct.Struct('!4sH')
-_HEAD = struct.Struct('!BBBBQQQ6s')
+_PLAIN = struct.Struct('!BxHxxHx1s2x12s')
+_PLAIN_VERSION = 0x45
+_MIN_PLAIN_BYTES = _MIN_IP_BYTES + _MIN_TCP_BYTES
+_PROTOCOL_OFFSET = 9
+_PROTOCOLS = frozenset((bytes((TCP,)), bytes((UDP,))))
 
 
 @dataclass(slots=True)
@@ -54,12 +62,16 @@
     flags: int
 
     @property
-    def key(self) -> int:
-        """The flow's 64-bit number, the same in every process."""
+    def flow(self) -> bytes:
+        """The flow's 13 bytes: addresses, ports and protocol."""
         ports = _PORTS.pack(self.source_port, self.target_port)
         proto = bytes((self.protocol,))
-        flow = b''.join((self.source, self.target, ports, proto))
-        return xxhash.xxh3_64_intdigest(flow)
+        return b''.join((self.source, self.target, ports, proto))
+
+    @property
+    def key(self) -> int:
+        """The flow's 64-bit number, the same in every process."""
+        return flow_number(self.flow)
 
     @property
     def first(self) -> bool:
@@ -82,6 +94,36 @@
         return bool(self.flags & _FIN)
 
 
+def flow_number(flow: bytes) -> int:
+    """Return the 64-bit number under which a flow is ranked."""
+    number: int = xxhash.xxh3_64_intdigest(flow)
+    return number
+
+
+def read_ends(flow: bytes) -> tuple[bytes, int]:
+    """Return the target address and port of a flow's 13 bytes."""
+    if len(flow) != FLOW_BYTES:
+        return b'', 0
+    return flow[4:8], int.from_bytes(flow[10:12], 'big')
+
+
+def plain_flow(raw: bytes) -> bytes | None:
+    """Return the flow of a whole packet without options or fragments.
+
+    This is the short way for the packets that make up nearly all traffic;
+    for any other it returns None, and ``parse_inner`` judges the packet.
+    """
+    if not _MIN_PLAIN_BYTES <= len(raw) <= MAX_PACKET_BYTES:
+        return None
+    version, length, fragment, protocol, ends = _PLAIN.unpack_from(raw)
+    if version != _PLAIN_VERSION or fragment & _FRAGMENT_MASK:
+        return None
+    if length != len(raw) or protocol not in _PROTOCOLS:
+        return None
+    flow: bytes = ends + protocol
+    return flow
+
+
 def parse_inner(raw: bytes) -> InnerPacket | None:
     """Read an IPv4 packet with TCP or UDP inside.
 
@@ -127,68 +169,8 @@
     return socket.inet_ntoa(number), port
 
 
-#: The first byte of a body that carries a packet.
-PACKET_KIND = 1
-#: The entry sent the packet by rank, not because it knows the owner.
-UNCACHED = 0x01
-
-
-@dataclass(slots=True)
-class Envelope:
-    """An inner packet on its way between processes.
-
-    The receiver that does not own the flow passes the envelope on to the
-    candidate at ``position`` + 1.
-    """
-
-    flags: int
-    hops: int
-    position: int
-    service: int
-    generation: int
-    flow: int
-    entry: bytes
-    candidates: tuple[bytes, ...]
-    raw: bytes
-
-    def pack(self) -> bytes:
-        """Return the body to seal."""
-        lead = _HEAD.pack(
-            PACKET_KIND,
-            self.flags,
-            self.hops << _WORD_BYTES | self.position,
-            len(self.candidates),
-            self.service,
-            self.generation,
-            self.flow,
-            self.entry,
-        )
-        return b''.join((lead, *self.candidates, self.raw))
-
-    @classmethod
-    def unpack(cls, body: bytes) -> 'Envelope | None':
-        """Read an opened body; None when it is malformed."""
-        if len(body) < _HEAD.size:
-            return None
-        _kind, flags, place, count, service, generation, flow, entry = (
-            _HEAD.unpack_from(body)
-        )
-        start = _HEAD.size
-        end = start + count * _ADDRESS.size
-        if count > MAX_CANDIDATES or end > len(body):
-            return None
-        candidates = tuple(
-            body[offset : offset + _ADDRESS.size]
-            for offset in range(start, end, _ADDRESS.size)
-        )
-        return cls(
-            flags,
-            place >> _WORD_BYTES,
-            place & 0xF,
-            service,
-            generation,
-            flow,
-            entry,
-            candidates,
-            body[end:],
-        )
+def is_plain_data(raw: bytes) -> bool:
+    """Whether a packet with a ``plain_flow`` neither opens nor ends it."""
+    if raw[_PROTOCOL_OFFSET] != TCP:
+        return True
+    return not raw[_MIN_IP_BYTES + _TCP_FLAGS_OFFSET] & (_FIN | _SYN | _RST)
--- a/tests/entry/test_cache.py
+++ b/tests/entry/test_cache.py
@@ -2,24 +2,35 @@
 
 import unittest
 
-from siskinbank.entry.cache import OwnerCache
+from siskinbank.entry.cache import Receiver, Route, RouteCache
 
 
-class TestOwnerCache(unittest.TestCase):
+def _flow(number: int) -> bytes:
+    return number.to_bytes(13, 'big')
+
+
+def _route() -> Route:
+    return Route(Receiver(b'', ('10.0.0.1', 1), 1), 1, b'')
+
+
+OWNED = _route()
+
+
+class TestRouteCache(unittest.TestCase):
     """Bound and eviction."""
 
     def test_stays_within_bound(self) -> None:
         """However many flows pass, the cache stays small."""
-        cache = OwnerCache(100)
+        cache = RouteCache(100)
         for flow in range(10_000):
-            cache.put(flow, b'owner')
+            cache.put(_flow(flow), _route())
             self.assertLessEqual(len(cache), 100)
 
     def test_used_flows_survive(self) -> None:
         """A flow that is used again outlives those that are not."""
-        cache = OwnerCache(100)
-        cache.put(-1, b'owner')
+        cache = RouteCache(100)
+        cache.put(b'kept', OWNED)
         for flow in range(1000):
-            cache.put(flow, b'other')
-            self.assertEqual(cache.get(-1), b'owner')
-        self.assertIsNone(cache.get(0))
+            cache.put(_flow(flow), _route())
+            self.assertEqual(cache.get(b'kept'), OWNED)
+        self.assertIsNone(cache.get(_flow(0)))
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -18,8 +18,8 @@
 )
 
 MESSAGES: tuple[Message, ...] = (
-    Owner(2**64 - 1, b'abcdef'),
-    Moved(1, b'abcdef', 30, [1, 2]),
+    Owner(b'f' * 13, b'abcdef', 2**64 - 1, 7),
+    Moved(1, b'abcdef', 2, 7, 30, bytes(16)),
     RequestHead(1, 2, 'k', True, 2.5, 'GET', '/', [['a', 'b']]),
     BodyPart(1, 0, True, b''),
 )
@@ -31,8 +31,9 @@
     msgpack.packb([9999]),
     msgpack.packb([[]]),
     msgpack.packb([2, 1]),
-    msgpack.packb([2, 'x', b'abcdef']),
-    msgpack.packb([2, True, b'abcdef']),
+    msgpack.packb([2, 'x', b'abcdef', 1, 1]),
+    msgpack.packb([2, True, b'abcdef', 1, 1]),
+    msgpack.packb([2, b'f', b'abcdef', True, 1]),
 )
 
 
--- a/tests/wire/test_packets.py
+++ b/tests/wire/test_packets.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from siskinbank.lab.standins.packets import ACK, SYN, Flow, make_packet
+from siskinbank.wire.envelopes import Envelope
 from siskinbank.wire.packets import (
-    Envelope,
     pack_address,
     parse_inner,
     unpack_address,
