--- a/siskinbank/kernel/reasons.py
+++ b/siskinbank/kernel/reasons.py
@@ -40,9 +40,7 @@
     at_limit = 'at-limit'
     centre_out = 'data-centre-out'
     too_large = 'too-large'
-    wrong_host = 'wrong-host'
     owner_gone = 'owner-gone'
-    ended = 'flow-ended'
     stale_view = 'stale-view'
     stale_hint = 'stale-hint'
 
--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -245,7 +245,7 @@
         self._probes.end(packet.flow)
         self._metrics.tally('flows_opened')
         self._hand_over(packet.raw)
-        if envelope.position or envelope.flags & (PROBE | PROBED):
+        if envelope.hops:
             self._forwarder.tell_entry(envelope, packet)
         self._announcer.announce_new(packet.flow)
         return True
@@ -300,6 +300,9 @@
     ) -> None:
         if envelope.flags & NAMED:
             self._forwarder.restart(envelope)
+        if packet.may_open and not envelope.flags & PROBE:
+            # Who is asked next need not ask again who owns the flow.
+            envelope.flags |= PROBED
         receiver = self._forwarder.send_to_next(envelope)
         if receiver is None:
             history = self._history
--- a/siskinbank/wire/messages.py
+++ b/siskinbank/wire/messages.py
@@ -146,7 +146,7 @@
 class Started(Message):
     """Tells the sidecars of a service that the sender lost its memory."""
 
-    kind = 40
+    kind = 30
     service: int
     address: bytes
     incarnation: int
