--- a/siskinbank/lab/network.py
+++ b/siskinbank/lab/network.py
@@ -50,7 +50,9 @@
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self.loss: float = 0
+        self.may_lose: Callable[[bytes], bool] = _may_lose_all
         self.cut: Callable[[Address, Address], bool] = _never_cut
+        self.watch: Handler = _watch_nothing
         self.datagrams = 0
         self.octets = 0
 
@@ -67,8 +69,9 @@
         """Send one datagram; it may be lost."""
         self.datagrams += 1
         self.octets += len(datagram)
-        if self.loss and self._rng.random() < self.loss:
-            return
+        if self.loss and self.may_lose(datagram):
+            if self._rng.random() < self.loss:
+                return
         if self.cut(sender, receiver):
             return
         delay = self._latency * self._rng.uniform(0.8, 1.2)
@@ -95,6 +98,7 @@
         sender: Address = ('0.0.0.0', 0),
     ) -> None:
         """Hand over a datagram at once."""
+        self.watch(datagram, receiver)
         handler = self._handlers.get(receiver)
         if handler is not None:
             handler(datagram, sender)
@@ -102,3 +106,11 @@
 
 def _never_cut(_sender: Address, _receiver: Address) -> bool:
     return False
+
+
+def _may_lose_all(_datagram: bytes) -> bool:
+    return True
+
+
+def _watch_nothing(_datagram: bytes, _receiver: Address) -> None:
+    """Let a datagram pass."""
--- a/siskinbank/lab/pool.py
+++ b/siskinbank/lab/pool.py
@@ -24,11 +24,12 @@
 from siskinbank.wire.keys import KEY_BYTES, Key, KeyRing
 from siskinbank.wire.packets import InnerPacket, parse_inner
 
-__all__ = ('FakeUpstream', 'Pool', 'PoolEntry', 'PoolSidecar')
+__all__ = ('UPSTREAM_PORT', 'FakeUpstream', 'Pool', 'PoolEntry', 'PoolSidecar')
 
 _TICK_SECONDS = 0.1
 _KEYS = KeyRing([Key(1, bytes(KEY_BYTES))])
-_UPSTREAM_PORT = 5555
+#: Where the fake upstreams receive, at their hosts' own addresses.
+UPSTREAM_PORT = 5555
 
 
 @dataclass(slots=True)
@@ -111,10 +112,16 @@
         self.entries[name] = entry
         return entry
 
-    def add_sidecar(self, name: str, address: Address) -> PoolSidecar:
-        """Start a sidecar with a fresh upstream; it replaces one of its name.
+    def add_sidecar(
+        self,
+        name: str,
+        address: Address,
+        upstream: FakeUpstream | None = None,
+    ) -> PoolSidecar:
+        """Start a sidecar beside an upstream, a fresh one by default.
 
-        The name must be a host's name in the site that is published.
+        It replaces one of its name, which must be a host's name in the site
+        that is published.
         """
         process = self._process('sidecar', name)
         view = FleetView(process.log, self.clock)
@@ -124,14 +131,14 @@
             name, 'a', address, address, '', _KEYS, None, None, None
         )
         context = SidecarContext(process, settings, view, peers)
-        upstream = FakeUpstream()
+        beside = upstream or FakeUpstream()
 
         def receive(datagram: bytes, _sender: Address) -> None:
             packet = parse_inner(datagram)
             if packet is not None:
-                upstream.receive(packet, self.clock.now)
+                beside.receive(packet, self.clock.now)
 
-        inner: Address = (address[0], _UPSTREAM_PORT)
+        inner: Address = (address[0], UPSTREAM_PORT)
         self.network.bind(inner, receive)
         transport = _Connected(self.network, inner)
         handler = PacketHandler(context, transport)
@@ -140,7 +147,7 @@
             view,
             context,
             handler,
-            upstream,
+            beside,
             address,
         )
         self.sidecars[name] = sidecar
@@ -164,11 +171,12 @@
         else:
             self.entries[name].alive = False
 
-    def spray(self, datagram: bytes) -> None:
-        """Hand a caller's packet to any entry."""
+    def spray(self, datagram: bytes) -> PoolEntry:
+        """Hand a caller's packet to any entry; return which one got it."""
         alive = [entry for entry in self.entries.values() if entry.alive]
         entry = self.rng.choice(alive)
         entry.ingress.receive(datagram, ('10.250.0.1', 1))
+        return entry
 
     def run(self, seconds: float) -> None:
         """Let virtual time pass, timers included."""
--- a/siskinbank/lab/standins/packets.py
+++ b/siskinbank/lab/standins/packets.py
@@ -4,7 +4,16 @@
 import struct
 from dataclasses import dataclass
 
-__all__ = ('ACK', 'FIN', 'RST', 'SYN', 'Flow', 'make_packet', 'payload_of')
+__all__ = (
+    'ACK',
+    'FIN',
+    'RST',
+    'SYN',
+    'Flow',
+    'make_packet',
+    'make_udp',
+    'payload_of',
+)
 
 FIN = 0x01
 SYN = 0x02
@@ -16,10 +25,12 @@
 _VERSION_AND_LENGTH = 0x45
 _TIME_TO_LIVE = 64
 _TCP_PROTOCOL = 6
+_UDP_PROTOCOL = 17
 _TCP_LENGTH = 0x50
 _WINDOW = 65535
 _IP = struct.Struct('!BBHHHBBH4s4s')
 _TCP = struct.Struct('!HHIIBBHHH')
+_UDP = struct.Struct('!HHHH')
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +81,25 @@
     return b''.join((head, segment, payload))
 
 
+def make_udp(flow: Flow, payload: bytes = b'') -> bytes:
+    """Return an IPv4 packet with a UDP datagram; checksums are left zero."""
+    head = _IP.pack(
+        _VERSION_AND_LENGTH,
+        0,
+        _IP_BYTES + _UDP.size + len(payload),
+        0,
+        0,
+        _TIME_TO_LIVE,
+        _UDP_PROTOCOL,
+        0,
+        socket.inet_aton(flow.source),
+        socket.inet_aton(flow.target),
+    )
+    size = _UDP.size + len(payload)
+    lead = _UDP.pack(flow.source_port, flow.target_port, size, 0)
+    return b''.join((head, lead, payload))
+
+
 def payload_of(raw: bytes) -> bytes:
     """Return what a packet made by ``make_packet`` carries."""
     return raw[_IP_BYTES + _TCP_BYTES :]
--- a/siskinbank/peers/datagrams.py
+++ b/siskinbank/peers/datagrams.py
@@ -107,6 +107,7 @@
         """Send a control message to another process."""
         if self._transport is not None:
             sealed = self.keys.seal(_CONTROL_PREFIX + encode(sent))
+            self._metrics.tally('control_bytes', len(sealed))
             self._transport.sendto(sealed, receiver)
 
     def close(self) -> None:
