--- a/siskinbank/entry/daemon.py
+++ b/siskinbank/entry/daemon.py
@@ -9,6 +9,7 @@
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.kernel.registry import PluginNotFoundError
 from siskinbank.node import start_node
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.settings import EntrySettings
 
 __all__ = ('start_entry',)
@@ -30,7 +31,7 @@
         node.view,
         Router(node.view),
         node.peers,
-        RequestLinks(process),
+        RequestLinks(process, PeerStreams(process, settings.keys)),
     )
     opener = _Opener(context)
     node.view.subscribe(opener.wake)
--- a/siskinbank/entry/links.py
+++ b/siskinbank/entry/links.py
@@ -6,6 +6,7 @@
 
 from siskinbank.config.site import Address
 from siskinbank.kernel.process import ProcessContext
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.wire.messages import (
     AnswerHead,
     BodyPart,
@@ -143,8 +144,9 @@
 class RequestLinks:
     """One link to each sidecar that was needed so far."""
 
-    def __init__(self, process: ProcessContext) -> None:
+    def __init__(self, process: ProcessContext, streams: PeerStreams) -> None:
         """Run links as tasks of ``process``."""
+        self.streams = streams
         self._process = process
         self._links: dict[Address, RequestLink] = {}
         self._locks: dict[Address, asyncio.Lock] = {}
@@ -164,8 +166,7 @@
 
     async def _connect(self, address: Address) -> RequestLink:
         async with asyncio.timeout(_CONNECT_SECONDS):
-            reader, writer = await asyncio.open_connection(*address)
-        stream = MessageStream(reader, writer)
+            stream = await self.streams.connect(address)
         await stream.send(OpenRequests(self._process.name))
         link = RequestLink(stream)
         self._process.start_task(link.run())
--- a/siskinbank/ingress/tcp.py
+++ b/siskinbank/ingress/tcp.py
@@ -68,7 +68,7 @@
         stream = await _open(context, service, caller)
         if stream is not None:
             context.process.metrics.tally('flows_opened')
-            await pump_both(reader, writer, stream.reader, stream.writer)
+            await pump_both(reader, writer, stream)
     finally:
         writer.close()
 
@@ -98,7 +98,7 @@
     metrics = context.process.metrics
     for host in context.router.fresh(service, digest64(caller)):
         try:
-            stream = await _offer(host, service, caller)
+            stream = await _offer(context, host, service, caller)
         except (OSError, MessageError):
             metrics.count(Retry.unreachable)
             continue
@@ -110,12 +110,13 @@
 
 
 async def _offer(
+    context: EntryContext,
     host: Host,
     service: Service,
     caller: str,
 ) -> MessageStream | None:
     async with asyncio.timeout(_OPEN_SECONDS):
-        stream = MessageStream(*await asyncio.open_connection(*host.address))
+        stream = await context.links.streams.connect(host.address)
         await stream.send(OpenTunnel(service.ident, caller))
         answer = await stream.receive()
     if isinstance(answer, TunnelOpened):
--- a/siskinbank/kernel/events.py
+++ b/siskinbank/kernel/events.py
@@ -74,6 +74,26 @@
     'platform unreachable',
     'The configuration service does not answer; all goes on as it is.',
 )
+UNKEYED = _define(
+    240,
+    'WARNING',
+    'no valid key: refused',
+    'Something without a valid key sent datagrams or opened a stream. Nothing '
+    'of it was taken. Written at most once a minute; the counters '
+    '`unkeyed` and `unkeyed-stream` have them all.',
+)
+KEYS_READ = _define(
+    241,
+    'INFO',
+    'keys read again',
+    'The file of keys has changed; the fields tell which keys are valid now.',
+)
+KEYS_BAD = _define(
+    242,
+    'ERROR',
+    'keys cannot be read',
+    'The file of keys is missing or malformed; the keys before stay valid.',
+)
 HOST_GONE = _define(
     300,
     'WARNING',
--- a/siskinbank/lab/commands/callers.py
+++ b/siskinbank/lab/commands/callers.py
@@ -37,6 +37,13 @@
 @click.option('--http', multiple=True, help='URL of an http ingress.')
 @click.option('--seconds', type=float, default=20, show_default=True)
 @click.option('--seed', type=int, default=1, show_default=True)
+@click.option(
+    '--resent',
+    type=float,
+    default=0,
+    show_default=True,
+    help='Share of the requests with a key that are sent twice.',
+)
 def command(
     bind: Address,
     fabric: Address,
@@ -45,12 +52,13 @@
     http: tuple[str, ...],
     seconds: float,
     seed: int,
+    resent: float,
 ) -> None:
     """Keep up a load for a while and print what the callers saw, as JSON."""
     load = _Load(
         PacketCallers(fabric, seed),
         ConnectionCallers(),
-        RequestCallers(list(http), seed),
+        RequestCallers(list(http), seed, resent),
         random.Random(seed),
     )
     services = [parse_address(text) for text in sprayed]
--- a/siskinbank/lab/commands/upstream.py
+++ b/siskinbank/lab/commands/upstream.py
@@ -6,7 +6,7 @@
 
 from siskinbank.commands._options import ADDRESS
 from siskinbank.config.site import Address
-from siskinbank.lab.standins.upstream import UpstreamStandIn
+from siskinbank.lab.standins.upstream import ColdStart, UpstreamStandIn
 
 __all__ = ('command',)
 
@@ -18,6 +18,8 @@
 @click.option('--http', type=ADDRESS, help='Address for requests.')
 @click.option('--callers', type=ADDRESS, help='Where packet answers go.')
 @click.option('--slots', type=int, default=3, show_default=True)
+@click.option('--cold-slots', type=int, help='Slots at first; all if unset.')
+@click.option('--warm-up', type=float, default=0, help='Seconds to all slots.')
 def command(
     name: str,
     packets: Address | None,
@@ -25,11 +27,14 @@
     http: Address | None,
     callers: Address | None,
     slots: int,
+    cold_slots: int | None,
+    warm_up: float,
 ) -> None:
     """Run a stand-in of an upstream, for trials on loopback."""
 
     async def serve() -> None:
-        upstream = UpstreamStandIn(name, callers, slots)
+        cold = ColdStart(cold_slots or slots, warm_up)
+        upstream = UpstreamStandIn(name, callers, slots, cold)
         if packets is not None:
             await upstream.serve_packets(packets)
         if tcp is not None:
--- a/siskinbank/lab/demo.py
+++ b/siskinbank/lab/demo.py
@@ -78,7 +78,7 @@
         say(f'starting {PLAN.entries} entries and 6 upstreams with sidecars')
         await fleet.start()
         say(f'load for {_LOAD_SECONDS} s')
-        await _start_callers(fleet)
+        await fleet.start_callers(_LOAD_SECONDS)
         out = await _script(fleet, say)
         raw = await fleet.processes.output('callers', _CALLERS_SECONDS)
         stats = {name: await fleet.stats(name) for name in fleet.hosts}
@@ -87,26 +87,6 @@
     return _judge(fleet, json.loads(raw), stats, out)
 
 
-async def _start_callers(fleet: Fleet) -> None:
-    arguments = [
-        'lab',
-        'callers',
-        '--bind',
-        f'127.0.0.1:{fleet.callers_port}',
-        '--fabric',
-        f'127.0.0.1:{fleet.fabric_port}',
-        '--seconds',
-        str(_LOAD_SECONDS),
-    ]
-    for number, ports in enumerate(fleet.services.values()):
-        arguments.append(f'--sprayed=10.77.0.{number + 1}:{ports["fou"]}')
-    for entry in fleet.entries.values():
-        for ports in fleet.services.values():
-            arguments.append(f'--tcp={entry.address}:{ports["tcp"]}')
-            arguments.append(f'--http=http://{entry.address}:{ports["http"]}')
-    await fleet.processes.start('callers', arguments, capture=True)
-
-
 async def _script(fleet: Fleet, say: Any) -> tuple[float, float]:
     """Kill, drain, take out and bring back; return when it was out."""
     start = time.monotonic()
--- a/siskinbank/lab/fleet.py
+++ b/siskinbank/lab/fleet.py
@@ -13,6 +13,7 @@
 from siskinbank.config.check import check_content
 from siskinbank.config.sections import split_sections
 from siskinbank.kernel.findings import Findings, Place
+from siskinbank.lab.instances import EntryPorts, HostPorts, instance_lines
 from siskinbank.lab.ports import free_ports
 from siskinbank.lab.processes import ProcessGroup
 from siskinbank.util import hex_digest
@@ -36,30 +37,7 @@
     slots: int = 3
     connections: int = 2000
     warm_up_seconds: float = 2
-
-
-@dataclass(frozen=True, slots=True)
-class HostPorts:
-    """The ports of one host's sidecar and upstream."""
-
-    service: str
-    data_centre: str
-    sidecar: int
-    admin: int
-    packets: int
-    tcp: int
-    http: int
-
-
-@dataclass(frozen=True, slots=True)
-class EntryPorts:
-    """The ports of one entry, and of each service on it."""
-
-    data_centre: str
-    address: str
-    bind: int
-    admin: int
-    fou: int
+    cold_slots: int | None = None
 
 
 @dataclass(slots=True)
@@ -77,6 +55,7 @@
     platform_port: int = 0
     fabric_port: int = 0
     callers_port: int = 0
+    log_level: str = 'WARNING'
     key: str = field(
         default_factory=lambda: f'1:{secrets.token_hex(_KEY_BYTES)}',
     )
@@ -120,10 +99,11 @@
         ports.update({name: host.admin for name, host in self.hosts.items()})
         return ports
 
-    async def publish(self) -> None:
-        """Publish the document as the next generation."""
-        self.generation += 1
-        await self._put('configuration', self.published())
+    async def publish(self, past: dict[str, Any] | None = None) -> None:
+        """Publish the document as the next generation, or ``past`` again."""
+        if past is None:
+            self.generation += 1
+        await self._put('configuration', past or self.published())
 
     def published(self) -> dict[str, Any]:
         """Return manifest and sections of the document.
@@ -154,13 +134,25 @@
         """Publish the live list."""
         await self._put('instances', self.instances)
 
-    async def drain_host(self, name: str) -> None:
-        """Publish a host as draining."""
+    async def set_platform_down(self, *, down: bool) -> None:
+        """Let the platform answer with errors, or serve again."""
+        await self._put('down', down)
+
+    async def drain_host(self, name: str, state: str = 'draining') -> None:
+        """Publish a host as draining, or as ``active`` again."""
         service = self.hosts[name].service
         host = self.document['services'][service]['hosts'][name]
-        host['state'] = 'draining'
+        host['state'] = state
         await self.publish()
 
+    async def set_instance_state(self, name: str, state: str) -> None:
+        """List an instance as ``live`` or ``leaving``."""
+        lines = instance_lines(self.hosts, self.entries)
+        line = next(line for line in lines if line['name'] == name)
+        others = [known for known in self.instances if known['name'] != name]
+        self.instances = [*others, {**line, 'state': state}]
+        await self.publish_instances()
+
     async def set_data_centre(self, name: str, state: str) -> None:
         """Publish a data centre as ``in`` or ``out``."""
         self.document['data_centres'][name]['state'] = state
@@ -225,9 +217,31 @@
                 self._local(self.callers_port),
                 '--slots',
                 str(self.plan.slots),
+                '--cold-slots',
+                str(self.plan.cold_slots or self.plan.slots),
+                '--warm-up',
+                str(self.plan.warm_up_seconds),
             ],
         )
 
+    async def start_callers(
+        self,
+        seconds: float,
+        seed: int = 1,
+        resent: float = 0,
+    ) -> None:
+        """Start the callers; their report is the output of ``callers``."""
+        arguments = [
+            f'--bind={self._local(self.callers_port)}',
+            f'--fabric={self._local(self.fabric_port)}',
+            f'--seconds={seconds}',
+            f'--seed={seed}',
+            f'--resent={resent}',
+            *_ingress_arguments(self),
+        ]
+        command = ['lab', 'callers', *arguments]
+        await self.processes.start('callers', command, capture=True)
+
     async def get(self, url: str) -> Any:
         """Return a JSON document.
 
@@ -254,9 +268,22 @@
         )
         return status
 
-    async def wait_generation(self, port: int) -> None:
+    async def wait_upstream(self, name: str) -> None:
+        """Wait until an upstream serves.
+
+        Raises:
+            TimeoutError: it was not in time.
+        """
+        url = f'http://{self._local(self.hosts[name].http)}/stats'
+        await self._wait_for(url)
+
+    async def wait_generation(self, port: int, least: int = 0) -> None:
         """Wait until the process with this admin port is up to date.
 
+        Args:
+            port: its admin port.
+            least: the generation that will do; the newest one if 0.
+
         Raises:
             TimeoutError: it was not in time.
         """
@@ -267,7 +294,7 @@
                     status = await self.get(url)
                 except (OSError, aiohttp.ClientError):
                     status = {'generation': 0}
-                if status['generation'] >= self.generation:
+                if status['generation'] >= (least or self.generation):
                     return
                 await asyncio.sleep(_POLL_SECONDS)
 
@@ -296,7 +323,7 @@
             '--keys',
             self.key,
             '--log-level',
-            'WARNING',
+            self.log_level,
         ]
 
     def _local(self, port: int) -> str:
@@ -381,7 +408,7 @@
             'data_centres': {name: {'state': 'in'} for name in centres},
             'services': services,
         }
-        self.instances = [*self._entry_lines(), *self._host_lines()]
+        self.instances = instance_lines(self.hosts, self.entries)
 
     def _service(self, service: str, number: int) -> dict[str, Any]:
         plan = self.plan
@@ -399,7 +426,7 @@
             'slots': plan.slots,
             'cold': {
                 'connections': plan.connections,
-                'slots': plan.slots,
+                'slots': plan.cold_slots or plan.slots,
                 'warm_up_seconds': plan.warm_up_seconds,
             },
             'hosts': {
@@ -413,28 +440,16 @@
             },
         }
 
-    def _entry_lines(self) -> list[dict[str, Any]]:
-        return [
-            {
-                'name': name,
-                'role': 'entry',
-                'data_centre': entry.data_centre,
-                'address': _LOOPBACK,
-                'port': entry.bind,
-                'state': 'live',
-            }
-            for name, entry in self.entries.items()
-        ]
 
-    def _host_lines(self) -> list[dict[str, Any]]:
-        return [
-            {
-                'name': name,
-                'role': 'sidecar',
-                'data_centre': host.data_centre,
-                'address': _LOOPBACK,
-                'port': host.sidecar,
-                'state': 'live',
-            }
-            for name, host in self.hosts.items()
-        ]
+def _ingress_arguments(fleet: Fleet) -> list[str]:
+    arguments = [
+        f'--sprayed=10.77.0.{number}:{ports["fou"]}'
+        for number, ports in enumerate(fleet.services.values(), start=1)
+    ]
+    for entry in fleet.entries.values():
+        for ports in fleet.services.values():
+            place = f'{entry.address}:{ports["tcp"]}'
+            arguments.append(f'--tcp={place}')
+            url = f'http://{entry.address}:{ports["http"]}'
+            arguments.append(f'--http={url}')
+    return arguments
--- a/siskinbank/lab/pool.py
+++ b/siskinbank/lab/pool.py
@@ -16,6 +16,7 @@
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.kernel.timers import TimerService
 from siskinbank.lab.network import FakeNetwork
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.platform.view import FleetView
 from siskinbank.settings import EntrySettings, SidecarSettings
@@ -105,7 +106,7 @@
             view,
             Router(view),
             peers,
-            RequestLinks(process),
+            RequestLinks(process, PeerStreams(process, _KEYS)),
         )
         entry = PoolEntry(process, view, PacketIngress(context))
         self.entries[name] = entry
--- a/siskinbank/lab/standins/report.py
+++ b/siskinbank/lab/standins/report.py
@@ -40,9 +40,16 @@
 
 @dataclass(slots=True)
 class RequestReport:
-    """One request as its caller saw it."""
+    """One request as its caller saw it; times are in seconds since 1970.
+
+    ``doubted`` says that an earlier attempt ended without a known outcome.
+    """
 
     key: str
     idempotent: bool
     outcome: str
     reason: str = ''
+    started_at: float = 0
+    ended_at: float = 0
+    entry: str = ''
+    doubted: bool = False
--- a/siskinbank/lab/standins/stream_callers.py
+++ b/siskinbank/lab/standins/stream_callers.py
@@ -80,8 +80,17 @@
 class RequestCallers:
     """Sends requests and tells whole answers from refusals and doubt."""
 
-    def __init__(self, urls: list[str], seed: int) -> None:
-        """Send to the entries at ``urls`` in turn."""
+    def __init__(
+        self,
+        urls: list[str],
+        seed: int,
+        resent: float = 0,
+    ) -> None:
+        """Send to the entries at ``urls``, a share ``resent`` twice.
+
+        Only requests that are not idempotent are sent again, with their key.
+        """
+        self._resent = resent
         self._urls = urls
         self._rng = random.Random(seed)
         self._seed = seed
@@ -95,16 +104,29 @@
         idempotent = number % 2 == 0
         key = f'{self._seed}-{number}'
         report = RequestReport(key, idempotent, 'unknown')
+        report.started_at = time.time()
         self.reports.append(report)
-        for url in self._rng.sample(self._urls, len(self._urls)):
+        resends = not idempotent and self._rng.random() < self._resent
+        for url in self._entries_of_one_service():
+            report.entry = url
             if await self._try(url, report):
-                return
+                if not resends:
+                    break
+                report.doubted = True
+                resends = False
+        report.ended_at = time.time()
 
     async def close(self) -> None:
         """Close the connections."""
         if self._session is not None:
             await self._session.close()
 
+    def _entries_of_one_service(self) -> list[str]:
+        """Return the URLs of one service, in any order."""
+        service = self._rng.choice(self._urls).rpartition(':')[2]
+        urls = [url for url in self._urls if url.endswith(f':{service}')]
+        return self._rng.sample(urls, len(urls))
+
     async def _try(self, url: str, report: RequestReport) -> bool:
         """Return whether the request is done with."""
         try:
@@ -113,6 +135,7 @@
             return False
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             report.reason = type(error).__name__
+            report.doubted = True
             return not report.idempotent
         return True
 
--- a/siskinbank/lab/standins/upstream.py
+++ b/siskinbank/lab/standins/upstream.py
@@ -1,9 +1,11 @@
 """A stand-in of an upstream: packets, plain connections and requests."""
 
 import asyncio
+import math
 import socket
 import time
 from collections import Counter
+from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -20,17 +22,46 @@
 from siskinbank.peers.datagrams import open_udp
 from siskinbank.wire.packets import InnerPacket, parse_inner
 
-__all__ = ('UpstreamStandIn',)
+__all__ = ('ColdStart', 'UpstreamStandIn')
 
 _BUCKETS_A_SECOND = 10
 _CHUNK_BYTES = 64 * 1024
 
 
+@dataclass(frozen=True, slots=True)
+class ColdStart:
+    """The requests borne at first, and the seconds until all are."""
+
+    slots: int
+    warm_up_seconds: float
+
+    def bears(self, age: float, slots: int) -> float:
+        """Return the requests borne at once at ``age`` seconds."""
+        if age >= self.warm_up_seconds:
+            return slots
+        return self.slots + (slots - self.slots) * age / self.warm_up_seconds
+
+
 class UpstreamStandIn:
     """Answers with its own name, so that callers see who served them."""
 
-    def __init__(self, name: str, callers: Address | None, slots: int) -> None:
-        """Send packet answers to ``callers`` and bear ``slots`` requests."""
+    def __init__(
+        self,
+        name: str,
+        callers: Address | None,
+        slots: int,
+        cold: ColdStart | None = None,
+    ) -> None:
+        """Send packet answers to ``callers`` and bear ``slots`` requests.
+
+        A cold start bears less at first; what comes beyond it is counted.
+        """
+        self._cold = cold or ColdStart(slots, 0)
+        self._started_at = time.monotonic()
+        self._running = 0
+        self._starts: Counter[int] = Counter()
+        self._most_slots = slots
+        self._over = 0
         self._name = name
         self._callers = callers
         self._slots = asyncio.Semaphore(slots)
@@ -53,7 +84,11 @@
         app = web.Application(client_max_size=1 << 30)
         app.router.add_get('/stats', self._stats)
         app.router.add_route('*', '/{path:.*}', self._answer)
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+        )
         await runner.setup()
         await web.TCPSite(runner, *address).start()
 
@@ -69,6 +104,8 @@
             self._flows.discard(flow)
             return
         if packet.first:
+            if flow not in self._flows:
+                self._starts[bucket] += 1
             self._flows.add(flow)
             self._reply(packet, SYN | ACK, b'')
         elif flow in self._flows:
@@ -95,6 +132,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         name = self._name.encode()
+        self._starts[int(time.time() * _BUCKETS_A_SECOND)] += 1
         try:
             while chunk := await reader.read(_CHUNK_BYTES):
                 writer.write(name + b' ' + chunk)
@@ -106,21 +144,34 @@
 
     async def _answer(self, request: web.Request) -> web.Response:
         key = request.headers.get('Idempotency-Key', '')
-        async with self._slots:
-            self._runs[key] += 1
-            body = await request.read()
-            pause = float(request.query.get('pause', '0'))
-            await asyncio.sleep(pause)
+        self._begin()
+        try:
+            async with self._slots:
+                self._runs[key] += 1
+                body = await request.read()
+                pause = float(request.query.get('pause', '0'))
+                await asyncio.sleep(pause)
+        finally:
+            self._running -= 1
         return web.Response(
             body=body,
             headers={'X-Host': self._name, 'X-Key': key},
         )
 
+    def _begin(self) -> None:
+        self._running += 1
+        self._starts[int(time.time() * _BUCKETS_A_SECOND)] += 1
+        age = time.monotonic() - self._started_at
+        if self._running > math.ceil(self._cold.bears(age, self._most_slots)):
+            self._over += 1
+
     async def _stats(self, _request: web.Request) -> web.Response:
         return web.json_response(
             {
                 'name': self._name,
                 'arrivals': dict(self._arrivals),
+                'starts': dict(self._starts),
+                'over_limit': self._over,
                 'targets': sorted(
                     f'{socket.inet_ntoa(number)}:{port}'
                     for number, port in self._targets
--- a/siskinbank/sidecar/streams.py
+++ b/siskinbank/sidecar/streams.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from siskinbank.kernel.reasons import Refusal
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.pump import pump_both
 from siskinbank.sidecar.context import SidecarContext
 from siskinbank.sidecar.requests import RequestServer
@@ -44,13 +45,11 @@
         finally:
             stream.writer.close()
 
-    def accept(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        context.process.start_task(serve(MessageStream(reader, writer)))
+    def accept(stream: MessageStream) -> None:
+        context.process.start_task(serve(stream))
 
-    server = await asyncio.start_server(accept, *context.settings.bind)
+    streams = PeerStreams(context.process, context.settings.keys)
+    server = await streams.listen(context.settings.bind, accept)
 
     async def drain() -> None:
         if tunnels:
@@ -108,7 +107,7 @@
             return
         await stream.send(TunnelOpened())
         context.process.metrics.tally('flows_opened')
-        await pump_both(stream.reader, stream.writer, reader, writer)
+        await pump_both(reader, writer, stream)
     finally:
         limits.connections.give_back()
 
--- a/siskinbank/wire/keys.py
+++ b/siskinbank/wire/keys.py
@@ -57,10 +57,25 @@
         Raises:
             ValueError: no key, more than two, or two with one number.
         """
+        self.replace(keys)
+
+    @property
+    def keys(self) -> tuple[Key, ...]:
+        """The keys that are valid now; the first one seals."""
+        return self._keys
+
+    def replace(self, keys: Sequence[Key]) -> None:
+        """Let other keys be valid from now on.
+
+        Raises:
+            ValueError: no key, more than two, or two with one number; the
+                keys before stay valid.
+        """
         if not 1 <= len(keys) <= _MAX_KEYS:
             raise ValueError(f'{len(keys)} keys given, not one or two')
         if len({key.ident for key in keys}) != len(keys):
             raise ValueError('two keys with one number')
+        self._keys = tuple(keys)
         self._sealing = keys[0].ident.to_bytes(1, 'big')
         self._macs = {
             key.ident: hashlib.blake2b(key=key.secret, digest_size=MAC_BYTES)
--- /dev/null
+++ b/tests/peers/test_connect.py
@@ -0,0 +1,197 @@
+"""Tests of streams in TLS with mutual authentication."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from siskinbank.config.site import Address
+from siskinbank.kernel.process import ProcessContext
+from siskinbank.kernel.reasons import Drop
+from siskinbank.peers.connect import PeerStreams
+from siskinbank.peers.pump import pump_both
+from siskinbank.wire.keys import Key, KeyRing
+from siskinbank.wire.messages import OpenRequests, TunnelOpened
+from siskinbank.wire.streams import MessageStream
+
+OLD = Key(1, bytes(32))
+NEW = Key(2, b'7' * 32)
+#: A thief who knows the key's number only.
+FAKE = Key(1, b'8' * 32)
+HELLO = OpenRequests('entry-1')
+
+Serve = Callable[[MessageStream], Awaitable[None]]
+
+
+class Listener:
+    """A process that answers each stream, and what it took."""
+
+    def __init__(self, *keys: Key) -> None:
+        """Listen with ``keys``."""
+        self.ring = KeyRing(keys)
+        self.process = ProcessContext('sidecar', 'test')
+        self.taken = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> Address:
+        """Start and return the address."""
+        streams = PeerStreams(self.process, self.ring)
+
+        def accept(stream: MessageStream) -> None:
+            self._tasks.add(asyncio.ensure_future(self._answer(stream)))
+
+        self._server = await streams.listen(('127.0.0.1', 0), accept)
+        address: Address = self._server.sockets[0].getsockname()
+        return address
+
+    async def __aexit__(self, *_error: object) -> None:
+        """Stop."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _answer(self, stream: MessageStream) -> None:
+        if await stream.receive() == HELLO:
+            self.taken += 1
+            await stream.send(TunnelOpened())
+
+
+async def ask(address: Address, *keys: Key) -> object:
+    """Say hello and return the answer, or None if refused."""
+    process = ProcessContext('entry', 'test')
+    streams = PeerStreams(process, KeyRing(keys))
+    try:
+        async with asyncio.timeout(10):
+            stream = await streams.connect(address)
+            await stream.send(HELLO)
+            answer = await stream.receive()
+            await stream.close()
+    except OSError:
+        return None
+    return answer
+
+
+async def tunnel(*, cut: bool) -> bytes:
+    """Send through a tunnel to a server that answers after the end.
+
+    Returns:
+        What the caller gets back.
+
+    Raises:
+        OSError: the caller's connection was reset.
+    """
+    ring = KeyRing([OLD])
+    streams = PeerStreams(ProcessContext('entry', 'test'), ring)
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def far(stream: MessageStream) -> None:
+        if cut:
+            stream.writer.write(b'\0\0\0\5half')
+            await stream.writer.drain()
+            stream.writer.close()
+            return
+        reader, writer = await asyncio.open_connection(*upstream_at)
+        await pump_both(reader, writer, stream)
+
+    async def upstream(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(b'got ' + await reader.read())
+        writer.close()
+
+    async def near(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await pump_both(reader, writer, await streams.connect(far_at))
+
+    server = await asyncio.start_server(upstream, '127.0.0.1', 0)
+    upstream_at = server.sockets[0].getsockname()
+    listener = await streams.listen(
+        ('127.0.0.1', 0),
+        lambda stream: tasks.add(asyncio.ensure_future(far(stream))),
+    )
+    far_at = listener.sockets[0].getsockname()
+    front = await asyncio.start_server(near, '127.0.0.1', 0)
+    try:
+        reader, writer = await asyncio.open_connection(
+            *front.sockets[0].getsockname(),
+        )
+        writer.write(b'x' * 100_000)
+        writer.write_eof()
+        async with asyncio.timeout(10):
+            return await reader.read()
+    finally:
+        for closed in (server, listener, front):
+            closed.close()
+
+
+class TestStreams(unittest.IsolatedAsyncioTestCase):
+    """Who gets in, and who does not."""
+
+    async def test_keys(self) -> None:
+        """A common key is enough when each side trusts the other's first."""
+        for own, others, opens in (
+            ((OLD,), (OLD,), True),
+            ((OLD,), (OLD, NEW), True),
+            ((OLD, NEW), (OLD,), True),
+            ((OLD, NEW), (NEW, OLD), True),
+            ((NEW, OLD), (OLD, NEW), True),
+            ((NEW,), (NEW, OLD), True),
+            ((OLD,), (NEW,), False),
+            ((OLD,), (FAKE,), False),
+            ((OLD, NEW), (FAKE,), False),
+        ):
+            with self.subTest(own=own, others=others):
+                listener = Listener(*own)
+                async with listener as address:
+                    answer = await ask(address, *others)
+                self.assertEqual(answer == TunnelOpened(), opens)
+                self.assertEqual(listener.taken, int(opens))
+
+    async def test_counts_refusals(self) -> None:
+        """Plain bytes and foreign keys are counted, and nothing is taken."""
+        listener = Listener(OLD)
+        async with listener as address:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b'GET / HTTP/1.1\r\n\r\n')
+            await reader.read()
+            writer.close()
+            self.assertEqual(
+                listener.process.metrics.value(Drop.unkeyed_stream), 1
+            )
+            self.assertIsNone(await ask(address, NEW))
+        self.assertGreaterEqual(
+            listener.process.metrics.value(Drop.unkeyed_stream), 1
+        )
+        self.assertEqual(listener.taken, 0)
+
+    async def test_rotation_while_listening(self) -> None:
+        """Each step of a rotation lets the others in; the last one ends it."""
+        listener = Listener(OLD)
+        async with listener as address:
+            for own, others in (
+                ((OLD, NEW), (OLD,)),
+                ((OLD, NEW), (NEW, OLD)),
+                ((NEW, OLD), (OLD, NEW)),
+                ((NEW,), (NEW, OLD)),
+            ):
+                listener.ring.replace(own)
+                with self.subTest(own=own, others=others):
+                    answer = await ask(address, *others)
+                    self.assertEqual(answer, TunnelOpened())
+            self.assertIsNone(await ask(address, OLD))
+
+
+class TestTunnel(unittest.IsolatedAsyncioTestCase):
+    """Bytes both ways, half closes and cuts."""
+
+    async def test_half_close(self) -> None:
+        """The caller may stop sending and still gets the answer."""
+        answer = await tunnel(cut=False)
+        self.assertEqual(answer, b'got ' + b'x' * 100_000)
+
+    async def test_cut(self) -> None:
+        """A cut stream is a reset to the caller, never a clean end."""
+        with self.assertRaises(OSError):
+            await tunnel(cut=True)
