--- a/siskinbank/commands/_options.py
+++ b/siskinbank/commands/_options.py
@@ -6,7 +6,8 @@
 import click
 
 from siskinbank.util import parse_address
-from siskinbank.wire.keys import KeyRing, parse_keys
+from siskinbank.wire.keyfile import load_keys
+from siskinbank.wire.keys import KeyRing
 
 __all__ = (
     'ADDRESS',
@@ -41,7 +42,7 @@
 
 
 class KeysType(click.ParamType[Any]):
-    """An option written as ``ID:HEX[,ID:HEX]``."""
+    """An option written as ``ID:HEX[,ID:HEX]``, or ``@FILE`` with that."""
 
     name = 'keys'
 
@@ -55,7 +56,7 @@
         if isinstance(value, KeyRing):
             return value
         try:
-            return KeyRing(parse_keys(value))
+            return load_keys(value)
         except ValueError as error:
             self.fail(str(error), param, ctx)
 
@@ -99,7 +100,7 @@
         logging_options,
         _option(
             '--keys',
-            help_text='One or two keys, ID:HEX[,ID:HEX]; the first one seals.',
+            help_text='One or two keys, ID:HEX[,ID:HEX], or @FILE; the first seals.',
             type=KEYS,
             required=True,
         ),
--- a/siskinbank/kernel/reasons.py
+++ b/siskinbank/kernel/reasons.py
@@ -32,6 +32,7 @@
 
     malformed = 'malformed'
     unkeyed = 'unkeyed'
+    replayed = 'replayed'
     unkeyed_stream = 'unkeyed-stream'
     unknown_service = 'unknown-service'
     wrong_service = 'wrong-service'
--- a/siskinbank/lab/forwarding.py
+++ b/siskinbank/lab/forwarding.py
@@ -16,6 +16,7 @@
 from siskinbank.wire.keys import KeyRing, parse_keys
 from siskinbank.wire.messages import Owner, encode
 from siskinbank.wire.packets import pack_address, parse_inner
+from siskinbank.wire.replay import ReplayGuard
 
 __all__ = ('measure_forwarding',)
 
@@ -129,13 +130,14 @@
 def _teach(fleet: Fleet, sink: Address) -> None:
     """Tell the entry that the sink owns all flows."""
     keys = KeyRing(parse_keys(fleet.key))
+    guard = ReplayGuard()
     bind = (_LOOPBACK, fleet.entries['entry-1'].bind)
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
         for packet in _make_packets(_service(fleet)):
             inner = parse_inner(packet)
             assert inner is not None
             told = encode(Owner(inner.key, pack_address(sink)))
-            sender.sendto(keys.seal(_CONTROL + told), bind)
+            sender.sendto(keys.seal(_CONTROL + guard.stamp() + told), bind)
             time.sleep(_PACE_SECONDS)
 
 
--- a/siskinbank/lab/soak_faults.py
+++ b/siskinbank/lab/soak_faults.py
@@ -71,9 +71,11 @@
             self._make_stale,
             self._change,
         )
+        bag: list[Callable[[], Awaitable[None] | None]] = []
         while time.monotonic() < until:
             await asyncio.sleep(self._rng.uniform(*_GAP_SECONDS))
-            self._start(self._rng.choice(makers))
+            bag = bag or self._rng.sample(makers, len(makers))
+            self._start(bag.pop())
         if self._tasks:
             await asyncio.gather(*self._tasks)
 
--- a/siskinbank/node.py
+++ b/siskinbank/node.py
@@ -4,11 +4,13 @@
 
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.peers.datagrams import PeerSocket
+from siskinbank.peers.refusals import RefusalLog
 from siskinbank.platform.client import PlatformClient
 from siskinbank.platform.follower import Follower
 from siskinbank.platform.view import FleetView
 from siskinbank.settings import ProcessSettings
 from siskinbank.status import start_admin
+from siskinbank.wire.keyfile import follow_keys
 
 __all__ = ('Node', 'start_node')
 
@@ -34,7 +36,10 @@
     """
     view = FleetView(process.log, lambda: process.timers.now)
     peers = PeerSocket(settings.keys, process.metrics)
+    refusals = RefusalLog(process)
+    peers.on_unkeyed = lambda: refusals.write('datagram', 'no valid key')
     await peers.open(settings.bind)
+    follow_keys(process, settings.keys)
     node = Node(process, settings, view, peers)
     client = PlatformClient(settings.platform)
     follower = Follower(client, view, process.log)
--- a/siskinbank/peers/connect.py
+++ b/siskinbank/peers/connect.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from siskinbank.config.site import Address
-from siskinbank.kernel import events
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.kernel.reasons import Drop
+from siskinbank.peers.refusals import RefusalLog
 from siskinbank.wire.keys import KeyRing
 from siskinbank.wire.streams import MessageStream
 from siskinbank.wire.tls import StreamSecurity
@@ -14,7 +14,6 @@
 __all__ = ('PeerStreams',)
 
 _HANDSHAKE_SECONDS = 5
-_EVENT_SECONDS = 60
 
 
 class PeerStreams:
@@ -25,7 +24,7 @@
         self._process = process
         self._security = StreamSecurity(keys)
         self._security.on_refusal = self._refuse
-        self._told_at: float | None = None
+        self._refusals = RefusalLog(process)
 
     async def connect(self, address: Address) -> MessageStream:
         """Open a stream to another process.
@@ -65,9 +64,6 @@
         )
 
     def _refuse(self, reason: str) -> None:
-        """Count a refused stream; write an event, but not one for each."""
+        """Count a refused stream, and say so in the log."""
         self._process.metrics.count(Drop.unkeyed_stream)
-        now = self._process.timers.now
-        if self._told_at is None or now - self._told_at >= _EVENT_SECONDS:
-            self._told_at = now
-            self._process.log.write(events.UNKEYED, what='stream', why=reason)
+        self._refusals.write('stream', reason)
--- a/siskinbank/peers/datagrams.py
+++ b/siskinbank/peers/datagrams.py
@@ -9,11 +9,13 @@
 from siskinbank.kernel.reasons import Drop
 from siskinbank.wire.keys import KeyRing
 from siskinbank.wire.messages import Message, MessageError, decode, encode
+from siskinbank.wire.replay import STAMP_BYTES, ReplayGuard
 from siskinbank.wire.packets import PACKET_KIND, Envelope
 
 __all__ = ('PeerSocket', 'open_udp')
 
 _CONTROL_PREFIX = b'\0'
+_STAMPED = len(_CONTROL_PREFIX) + STAMP_BYTES
 _RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 EnvelopeHandler = Callable[[Envelope, Address], None]
@@ -67,9 +69,11 @@
         """Seal and open with ``keys``; handlers are set before ``open``."""
         self.keys = keys
         self._metrics = metrics
+        self._guard = ReplayGuard()
         self._transport: asyncio.DatagramTransport | None = None
         self.on_envelope: EnvelopeHandler = _ignore
         self.on_message: MessageHandler = _ignore
+        self.on_unkeyed: Callable[[], None] = _do_nothing
 
     async def open(self, address: Address) -> None:
         """Bind to ``address``."""
@@ -84,6 +88,7 @@
         body = self.keys.open(datagram)
         if body is None:
             self._metrics.count(Drop.unkeyed)
+            self.on_unkeyed()
         elif body[0] == PACKET_KIND:
             envelope = Envelope.unpack(body)
             if envelope is None:
@@ -102,7 +107,9 @@
     def send_message(self, sent: Message, receiver: Address) -> None:
         """Send a control message to another process."""
         if self._transport is not None:
-            sealed = self.keys.seal(_CONTROL_PREFIX + encode(sent))
+            sealed = self.keys.seal(
+                _CONTROL_PREFIX + self._guard.stamp() + encode(sent),
+            )
             self._transport.sendto(sealed, receiver)
 
     def close(self) -> None:
@@ -111,8 +118,11 @@
             self._transport.close()
 
     def _receive_message(self, body: bytes, sender: Address) -> None:
+        if not self._guard.accept(body[len(_CONTROL_PREFIX) : _STAMPED]):
+            self._metrics.count(Drop.replayed)
+            return
         try:
-            received = decode(body[len(_CONTROL_PREFIX) :])
+            received = decode(body[_STAMPED:])
         except MessageError:
             self._metrics.count(Drop.malformed)
             return
@@ -121,3 +131,7 @@
 
 def _ignore(_received: object, _sender: Address) -> None:
     """Drop what nobody handles."""
+
+
+def _do_nothing() -> None:
+    """Tell nobody."""
--- a/siskinbank/status.py
+++ b/siskinbank/status.py
@@ -26,6 +26,7 @@
         'role': process.role,
         'version': __version__,
         'data_centre': settings.data_centre,
+        'keys': [key.fingerprint for key in settings.keys.keys],
         'stopping': process.stopping.is_set(),
         'site': site.name if site else None,
         'generation': view.generation,
--- a/siskinbank/wire/keys.py
+++ b/siskinbank/wire/keys.py
@@ -5,12 +5,22 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-__all__ = ('KEY_BYTES', 'MAC_BYTES', 'Key', 'KeyRing', 'parse_keys')
+__all__ = (
+    'KEY_BYTES',
+    'MAC_BYTES',
+    'MAX_KEY_ID',
+    'Key',
+    'KeyRing',
+    'parse_keys',
+)
 
 KEY_BYTES = 32
 MAC_BYTES = 12
 _MAX_KEYS = 2
-_MAX_KEY_ID = 255
+MAX_KEY_ID = 255
+_FINGERPRINT = b'siskinbank-key'
+_FINGERPRINT_BYTES = 6
+_LEAST_DIFFERENT_BYTES = 16
 _HEAD_BYTES = 1 + MAC_BYTES
 
 
@@ -21,6 +31,34 @@
     ident: int
     secret: bytes
 
+    @property
+    def text(self) -> str:
+        """The key as it is written in settings."""
+        return f'{self.ident}:{self.secret.hex()}'
+
+    @property
+    def fingerprint(self) -> str:
+        """The number and a digest that tells keys apart and shows none."""
+        digest = hashlib.blake2b(
+            key=self.secret,
+            person=_FINGERPRINT,
+            digest_size=_FINGERPRINT_BYTES,
+        )
+        return f'{self.ident}:{digest.hexdigest()}'
+
+    @property
+    def is_weak(self) -> bool:
+        """Whether the key has too few different bytes to be random.
+
+        A random key has fewer than 16 different ones with a probability
+        below 1e-9.
+        """
+        return len(set(self.secret)) < _LEAST_DIFFERENT_BYTES
+
+    def __repr__(self) -> str:
+        """Return the fingerprint, so that no log shows the key."""
+        return f'Key({self.fingerprint})'
+
 
 def parse_keys(text: str) -> list[Key]:
     """Read keys written as ``ID:HEX,ID:HEX``; the first one seals.
@@ -37,8 +75,8 @@
 
 def _parse_key(label: str, text: str) -> Key:
     ident, separator, secret = text.partition(':')
-    if not separator or not ident.isdigit() or int(ident) > _MAX_KEY_ID:
-        raise ValueError(f'{label}: write ID:HEX, ID from 0 to {_MAX_KEY_ID}')
+    if not separator or not ident.isdigit() or int(ident) > MAX_KEY_ID:
+        raise ValueError(f'{label}: write ID:HEX, ID from 0 to {MAX_KEY_ID}')
     try:
         raw = bytes.fromhex(secret)
     except ValueError:
@@ -57,6 +95,7 @@
         Raises:
             ValueError: no key, more than two, or two with one number.
         """
+        self.source: str | None = None
         self.replace(keys)
 
     @property
--- a/siskinbank/wire/tls.py
+++ b/siskinbank/wire/tls.py
@@ -18,7 +18,7 @@
 
 from siskinbank.wire.keys import Key, KeyRing
 
-__all__ = ('StreamSecurity', 'certificate_of', 'fingerprint_of')
+__all__ = ('StreamSecurity', 'certificate_of')
 
 _PERSON = b'siskinbank-tls'
 _SEED_BYTES = 32
@@ -186,10 +186,3 @@
             serialization.NoEncryption(),
         ),
     )
-
-
-def fingerprint_of(key: Key) -> str:
-    """Return a short fingerprint that tells keys apart and shows none."""
-    certificate, _private = certificate_of(key)
-    digest = hashlib.blake2b(certificate, digest_size=6)
-    return digest.hexdigest()
--- /dev/null
+++ b/tests/wire/test_keyfile.py
@@ -0,0 +1,61 @@
+"""Tests of keys that are read from a file while a process runs."""
+
+import random
+import tempfile
+import unittest
+from pathlib import Path
+
+from siskinbank.kernel.clock import FakeClock
+from siskinbank.kernel.process import ProcessContext
+from siskinbank.kernel.timers import TimerService
+from siskinbank.wire.keyfile import MAX_FILE_BYTES, follow_keys, load_keys
+from siskinbank.wire.keys import Key
+
+OLD = Key(1, bytes(range(32)))
+NEW = Key(2, bytes(range(100, 132)))
+BAD = ('', 'x', f'{OLD.text},{OLD.text}', 'é', '1' * (MAX_FILE_BYTES + 1))
+
+
+class TestKeyFile(unittest.TestCase):
+    """Rotation without a restart."""
+
+    def setUp(self) -> None:
+        """Write the first key and follow the file in virtual time."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / 'keys'
+        self.path.write_text(OLD.text)
+        self.ring = load_keys(f'@{self.path}')
+        self.clock = FakeClock()
+        timers = TimerService(self.clock, random.Random(1))
+        self.process = ProcessContext('entry', 'test', timers)
+        follow_keys(self.process, self.ring)
+
+    def test_steps(self) -> None:
+        """Each step of a rotation is taken over."""
+        for keys in ((OLD, NEW), (NEW, OLD), (NEW,)):
+            with self.subTest(keys=keys):
+                self.path.write_text(','.join(key.text for key in keys))
+                self._wait()
+                self.assertEqual(self.ring.keys, keys)
+
+    def test_bad_file_changes_nothing(self) -> None:
+        """A file that cannot be read leaves the keys before valid."""
+        for text in BAD:
+            with self.subTest(text=text[:4]):
+                self.path.write_text(text, encoding='utf-8')
+                self._wait()
+                self.assertEqual(self.ring.keys, (OLD,))
+        self.path.unlink()
+        self._wait()
+        self.assertEqual(self.ring.keys, (OLD,))
+        with self.assertRaises(ValueError):
+            load_keys(f'@{self.path}')
+
+    def test_hides_keys(self) -> None:
+        """Neither log nor debugger shows a key."""
+        self.assertNotIn(OLD.secret.hex(), repr(self.ring.keys))
+
+    def _wait(self) -> None:
+        self.clock.now += 5
+        self.process.timers.run_due()
