--- /dev/null
+++ b/siskinbank/coordination/__init__.py
@@ -0,0 +1,36 @@
+"""Parts for coordination without shared state, for others to embed.
+
+Importing this package loads nothing else; each part is loaded when its name
+is first used. None of them needs the daemons, a web library or a socket.
+"""
+
+import importlib
+from typing import Any
+
+_PARTS = {
+    'ClimbingLimit': 'siskinbank.admission.limit',
+    'Clock': 'siskinbank.kernel.clock',
+    'FakeClock': 'siskinbank.kernel.clock',
+    'Key': 'siskinbank.wire.keys',
+    'KeyRing': 'siskinbank.wire.keys',
+    'Leases': 'siskinbank.coordination.leases',
+    'ReplayGuard': 'siskinbank.wire.replay',
+    'Subscription': 'siskinbank.kernel.timers',
+    'TimerService': 'siskinbank.kernel.timers',
+    'boot_seconds': 'siskinbank.kernel.clock',
+    'prepare_ranking': 'siskinbank.coordination.ranking',
+}
+
+__all__ = tuple(sorted(_PARTS))  # noqa: PLE0605
+
+
+def __getattr__(name: str) -> Any:  # noqa: WPS413
+    """Load a part on first use (PEP 562)."""
+    if name not in _PARTS:
+        raise AttributeError(f'{__name__} has no {name}')
+    return getattr(importlib.import_module(_PARTS[name]), name)
+
+
+def __dir__() -> list[str]:  # noqa: WPS413
+    """Return the names of all parts."""
+    return list(__all__)
--- a/siskinbank/lab/promises.py
+++ b/siskinbank/lab/promises.py
@@ -268,15 +268,17 @@
         tally.check(holds=code == 0, example=('exit code', code))
     for request in evidence.requests:
         span = (request['started_at'], request['ended_at'] or float('inf'))
+        asked = request['lost_at'] or request['entry']
         stops = [
             entry
             for entry in faults.of(Fault.entry_stopped)
             if entry.overlaps(*span)
-            and _is_at(evidence.fleet, request['entry'], entry.name)
+            and _is_at(evidence.fleet, asked, entry.name)
         ]
         if not stops:
             continue
-        cut = request['outcome'] == 'unknown'
+        unknown = request['outcome'] == 'unknown' and not request['doubted']
+        cut = unknown or request['lost_at']
         excused = faults.touched(
             _UNPLANNED,
             None,
--- a/siskinbank/lab/standins/report.py
+++ b/siskinbank/lab/standins/report.py
@@ -42,7 +42,8 @@
 class RequestReport:
     """One request as its caller saw it; times are in seconds since 1970.
 
-    ``doubted`` says that an earlier attempt ended without a known outcome.
+    ``doubted`` says that there was more than one attempt and that an earlier
+    one may have run; ``lost_at`` is the entry that cut one without an answer.
     """
 
     key: str
@@ -53,3 +54,4 @@
     ended_at: float = 0
     entry: str = ''
     doubted: bool = False
+    lost_at: str = ''
--- a/siskinbank/lab/standins/stream_callers.py
+++ b/siskinbank/lab/standins/stream_callers.py
@@ -136,6 +136,7 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             report.reason = type(error).__name__
             report.doubted = True
+            report.lost_at = url
             return not report.idempotent
         return True
 
