--- a/siskinbank/peers/datagrams.py
+++ b/siskinbank/peers/datagrams.py
@@ -10,10 +10,12 @@
 from siskinbank.wire.envelopes import PACKET_KIND, Envelope
 from siskinbank.wire.keys import KeyRing
 from siskinbank.wire.messages import Message, MessageError, decode, encode
+from siskinbank.wire.replay import STAMP_BYTES, ReplayGuard
 
 __all__ = ('PeerSocket', 'open_udp')
 
 _CONTROL_PREFIX = b'\0'
+_STAMPED = len(_CONTROL_PREFIX) + STAMP_BYTES
 _RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 EnvelopeHandler = Callable[[Envelope, Address], None]
@@ -70,10 +72,12 @@
         """
         self.keys = keys
         self._metrics = metrics
+        self._guard = ReplayGuard()
         self._transport: asyncio.DatagramTransport | None = None
         self._subscribers: dict[type[Message], MessageHandler] = {}
         self.on_envelope: EnvelopeHandler = _ignore
         self.on_message: MessageHandler = _ignore
+        self.on_unkeyed: Callable[[], None] = _do_nothing
         self.take_body: Callable[[bytes], bool] = _take_nothing
 
     def subscribe(self, kind: type[Message], handler: MessageHandler) -> None:
@@ -98,6 +102,7 @@
         body = self.keys.open(datagram)
         if body is None:
             self._metrics.count(Drop.unkeyed)
+            self.on_unkeyed()
         elif body[0] == PACKET_KIND:
             if not self.take_body(body):
                 self._receive_envelope(body, sender)
@@ -119,7 +124,9 @@
     def send_message(self, sent: Message, receiver: Address) -> None:
         """Send a control message to another process."""
         if self._transport is not None:
-            sealed = self.keys.seal(_CONTROL_PREFIX + encode(sent))
+            sealed = self.keys.seal(
+                _CONTROL_PREFIX + self._guard.stamp() + encode(sent),
+            )
             self._metrics.tally('control_bytes', len(sealed))
             self._transport.sendto(sealed, receiver)
 
@@ -136,8 +143,11 @@
             self.on_envelope(envelope, sender)
 
     def _receive_message(self, body: bytes, sender: Address) -> None:
+        if not self._guard.accept(body[len(_CONTROL_PREFIX) : _STAMPED]):
+            self._metrics.count(Drop.replayed)
+            return
         try:
-            received = decode(body[len(_CONTROL_PREFIX) :])
+            received = decode(body[_STAMPED:])
         except MessageError:
             self._metrics.count(Drop.malformed)
             return
@@ -151,3 +161,7 @@
 
 def _take_nothing(_body: bytes) -> bool:
     return False
+
+
+def _do_nothing() -> None:
+    """Tell nobody."""
