Rework the request path: credit for each request, tickets, fenced refusals, retry budget

Cause: the entry read whole bodies, one slow body blocked a stream, keys were known to one sidecar only, and nothing bounded retries. Change: messages carry a number and a gap ends the link; each body has its own credit; deadlines are on the sidecar's clock; a ticket names one life of one host; bare keys run at their home only, once it has been home for 30 s; GoAway in planned stops; problem documents with outcome and reason.

--- /dev/null
+++ b/siskinbank/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Parts for coordination without shared state, for others to embed."""
--- a/siskinbank/entry/context.py
+++ b/siskinbank/entry/context.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from siskinbank.choice.homes import KeyHomes
 from siskinbank.choice.router import Router
 from siskinbank.entry.links import RequestLinks
 from siskinbank.kernel.process import ProcessContext
@@ -22,3 +23,4 @@
     router: Router
     peers: PeerSocket
     links: RequestLinks
+    homes: KeyHomes
--- a/siskinbank/entry/daemon.py
+++ b/siskinbank/entry/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from siskinbank.choice.homes import KeyHomes
 from siskinbank.choice.router import Router
 from siskinbank.entry.context import EntryContext
 from siskinbank.entry.links import RequestLinks
@@ -31,6 +32,7 @@
         Router(node.view),
         node.peers,
         RequestLinks(process),
+        KeyHomes(node.view),
     )
     opener = _Opener(context)
     node.view.subscribe(opener.wake)
--- /dev/null
+++ b/siskinbank/entry/exchanges.py
@@ -0,0 +1,169 @@
+"""One attempt: send a request over a link and bring the answer back."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from siskinbank.entry.calls import Call
+from siskinbank.entry.links import Exchange, LinkLostError, RequestLink
+from siskinbank.kernel.outcomes import Answered, NotRun, Unknown
+from siskinbank.kernel.reasons import Doubt, Refusal
+from siskinbank.wire.bodies import BodyCutError, send_body
+from siskinbank.wire.headers import OUTCOME_HEADER, header_problem
+from siskinbank.wire.messages import AnswerHead, Failed, Refused, RequestHead
+
+__all__ = ('run_exchange',)
+
+Result = Answered | NotRun | Unknown
+
+_MIN_STATUS = 200
+_MAX_STATUS = 599
+
+
+async def run_exchange(call: Call, link: RequestLink) -> Result:
+    """Run one attempt; an answer has been sent to the caller already."""
+    exchange = link.open()
+    # Numbers must reach the sidecar in order: no other task runs in between.
+    exchange.post(_head(exchange.number, call, link))
+    sender = asyncio.create_task(_send(exchange, call))
+    finished = False
+    try:
+        reply = await _wait_for_reply(exchange, call)
+        if not isinstance(reply, AnswerHead):
+            finished = isinstance(reply, NotRun)
+            return reply
+        finished = await _pass_answer(exchange, call, reply)
+        return Answered(reply.status)
+    except LinkLostError:
+        return Unknown(Doubt.lost)
+    except TimeoutError:
+        return Unknown(Doubt.expired)
+    finally:
+        sender.cancel()
+        exchange.close(finished=finished)
+
+
+def _head(number: int, call: Call, link: RequestLink) -> RequestHead:
+    return RequestHead(
+        number,
+        call.service.ident,
+        call.key,
+        call.ticket,
+        call.idempotent,
+        link.to_remote(call.due),
+        call.bounded,
+        call.request.method,
+        call.request.path_qs,
+        call.length,
+        call.headers,
+    )
+
+
+async def _send(exchange: Exchange, call: Call) -> None:
+    """Send the body, if there is one."""
+    if not call.length:
+        return
+    try:
+        await send_body(
+            exchange.number,
+            _reader(call),
+            exchange.send,
+            exchange.window,
+        )
+    except LinkLostError as error:
+        exchange.lose(error)
+    except (OSError, web.RequestPayloadError) as error:
+        # The caller's own body was cut: the upstream must not take it whole.
+        exchange.lose(LinkLostError(str(error)))
+
+
+def _reader(call: Call) -> Callable[[], Awaitable[bytes]]:
+    position = 0
+
+    async def read() -> bytes:
+        nonlocal position
+        part = await call.body.parts(position)
+        position += 1
+        return part
+
+    return read
+
+
+async def _wait_for_reply(
+    exchange: Exchange,
+    call: Call,
+) -> AnswerHead | NotRun | Unknown:
+    async with asyncio.timeout(call.remaining):
+        reply = await exchange.reply
+    if isinstance(reply, Refused):
+        return _refusal(reply)
+    if isinstance(reply, Failed):
+        return _failure(reply)
+    if not isinstance(reply, AnswerHead) or _is_bad(reply):
+        return Unknown(Doubt.malformed)
+    return reply
+
+
+def _is_bad(reply: AnswerHead) -> bool:
+    good_status = _MIN_STATUS <= reply.status <= _MAX_STATUS
+    return not good_status or header_problem(reply.headers) is not None
+
+
+def _refusal(reply: Refused) -> NotRun | Unknown:
+    try:
+        reason = Refusal(reply.reason)
+    except ValueError:
+        return Unknown(Doubt.malformed)
+    return NotRun(reason, reply.retry_after or None)
+
+
+def _failure(reply: Failed) -> Unknown:
+    try:
+        reason = Doubt(reply.reason)
+    except ValueError:
+        return Unknown(Doubt.malformed)
+    return Unknown(reason, reply.retry_after or None)
+
+
+async def _pass_answer(
+    exchange: Exchange,
+    call: Call,
+    head: AnswerHead,
+) -> bool:
+    """Send the answer on; return whether it came whole.
+
+    A cut answer aborts the caller's connection, so that it never looks whole.
+    """
+    response = web.StreamResponse(status=head.status)
+    call.response = response
+    for name, text in head.headers:
+        response.headers.add(name, text)
+    response.headers[OUTCOME_HEADER] = 'answered'
+    if head.length >= 0:
+        response.content_length = head.length
+    if call.closing():
+        response.force_close()
+    left = call.remaining if call.bounded else None
+    try:
+        async with asyncio.timeout(left):
+            await response.prepare(call.request)
+            await _pass_body(exchange, response, head)
+    except (BodyCutError, TimeoutError, OSError):
+        call.cut()
+        return False
+    return True
+
+
+async def _pass_body(
+    exchange: Exchange,
+    response: web.StreamResponse,
+    head: AnswerHead,
+) -> None:
+    size = 0
+    while part := await exchange.body.read():
+        size += len(part)
+        await response.write(part)
+    if size and head.length not in {size, -1}:
+        raise BodyCutError(f'{size} of {head.length} bytes')
+    await response.write_eof()
--- a/siskinbank/kernel/outcomes.py
+++ b/siskinbank/kernel/outcomes.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from siskinbank.kernel.reasons import Refusal
+from siskinbank.kernel.reasons import Doubt, Refusal
 
 __all__ = ('Answered', 'NotRun', 'Outcome', 'Unknown')
 
@@ -28,7 +28,8 @@
 class Unknown:
     """The request may have run; nobody can say."""
 
-    reason: str
+    reason: Doubt
+    retry_after: float | None = None
     tag: str = 'unknown'
 
 
--- a/siskinbank/kernel/process.py
+++ b/siskinbank/kernel/process.py
@@ -37,6 +37,8 @@
         self._drains: list[Callable[[], Awaitable[None]]] = []
         self._closers: list[Callable[[], Awaitable[None]]] = []
         self.shared: dict[str, Any] = {}
+        #: Tells for each kind of open work how much there is.
+        self.open_work: dict[str, Callable[[], int]] = {}
 
     def start_task(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run ``work`` in a task that is cancelled when the process ends."""
@@ -135,5 +137,6 @@
         context.log.write(events.STOPPED)
         return 0
     drain.cancel()
-    context.log.write(events.CUT, counts=context.metrics.counts)
+    cut = {name: count() for name, count in context.open_work.items()}
+    context.log.write(events.CUT, cut=cut)
     return _EXIT_CUT
--- a/siskinbank/kernel/reasons.py
+++ b/siskinbank/kernel/reasons.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ('Drop', 'Refusal', 'Retry')
+__all__ = ('Doubt', 'Drop', 'Refusal', 'Retry')
 
 
 class Refusal(enum.StrEnum):
@@ -17,6 +17,25 @@
     unreachable = 'unreachable'
     wrong_service = 'wrong-service'
     malformed = 'malformed'
+    too_large = 'too-large'
+    entry_at_limit = 'entry-at-limit'
+    keys_full = 'too-many-keys'
+
+
+class Doubt(enum.StrEnum):
+    """Why it cannot be said whether a request ran; the caller is told so."""
+
+    lost = 'link-lost'
+    expired = 'deadline-passed'
+    failed = 'upstream-failed'
+    duplicate = 'duplicate-key'
+    restarted = 'host-restarted'
+    old_ticket = 'ticket-expired'
+    bad_ticket = 'bad-ticket'
+    unsettled = 'key-unsettled'
+    unreachable = 'host-unreachable'
+    cancelled = 'cancelled'
+    malformed = 'malformed-answer'
 
 
 class Retry(enum.StrEnum):
@@ -25,6 +44,8 @@
     not_run = 'not-run'
     unreachable = 'unreachable'
     lost = 'lost'
+    failed = 'failed'
+    no_budget = 'no-budget'
 
 
 class Drop(enum.StrEnum):
@@ -40,3 +61,8 @@
     at_limit = 'at-limit'
     centre_out = 'data-centre-out'
     too_large = 'too-large'
+    doubled = 'doubled'
+    late = 'late'
+    reused_number = 'reused-number'
+    over_credit = 'over-credit'
+    link_lost = 'link-lost'
--- a/siskinbank/lab/pool.py
+++ b/siskinbank/lab/pool.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from siskinbank.choice.homes import KeyHomes
 from siskinbank.choice.router import Router
 from siskinbank.config.site import Address, Site
 from siskinbank.entry.context import EntryContext
@@ -106,6 +107,7 @@
             Router(view),
             peers,
             RequestLinks(process),
+            KeyHomes(view),
         )
         entry = PoolEntry(process, view, PacketIngress(context))
         self.entries[name] = entry
--- a/siskinbank/sidecar/context.py
+++ b/siskinbank/sidecar/context.py
@@ -42,6 +42,11 @@
         self.host: Host | None = None
         view.subscribe(self._refresh)
 
+    @property
+    def now(self) -> float:
+        """The process's clock in seconds."""
+        return self.process.timers.now
+
     @property
     def is_out(self) -> bool:
         """Whether this data centre is out of service."""
--- /dev/null
+++ b/siskinbank/sidecar/homes.py
@@ -0,0 +1,74 @@
+"""Which keys this host may vouch for: it must long have been their home."""
+
+from siskinbank.choice.homes import home_hosts, home_rank
+from siskinbank.choice.registry import Rank
+from siskinbank.config.site import Host
+from siskinbank.sidecar.context import SidecarContext
+from siskinbank.util import digest64
+
+__all__ = ('SETTLE_SECONDS', 'KeyHome')
+
+#: How long a host must have been the home of a key before it runs the key,
+#: and the longest after its first try that a key may be sent again.
+SETTLE_SECONDS = 30.0
+
+
+class KeyHome:
+    """Remembers the homes that keys had in the last seconds.
+
+    The home of a key is the host that ranks first for it. Another home may
+    have run the key, so a new home waits until nobody sends it again.
+    """
+
+    def __init__(self, context: SidecarContext) -> None:
+        """Follow the context's view."""
+        self._context = context
+        self._now: Rank = _nobody
+        self._signature: tuple[object, ...] = ()
+        self._former: list[tuple[float, Rank]] = []
+        context.view.subscribe(self._refresh)
+
+    def unsettled_for(self, key: str) -> float:
+        """Return the seconds until this host may vouch for a key.
+
+        0 means now. A host that is not the key's home gets the whole time.
+        """
+        digest = digest64(key)
+        if not self._is_own(self._now, digest):
+            return SETTLE_SECONDS
+        now = self._context.process.timers.now
+        self._forget(now)
+        waits = [
+            until - now
+            for until, rank in self._former
+            if not self._is_own(rank, digest)
+        ]
+        return max(waits, default=0)
+
+    def _is_own(self, rank: Rank, digest: int) -> bool:
+        ranked = rank(digest)
+        return bool(ranked) and ranked[0].name == self._context.process.name
+
+    def _forget(self, now: float) -> None:
+        self._former = [entry for entry in self._former if entry[0] > now]
+
+    def _refresh(self) -> None:
+        service = self._context.service
+        hosts: tuple[Host, ...] = ()
+        if service is not None:
+            hosts = home_hosts(self._context.view, service)
+        signature = tuple((host.name, host.weight) for host in hosts)
+        self._replace(home_rank(hosts), signature)
+
+    def _replace(self, rank: Rank, signature: tuple[object, ...]) -> None:
+        if signature == self._signature:
+            return
+        now = self._context.process.timers.now
+        self._forget(now)
+        self._former.append((now + SETTLE_SECONDS, self._now))
+        self._now = rank
+        self._signature = signature
+
+
+def _nobody(_flow: int) -> list[Host]:
+    return []
--- /dev/null
+++ b/siskinbank/sidecar/once.py
@@ -0,0 +1,76 @@
+"""At most one run for each ticket and key on this host."""
+
+from siskinbank.coordination.tickets import OnceRegister, TicketOffice
+from siskinbank.kernel.reasons import Doubt, Refusal
+from siskinbank.sidecar.context import SidecarContext
+from siskinbank.sidecar.homes import KeyHome
+from siskinbank.wire.messages import RequestHead
+
+__all__ = ('OnceGuard',)
+
+#: How long a run is remembered; longer than any ticket lives.
+_MEMORY_SECONDS = 600.0
+_MAX_CLAIMS = 200_000
+_TICKET = 'ticket'
+_KEY = 'key'
+
+
+class OnceGuard:
+    """Decides whether a request may run, before anything else is asked.
+
+    A request with a ticket, or not idempotent and with a key, runs once. A
+    ticket that was refused is spent, so that no late copy of it runs. A key
+    that was refused may be sent again.
+    """
+
+    def __init__(self, context: SidecarContext) -> None:
+        """Guard the context's upstream for this life of the process."""
+        process = context.process
+
+        def clock() -> float:
+            return process.timers.now
+
+        self.office = TicketOffice(process.name, clock)
+        self._homes = KeyHome(context)
+        self._claims = OnceRegister(clock, _MEMORY_SECONDS, _MAX_CLAIMS)
+
+    def claim(self, head: RequestHead) -> Doubt | Refusal | None:
+        """Claim the one run; return why it is not to be had."""
+        name = _name(head)
+        if name is None:
+            return None
+        if name in self._claims:
+            return Doubt.duplicate
+        doubt = self._doubt(head)
+        if doubt is not None:
+            return doubt
+        if self._claims.claim(name):
+            return None
+        return Doubt.unsettled if head.ticket else Refusal.keys_full
+
+    def release(self, head: RequestHead) -> None:
+        """Take back the claim of a key that was refused."""
+        if not head.ticket and head.key:
+            self._claims.release(f'{_KEY} {head.service} {head.key}')
+
+    def wait_for(self, head: RequestHead, doubt: Doubt) -> float:
+        """Return the seconds after which to ask again; 0 for no use."""
+        if head.ticket or doubt is not Doubt.unsettled:
+            return 0
+        return self._homes.unsettled_for(head.key)
+
+    def _doubt(self, head: RequestHead) -> Doubt | None:
+        if head.ticket:
+            return self.office.check(head.ticket, head.service, head.key)
+        if self._homes.unsettled_for(head.key):
+            return Doubt.unsettled
+        return None
+
+
+def _name(head: RequestHead) -> str | None:
+    """Return what is claimed, or None for work that may run again."""
+    if head.ticket:
+        return f'{_TICKET} {head.ticket}'
+    if head.key and not head.idempotent:
+        return f'{_KEY} {head.service} {head.key}'
+    return None
--- a/siskinbank/sidecar/requests.py
+++ b/siskinbank/sidecar/requests.py
@@ -1,32 +1,57 @@
 """Run numbered requests on the upstream, within its slots."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import aiohttp
 
-from siskinbank.kernel.reasons import Refusal
+from siskinbank.coordination.tickets import TICKET_SECONDS
+from siskinbank.kernel.reasons import Doubt, Drop, Refusal
 from siskinbank.sidecar.context import SidecarContext
-from siskinbank.wire.headers import forwarded_headers
+from siskinbank.sidecar.once import OnceGuard
+from siskinbank.sidecar.slots import SlotQueue
+from siskinbank.sidecar.upstream import UpstreamClient
+from siskinbank.wire.bodies import (
+    CHUNK_BYTES,
+    START_BYTES,
+    WINDOW_BYTES,
+    BodyCutError,
+    BodyReader,
+    SendWindow,
+    send_body,
+)
+from siskinbank.wire.headers import (
+    forwarded_headers,
+    header_problem,
+    target_problem,
+)
 from siskinbank.wire.messages import (
     AnswerHead,
     BodyPart,
     Cancel,
+    Credit,
     Failed,
+    GoAway,
+    IssueTicket,
+    LinkOpened,
     Message,
     MessageError,
     Refused,
     RequestHead,
+    TicketIssued,
 )
 from siskinbank.wire.streams import MessageStream
 
 __all__ = ('RequestServer',)
 
-_QUEUED_PARTS = 16
-_CHUNK_BYTES = 64 * 1024
-_RETRY_AFTER_SECONDS = 1
-_MAX_KEYS = 100_000
+_RETRY_AFTER_SECONDS = 1.0
+_LINGER_SECONDS = 3
+_MAX_RUNNING_A_LINK = 10_000
+_RUNS = 'requests_run'
+#: How a request fails of which the upstream may have read something.
+_FAILURES = (aiohttp.ClientError, BodyCutError, OSError, ValueError)
+#: How a request fails of which nothing was sent.
+_UNREACHED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 @dataclass(slots=True)
@@ -34,13 +59,27 @@
     """One request that is being received or run."""
 
     head: RequestHead
-    stream: MessageStream
-    body: asyncio.Queue[BodyPart] = field(
-        default_factory=lambda: asyncio.Queue(_QUEUED_PARTS),
-    )
+    link: '_EntryLink'
+    body: BodyReader
+    window: SendWindow
     task: asyncio.Task[None] | None = None
 
 
+class _EntryLink:
+    """The stream of one entry, and its requests by number."""
+
+    def __init__(self, stream: MessageStream) -> None:
+        self.stream = stream
+        self.running: dict[int, _Running] = {}
+        self.highest = 0
+        self.ended = asyncio.Event()
+
+    def post(self, sent: Message) -> None:
+        """Send one short message; a lost link is noticed by its reader."""
+        if not self.stream.writer.is_closing():
+            self.stream.post(sent)
+
+
 class RequestServer:
     """Serves the request streams of all entries."""
 
@@ -48,161 +87,261 @@
         """Run requests on the context's upstream."""
         self._context = context
         self._metrics = context.process.metrics
-        self._session: aiohttp.ClientSession | None = None
+        self._guard = OnceGuard(context)
+        self._slots = SlotQueue(context)
+        self._client: UpstreamClient | None = None
+        self._links: set[_EntryLink] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._keys: dict[str, None] = {}
+        context.process.open_work['requests'] = lambda: len(self._tasks)
+        context.process.on_close(self._close)
 
     async def serve(self, stream: MessageStream) -> None:
         """Read one stream until its end; cancel what it leaves behind."""
-        running: dict[int, _Running] = {}
+        link = _EntryLink(stream)
+        self._links.add(link)
+        link.post(
+            LinkOpened(
+                self._context.process.name,
+                self._guard.office.incarnation,
+                self._context.now,
+            ),
+        )
+        if self._context.process.stopping.is_set():
+            link.post(GoAway(0))
         try:
             while (received := await stream.receive()) is not None:
-                await self._dispatch(received, stream, running)
-        except (MessageError, OSError):
-            self._metrics.count(Refusal.malformed)
+                self._dispatch(received, link)
+        except MessageError:
+            self._metrics.count(Drop.malformed)
+        except OSError:
+            self._metrics.count(Drop.link_lost)
         finally:
-            for number in list(running):
-                _cancel(running, number)
+            self._end(link)
 
     async def drain(self) -> None:
-        """Wait until no request is running."""
-        if self._tasks:
+        """Take no more, finish what runs, and let the entries leave."""
+        for link in self._links:
+            link.post(GoAway(link.highest))
+        while self._tasks:
             await asyncio.wait(self._tasks)
-        if self._session is not None:
-            await self._session.close()
+        leaving = [
+            asyncio.create_task(left.ended.wait()) for left in self._links
+        ]
+        if leaving:
+            await asyncio.wait(leaving, timeout=_LINGER_SECONDS)
 
-    async def _dispatch(
-        self,
-        received: Message,
-        stream: MessageStream,
-        running: dict[int, _Running],
-    ) -> None:
+    async def _close(self) -> None:
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._client is not None:
+            await self._client.close()
+
+    def _end(self, link: _EntryLink) -> None:
+        self._links.discard(link)
+        link.ended.set()
+        if link.stream.dropped:
+            self._metrics.count(Drop.doubled, link.stream.dropped)
+        for request in list(link.running.values()):
+            _cancel(request)
+
+    def _dispatch(self, received: Message, link: _EntryLink) -> None:
         if isinstance(received, RequestHead):
-            self._start(received, stream, running)
-        elif isinstance(received, BodyPart):
-            await _queue_part(running, received)
-        elif isinstance(received, Cancel):
-            _cancel(running, received.number)
+            self._start(received, link)
+        elif isinstance(received, IssueTicket):
+            self._issue(received, link)
+        elif isinstance(received, BodyPart | Credit | Cancel):
+            request = link.running.get(received.number)
+            if request is not None:
+                self._go_on(request, received)
+        else:
+            self._metrics.count(Drop.malformed)
 
-    def _start(
+    def _go_on(
         self,
-        head: RequestHead,
-        stream: MessageStream,
-        running: dict[int, _Running],
+        request: _Running,
+        received: BodyPart | Credit | Cancel,
     ) -> None:
-        request = _Running(head, stream)
-        running[head.number] = request
+        """Take a message that belongs to an open request."""
+        if isinstance(received, Credit):
+            request.window.give(received.size)
+            return
+        if isinstance(received, Cancel):
+            _cancel(request)
+            return
+        wrong = request.body.put(received)
+        if wrong is not None:
+            self._metrics.count(wrong)
+            request.body.fail(BodyCutError(wrong.value))
+
+    def _start(self, head: RequestHead, link: _EntryLink) -> None:
+        if not self._is_new(head.number, link):
+            return
+        if len(link.running) >= _MAX_RUNNING_A_LINK:
+            self._refuse(head, link, Refusal.at_limit)
+            return
+        body = BodyReader(head.number, link.post)
+        request = _Running(head, link, body, SendWindow())
+        link.running[head.number] = request
         task = asyncio.create_task(self._run(request))
         request.task = task
         self._tasks.add(task)
+        task.add_done_callback(lambda done: self._finish(request, done))
+
+    def _is_new(self, number: int, link: _EntryLink) -> bool:
+        """Whether a number was not used yet; a used one is left alone."""
+        if number <= link.highest:
+            self._metrics.count(Drop.reused_number)
+            return False
+        link.highest = number
+        return True
 
-        def finish(_task: asyncio.Task[None]) -> None:
-            self._tasks.discard(task)
-            running.pop(head.number, None)
+    def _finish(self, request: _Running, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        request.link.running.pop(request.head.number, None)
+        if not task.cancelled() and task.exception() is not None:
+            self._metrics.count(Doubt.failed)
+            self._fail(request, Doubt.failed)
 
-        task.add_done_callback(finish)
+    def _issue(self, asked: IssueTicket, link: _EntryLink) -> None:
+        if not self._is_new(asked.number, link):
+            return
+        reason = self._refusal(asked.service)
+        if reason is None and self._slots.full:
+            reason = Refusal.at_limit
+        if reason is not None:
+            self._metrics.count(reason)
+            link.post(
+                Refused(asked.number, reason.value, _RETRY_AFTER_SECONDS),
+            )
+            return
+        issued = self._guard.office.issue(asked.service, asked.key)
+        link.post(TicketIssued(asked.number, issued, TICKET_SECONDS))
 
     async def _run(self, request: _Running) -> None:
         head = request.head
-        if self._seen(head):
-            await request.stream.send(Failed(head.number, 'duplicate-key'))
+        if header_problem(head.headers) or target_problem(
+            head.method,
+            head.target,
+        ):
+            self._refuse(head, request.link, Refusal.malformed)
+            return
+        claim = self._guard.claim(head)
+        if isinstance(claim, Doubt):
+            self._metrics.count(claim)
+            self._fail(request, claim, self._guard.wait_for(head, claim))
             return
-        reason = self._refusal(head)
+        reason = claim or await self._admit(head)
         if reason is not None:
-            self._metrics.count(reason)
-            refused = Refused(head.number, reason.value, _RETRY_AFTER_SECONDS)
-            await request.stream.send(refused)
+            self._refuse(head, request.link, reason)
             return
-        limits = self._context.limits
-        assert limits is not None
+        if head.length:
+            granted = WINDOW_BYTES - START_BYTES
+            request.link.post(Credit(head.number, granted))
         try:
-            async with asyncio.timeout(head.deadline):
-                await self._ask_upstream(request)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            reason_text = type(error).__name__
-            await request.stream.send(Failed(head.number, reason_text))
+            await self._ask_upstream(request)
         finally:
-            limits.slots.give_back()
+            self._slots.give_back()
 
-    def _seen(self, head: RequestHead) -> bool:
-        return bool(head.key) and not head.idempotent and head.key in self._keys
+    async def _admit(self, head: RequestHead) -> Refusal | None:
+        """Take a slot, or return why not and take back the claim."""
+        reason = self._refusal(head.service)
+        if reason is None and head.due <= self._context.now:
+            reason = Refusal.expired
+        try:
+            reason = reason or await self._slots.take(head.due)
+        except asyncio.CancelledError:
+            self._guard.release(head)
+            raise
+        if reason is not None:
+            self._guard.release(head)
+        return reason
 
-    def _refusal(self, head: RequestHead) -> Refusal | None:
+    def _refusal(self, service: int) -> Refusal | None:
         context = self._context
-        service = context.service
-        if service is None or head.service != service.ident:
+        if context.service is None or service != context.service.ident:
             return Refusal.wrong_service
         if context.settings.upstream_http is None:
             return Refusal.unreachable
         if not context.takes_work:
             return Refusal.draining
-        if head.deadline <= 0:
-            return Refusal.expired
-        if context.limits is None or not context.limits.slots.take():
-            return Refusal.at_limit
-        if head.key and not head.idempotent:
-            self._remember(head.key)
         return None
 
-    def _remember(self, key: str) -> None:
-        self._keys[key] = None
-        if len(self._keys) > _MAX_KEYS:
-            del self._keys[next(iter(self._keys))]
+    def _refuse(
+        self,
+        head: RequestHead,
+        link: _EntryLink,
+        reason: Refusal,
+    ) -> None:
+        self._metrics.count(reason)
+        link.post(Refused(head.number, reason.value, _RETRY_AFTER_SECONDS))
+
+    def _fail(
+        self,
+        request: _Running,
+        doubt: Doubt,
+        retry_after: float = 0,
+    ) -> None:
+        request.link.post(
+            Failed(request.head.number, doubt.value, retry_after),
+        )
 
     async def _ask_upstream(self, request: _Running) -> None:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(auto_decompress=False)
-        head = request.head
         base = self._context.settings.upstream_http
-        has_body = head.method not in {'GET', 'HEAD', 'OPTIONS'}
-        async with self._session.request(
-            head.method,
-            f'{base}{head.target}',
-            headers=[(name, text) for name, text in head.headers],
-            data=_body(request) if has_body else None,
-            allow_redirects=False,
-        ) as answer:
-            await request.stream.send(
-                AnswerHead(
-                    head.number,
-                    answer.status,
-                    forwarded_headers(answer.headers),
-                ),
-            )
-            await _send_parts(request, answer)
-
-
-async def _send_parts(
-    request: _Running,
-    answer: aiohttp.ClientResponse,
-) -> None:
-    number = request.head.number
-    part = 0
-    async for chunk in answer.content.iter_chunked(_CHUNK_BYTES):
-        await request.stream.send(BodyPart(number, part, False, chunk))
-        part += 1
-    await request.stream.send(BodyPart(number, part, True, b''))
-
-
-async def _body(request: _Running) -> AsyncIterator[bytes]:
-    while True:
-        part = await request.body.get()
-        if part.content:
-            yield part.content
-        if part.last:
-            return
+        assert base is not None
+        if self._client is None:
+            self._client = UpstreamClient(base)
+        head = request.head
+        left = head.due - self._context.now
+        self._metrics.tally(_RUNS)
+        try:
+            async with (
+                asyncio.timeout(left) as limit,
+                self._client.ask(head, left, request.body.read) as answer,
+            ):
+                if not head.bounded:
+                    limit.reschedule(None)
+                await self._pass_on(request, answer)
+        except _UNREACHED:
+            self._guard.release(head)
+            self._refuse(head, request.link, Refusal.unreachable)
+        except TimeoutError:
+            self._metrics.count(Doubt.expired)
+            self._fail(request, Doubt.expired)
+        except _FAILURES:
+            self._metrics.count(Doubt.failed)
+            self._fail(request, Doubt.failed)
+
+    async def _pass_on(
+        self,
+        request: _Running,
+        answer: aiohttp.ClientResponse,
+    ) -> None:
+        number = request.head.number
+        stream = request.link.stream
+        await stream.send(
+            AnswerHead(
+                number,
+                answer.status,
+                _length(answer),
+                self._context.now,
+                forwarded_headers(answer.headers),
+            ),
+        )
+
+        async def read() -> bytes:
+            return await answer.content.read(CHUNK_BYTES)
+
+        await send_body(number, read, stream.send, request.window)
 
 
-async def _queue_part(running: dict[int, _Running], part: BodyPart) -> None:
-    request = running.get(part.number)
-    if request is None or request.task is None or request.task.done():
-        return
-    if part.last and not part.content and request.body.full():
-        return
-    await request.body.put(part)
+def _length(answer: aiohttp.ClientResponse) -> int:
+    declared = answer.content_length
+    return -1 if declared is None else declared
 
 
-def _cancel(running: dict[int, _Running], number: int) -> None:
-    request = running.pop(number, None)
-    if request is not None and request.task is not None:
+def _cancel(request: _Running) -> None:
+    request.body.fail(BodyCutError('cancelled'))
+    if request.task is not None:
         request.task.cancel()
--- a/siskinbank/sidecar/streams.py
+++ b/siskinbank/sidecar/streams.py
@@ -34,33 +34,45 @@
     """
     tunnels: set[asyncio.Task[None]] = set()
 
-    async def serve(stream: MessageStream) -> None:
-        hello = await _receive_hello(context, stream)
-        try:
-            if isinstance(hello, OpenRequests):
-                await requests.serve(stream)
-            elif isinstance(hello, OpenTunnel):
-                await _track(tunnels, _serve_tunnel(context, stream, hello))
-        finally:
-            stream.writer.close()
-
     def accept(
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        context.process.start_task(serve(MessageStream(reader, writer)))
+        stream = MessageStream(reader, writer)
+        context.process.start_task(_serve(context, requests, tunnels, stream))
 
     server = await asyncio.start_server(accept, *context.settings.bind)
 
     async def drain() -> None:
-        if tunnels:
-            await asyncio.wait(tunnels)
         await requests.drain()
+        while tunnels:
+            await asyncio.wait(tunnels)
         server.close()
 
+    async def close() -> None:
+        server.close()
+
+    context.process.on_close(close)
+    context.process.open_work['tunnels'] = lambda: len(tunnels)
     context.process.on_drain(drain)
 
 
+async def _serve(
+    context: SidecarContext,
+    requests: RequestServer,
+    tunnels: set[asyncio.Task[None]],
+    stream: MessageStream,
+) -> None:
+    hello = await _receive_hello(context, stream)
+    try:
+        if isinstance(hello, OpenRequests):
+            await requests.serve(stream)
+        elif isinstance(hello, OpenTunnel):
+            await _track(tunnels, _serve_tunnel(context, stream, hello))
+    finally:
+        stream.writer.close()
+
+
 async def _receive_hello(
     context: SidecarContext,
     stream: MessageStream,
--- a/siskinbank/wire/headers.py
+++ b/siskinbank/wire/headers.py
@@ -1,23 +1,40 @@
 """The HTTP headers that are read, passed on or held back."""
 
-from collections.abc import Mapping
+import re
+from collections.abc import Mapping, Sequence
+from typing import Any
 
 __all__ = (
     'DEADLINE_HEADER',
     'IDEMPOTENT_HEADER',
     'KEY_HEADER',
+    'MAX_HEADERS',
+    'MAX_HEADER_BYTES',
+    'OUTCOME_HEADER',
+    'TICKET_HEADER',
     'forwarded_headers',
+    'header_problem',
+    'is_token',
+    'target_problem',
 )
 
 KEY_HEADER = 'Idempotency-Key'
 DEADLINE_HEADER = 'Siskinbank-Deadline'
 IDEMPOTENT_HEADER = 'Siskinbank-Idempotent'
+TICKET_HEADER = 'Siskinbank-Ticket'
+OUTCOME_HEADER = 'Siskinbank-Outcome'
+
+#: The most headers of one request or answer, and their bytes together.
+MAX_HEADERS = 128
+MAX_HEADER_BYTES = 32 * 1024
+_MAX_TARGET_BYTES = 8 * 1024
 
 #: Headers that belong to one connection (RFC 9110, section 7.6.1).
 _HOP_BY_HOP = frozenset(
     (
         'connection',
         'content-length',
+        'expect',
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
@@ -28,14 +45,68 @@
         'upgrade',
     ),
 )
+#: Headers that each hop writes anew.
+_REWRITTEN = frozenset(
+    (
+        DEADLINE_HEADER.lower(),
+        OUTCOME_HEADER.lower(),
+        TICKET_HEADER.lower(),
+    ),
+)
+_TOKEN = re.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_FIELD_TEXT = re.compile('[\t\x20-\x7e\x80-\U0010ffff]*')
+_TARGET = re.compile('(/[\x21-\x7e\x80-\U0010ffff]*|[*])')
+
+
+def is_token(text: str) -> bool:
+    """Whether a text is a token of RFC 9110, such as a method."""
+    return _TOKEN.fullmatch(text) is not None
 
 
 def forwarded_headers(headers: Mapping[str, str]) -> list[list[str]]:
     """Return the headers that go beyond this connection."""
     named = headers.get('Connection', '').lower().split(',')
-    held = _HOP_BY_HOP | {name.strip() for name in named}
+    held = _HOP_BY_HOP | _REWRITTEN | {name.strip() for name in named}
     return [
         [name, text]
         for name, text in headers.items()
         if name.lower() not in held
     ]
+
+
+def header_problem(headers: Sequence[Any]) -> str | None:
+    """Return what is wrong with headers that came in a message.
+
+    A peer must not smuggle what an HTTP parser would have refused: line
+    breaks, names that are no tokens, and headers of one connection.
+    """
+    if len(headers) > MAX_HEADERS:
+        return f'{len(headers)} headers'
+    size = 0
+    for pair in headers:
+        if not _is_pair(pair):
+            return 'a header is no pair of texts'
+        name, text = pair
+        size += len(name) + len(text)
+        if not is_token(name) or not _FIELD_TEXT.fullmatch(text):
+            return f'bad header {name[:32]!r}'
+        if name.lower() in _HOP_BY_HOP:
+            return f'header {name!r} belongs to one connection'
+    return f'{size} bytes of headers' if size > MAX_HEADER_BYTES else None
+
+
+def target_problem(method: str, target: str) -> str | None:
+    """Return what is wrong with a request line that came in a message."""
+    if not is_token(method) or method.upper() == 'CONNECT':
+        return 'bad method'
+    if len(target) > _MAX_TARGET_BYTES or not _TARGET.fullmatch(target):
+        return 'bad target'
+    return None
+
+
+def _is_pair(pair: Any) -> bool:
+    return (
+        isinstance(pair, list)
+        and len(pair) == 2
+        and all(isinstance(text, str) for text in pair)
+    )
--- a/siskinbank/wire/messages.py
+++ b/siskinbank/wire/messages.py
@@ -177,16 +177,24 @@
 @message
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestHead(Message):
-    """Starts one request; ``deadline`` is the seconds that remain."""
+    """Starts one request.
+
+    ``due`` is the deadline in seconds on the sidecar's own clock, for the
+    answer's end if ``bounded``, else for its start; ``length`` is the size of
+    the body in bytes, -1 when the caller did not say it.
+    """
 
     kind = 14
     number: int
     service: int
     key: str
+    ticket: str
     idempotent: bool
-    deadline: float
+    due: float
+    bounded: bool
     method: str
     target: str
+    length: int
     headers: list  # type: ignore[type-arg]
 
 
@@ -205,22 +213,32 @@
 @message
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead(Message):
-    """Starts one answer; the body's parts follow."""
+    """Starts one answer; the body's parts follow.
+
+    ``length`` is the declared size of the body, -1 when it is not known;
+    ``clock`` is the sidecar's clock in seconds.
+    """
 
     kind = 16
     number: int
     status: int
+    length: int
+    clock: float
     headers: list  # type: ignore[type-arg]
 
 
 @message
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed(Message):
-    """The request may have run; its answer cannot be had."""
+    """The request may have run; its answer cannot be had.
+
+    ``retry_after`` is in seconds, 0 when asking again does not help.
+    """
 
     kind = 17
     number: int
     reason: str
+    retry_after: float
 
 
 @message
@@ -230,3 +248,58 @@
 
     kind = 18
     number: int
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkOpened(Message):
+    """The sidecar's answer to ``OpenRequests``.
+
+    ``clock`` is the sidecar's clock in seconds when this was sent.
+    """
+
+    kind = 40
+    host: str
+    incarnation: int
+    clock: float
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Credit(Message):
+    """The sender of a body may send ``size`` bytes more of it."""
+
+    kind = 41
+    number: int
+    size: int
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class GoAway(Message):
+    """The sidecar stops: requests above ``last`` were not and won't be run."""
+
+    kind = 42
+    last: int
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class IssueTicket(Message):
+    """Asks for a ticket that lets one request run here once."""
+
+    kind = 43
+    number: int
+    service: int
+    key: str
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class TicketIssued(Message):
+    """A ticket, and the seconds for which it is good."""
+
+    kind = 44
+    number: int
+    ticket: str
+    good_for: float
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -20,7 +20,7 @@
 MESSAGES: tuple[Message, ...] = (
     Owner(2**64 - 1, b'abcdef'),
     Moved(1, b'abcdef', 30, [1, 2]),
-    RequestHead(1, 2, 'k', True, 2.5, 'GET', '/', [['a', 'b']]),
+    RequestHead(1, 2, 'k', 't', True, 2.5, True, 'GET', '/', 0, [['a', 'b']]),
     BodyPart(1, 0, True, b''),
 )
 BAD = (
