--- a/tests/peers/test_datagrams.py
+++ b/tests/peers/test_datagrams.py
@@ -7,11 +7,12 @@
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.wire.keys import Key, KeyRing
 from siskinbank.wire.messages import Message, Moved, Owner, encode
+from siskinbank.wire.replay import ReplayGuard
 
 KEYS = KeyRing([Key(1, bytes(32))])
 SENDER = ('10.0.0.1', 7100)
 OWNER = Owner(b'f' * 13, bytes(6), 1, 1)
-MOVED = Moved(1, bytes(6), 1, [])
+MOVED = Moved(1, bytes(6), 1, 1, 1, b'')
 
 
 class TestSubscriptions(unittest.TestCase):
@@ -36,8 +37,10 @@
 
     def test_by_class(self) -> None:
         """Each class reaches its own subscriber, the rest the default."""
+        guard = ReplayGuard()
         for sent in (OWNER, MOVED):
-            self.peers.receive(KEYS.seal(b'\0' + encode(sent)), SENDER)
+            body = b'\0' + guard.stamp() + encode(sent)
+            self.peers.receive(KEYS.seal(body), SENDER)
         self.assertEqual((self.owners, self.others), ([OWNER], [MOVED]))
 
     def test_one_subscriber_a_class(self) -> None:
