--- a/siskinbank/commands/_options.py
+++ b/siskinbank/commands/_options.py
@@ -7,13 +7,11 @@
 
 from siskinbank.util import parse_address
 from siskinbank.wire.keyfile import load_keys
-from siskinbank.wire.keys import KeyRing
 
 __all__ = (
     'ADDRESS',
     'KEYS',
-    'AddressType',
-    'KeysType',
+    'CheckedType',
     'logging_options',
     'process_options',
 )
@@ -21,10 +19,13 @@
 Decorator = Callable[[Callable[..., Any]], Callable[..., Any]]
 
 
-class AddressType(click.ParamType[Any]):
-    """An option written as ``IP:PORT``."""
+class CheckedType(click.ParamType[Any]):
+    """An option whose text is read by a function that names what is wrong."""
 
-    name = 'ip:port'
+    def __init__(self, name: str, read: Callable[[str], Any]) -> None:
+        """Read texts with ``read``, which raises ValueError for bad ones."""
+        self.name = name
+        self._read = read
 
     def convert(
         self,
@@ -32,37 +33,19 @@
         param: click.Parameter | None,
         ctx: click.Context | None,
     ) -> Any:
-        """Return the address as a tuple."""
-        if isinstance(value, tuple):
+        """Return what the text stands for."""
+        if not isinstance(value, str):
             return value
         try:
-            return parse_address(value)
+            return self._read(value)
         except ValueError as error:
             self.fail(str(error), param, ctx)
 
 
-class KeysType(click.ParamType[Any]):
-    """An option written as ``ID:HEX[,ID:HEX]``, or ``@FILE`` with that."""
-
-    name = 'keys'
-
-    def convert(
-        self,
-        value: Any,
-        param: click.Parameter | None,
-        ctx: click.Context | None,
-    ) -> Any:
-        """Return the key ring."""
-        if isinstance(value, KeyRing):
-            return value
-        try:
-            return load_keys(value)
-        except ValueError as error:
-            self.fail(str(error), param, ctx)
-
-
-ADDRESS = AddressType()
-KEYS = KeysType()
+#: An option written as ``IP:PORT``.
+ADDRESS = CheckedType('ip:port', parse_address)
+#: An option written as ``ID:HEX[,ID:HEX]``, or ``@FILE`` with that.
+KEYS = CheckedType('keys', load_keys)
 
 
 def _option(name: str, *, help_text: str, **kwargs: Any) -> Decorator:
--- a/siskinbank/lab/processes.py
+++ b/siskinbank/lab/processes.py
@@ -62,13 +62,20 @@
             return None
 
     async def stop(self) -> None:
-        """End all processes, by force if they do not stop in time."""
-        for started in self._processes:
+        """End all processes, the one that was started first at last."""
+        names = list(self._processes)
+        await self._stop_together(names[1:])
+        await self._stop_together(names[:1])
+
+    async def _stop_together(self, names: Sequence[str]) -> None:
+        """End processes, by force if they do not stop in time."""
+        for started in names:
             self.signal(started, signal.SIGCONT)
             self.signal(started, signal.SIGTERM)
-        waiting = [self.wait(name, _STOP_SECONDS) for name in self._processes]
-        await asyncio.gather(*waiting)
-        for left in self._processes:
+        await asyncio.gather(
+            *(self.wait(name, _STOP_SECONDS) for name in names)
+        )
+        for left in names:
             self.signal(left, signal.SIGKILL)
             await self.wait(left, _STOP_SECONDS)
 
--- a/siskinbank/peers/connect.py
+++ b/siskinbank/peers/connect.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from siskinbank.config.site import Address
 from siskinbank.kernel.process import ProcessContext
@@ -34,8 +35,7 @@
         """
         reader, writer = await asyncio.open_connection(
             *address,
-            ssl=self._security.client,
-            ssl_handshake_timeout=_HANDSHAKE_SECONDS,
+            **self._client_options(),
         )
         return MessageStream(reader, writer)
 
@@ -59,10 +59,21 @@
         return await asyncio.start_server(
             take,
             *address,
-            ssl=self._security.server(),
-            ssl_handshake_timeout=_HANDSHAKE_SECONDS,
+            **self._server_options(),
         )
 
+    def _client_options(self) -> dict[str, Any]:
+        return {
+            'ssl': self._security.client,
+            'ssl_handshake_timeout': _HANDSHAKE_SECONDS,
+        }
+
+    def _server_options(self) -> dict[str, Any]:
+        return {
+            'ssl': self._security.server(),
+            'ssl_handshake_timeout': _HANDSHAKE_SECONDS,
+        }
+
     def _refuse(self, reason: str) -> None:
         """Count a refused stream, and say so in the log."""
         self._process.metrics.count(Drop.unkeyed_stream)
