Ask the whole known pool before a new sidecar takes a flow; tests of ownership

Change: a sidecar that has seen no earlier pool asks all known hosts for the first minute, and whoever knows the owner tells the asker.

--- a/siskinbank/sidecar/announcer.py
+++ b/siskinbank/sidecar/announcer.py
@@ -6,10 +6,14 @@
 
 from siskinbank.config.site import Address
 from siskinbank.sidecar.context import SidecarContext
-from siskinbank.sidecar.flows import FlowTable
+from siskinbank.sidecar.flows import FlowTable, Pointer
 from siskinbank.sidecar.pool_history import PoolHistory
 from siskinbank.wire.messages import Moved, Started
-from siskinbank.wire.packets import flow_number, pack_address
+from siskinbank.wire.packets import (
+    flow_number,
+    pack_address,
+    unpack_address,
+)
 
 __all__ = ('Announcer', 'read_numbers')
 
@@ -80,6 +84,32 @@
             {to: homes[to] for to in homes if pack_address(to) == address}
         )
 
+    def tell(
+        self,
+        receiver: bytes,
+        flow: bytes,
+        pointer: Pointer | None = None,
+    ) -> None:
+        """Tell one host where a flow lives.
+
+        Args:
+            receiver: the host's packed address.
+            flow: the flow.
+            pointer: says where it lives, if not here.
+        """
+        if pointer is None:
+            generation = self._context.view.generation
+            pointer = Pointer(self._own, self._incarnation, generation, 0)
+        sent = Moved(
+            self._context.service.ident if self._context.service else 0,
+            pointer.address,
+            pointer.incarnation,
+            pointer.generation,
+            LEASE_SECONDS,
+            _NUMBER.pack(flow_number(flow)),
+        )
+        self._context.peers.send_message(sent, unpack_address(receiver))
+
     def _renew(self) -> None:
         """Announce the next part of the flows that live away from home."""
         if self._slice == 0:
--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -36,7 +36,7 @@
 #: How long a flow that was passed on as new is sought where it went.
 _PASSED_SECONDS = 10
 #: Within this time of a start the pool has refilled the pointers.
-_REFILL_SECONDS = 8
+_REFILL_SECONDS = 2
 #: How long after a start an unknown flow may be one of an earlier life.
 _RECOVERY_SECONDS = 900
 #: How long the pointers to a host are kept after it has restarted.
@@ -170,13 +170,20 @@
         self._hand_over(packet.raw)
         if envelope.flags & UNCACHED and not packet.first:
             self._forwarder.tell_entry(envelope, packet)
+        prober = _prober(envelope)
+        if prober:
+            self._announcer.tell(prober, packet.flow)
         return True
 
     def _find_owner(self, envelope: Envelope, packet: InnerPacket) -> None:
         number = packet.key
         pointer = self.pointers.get(number, self._timers.now)
-        if pointer is not None and self._forwarder.follow(envelope, pointer):
-            return
+        if pointer is not None:
+            prober = _prober(envelope)
+            if self._forwarder.follow(envelope, pointer):
+                if prober:
+                    self._announcer.tell(prober, packet.flow, pointer)
+                return
         if packet.may_open:
             self._open(envelope, packet, number)
         elif envelope.flags & ORPHAN and self._forwarder.is_last(envelope):
@@ -229,8 +236,6 @@
         number: int,
     ) -> list[bytes]:
         hosts = self._history.suspects(number, self._name, first=packet.first)
-        if self.age < _REFILL_SECONDS:
-            hosts.extend(self._history.known(number)[:3])
         visited = envelope.candidates[: envelope.position]
         suspects = self._forwarder.addresses(hosts)
         return [address for address in suspects if address not in visited]
@@ -261,7 +266,7 @@
             return False
         if envelope.flags & NAMED:
             return same_host(envelope.incarnation, self.incarnation)
-        recovering = _REFILL_SECONDS / 4 < self.age < _RECOVERY_SECONDS
+        recovering = _REFILL_SECONDS < self.age < _RECOVERY_SECONDS
         return recovering and envelope.position == 0
 
     def _search_then_adopt(
@@ -402,6 +407,13 @@
                 limits.connections.give_back()
 
 
+def _prober(envelope: Envelope) -> bytes | None:
+    """Return the host that asks whether its candidates own a flow."""
+    if envelope.flags & PROBE and envelope.candidates:
+        return envelope.candidates[-1]
+    return None
+
+
 def _belongs(
     envelope: Envelope,
     packet: InnerPacket,
--- a/siskinbank/sidecar/pool_history.py
+++ b/siskinbank/sidecar/pool_history.py
@@ -85,7 +85,9 @@
         offered = self.fresh(number) if first else self.known(number)
         wanted = offered[:1]
         if not self.settled:
-            wanted.extend(self.known(number)[:1])
+            # A process that has seen no earlier pool asks all it knows.
+            asked = 1 if self._earlier else None
+            wanted.extend(self.known(number)[:asked])
             wanted.extend(self._earlier_firsts(number))
         return _unique(wanted, own)
 
--- /dev/null
+++ b/tests/sidecar/test_flows.py
@@ -0,0 +1,87 @@
+"""Tests of owned flows and of pointers."""
+
+import unittest
+
+from siskinbank.sidecar.flows import FlowTable, Pointer, Pointers
+
+ONE = b'one'.ljust(13)
+HOST = b'hostaa'
+
+
+def _table(kind: str) -> FlowTable:
+    """Return a table with one flow of a kind."""
+    table = FlowTable()
+    if kind == 'adopted':
+        table.adopt(ONE, 0, charged=False)
+        return table
+    owned = table.add(ONE, 0)
+    if kind == 'closing':
+        owned.close()
+    return table
+
+
+class TestFlowTable(unittest.TestCase):
+    """Ageing of flows."""
+
+    def test_silence_ends_flows(self) -> None:
+        """Open, closing and adopted flows last for different times."""
+        cases = (
+            ('open', 800, 1000),
+            ('closing', 20, 40),
+            ('adopted', 50, 70),
+        )
+        for kind, alive, gone in cases:
+            with self.subTest(kind):
+                table = _table(kind)
+                self.assertEqual(table.expire(alive), [])
+                self.assertEqual(len(table.expire(gone)), 1)
+                self.assertNotIn(ONE, list(table))
+
+    def test_adopted_flow_that_goes_on_is_open(self) -> None:
+        """A second packet proves that the flow lives."""
+        table = FlowTable()
+        table.adopt(ONE, 0, charged=False)
+        owned = table.get(ONE)
+        assert owned is not None
+        owned.seen = 10
+        self.assertEqual(table.expire(200), [])
+
+    def test_reopened_flow_lasts(self) -> None:
+        """A new connection with old ports is no closing flow."""
+        table = FlowTable()
+        owned = table.add(ONE, 0)
+        owned.close()
+        owned.reopen()
+        self.assertEqual(table.expire(100), [])
+
+
+class TestPointers(unittest.TestCase):
+    """Leases and their bound."""
+
+    def test_bound(self) -> None:
+        """However many come, the newest ones stay."""
+        pointers = Pointers(10)
+        for number in range(100):
+            pointers.put(number, Pointer(HOST, 1, 1, 50))
+        self.assertEqual(len(pointers), 10)
+        self.assertIsNone(pointers.get(0, 0))
+        self.assertIsNotNone(pointers.get(99, 0))
+
+    def test_leases_end(self) -> None:
+        """A lease that has run out says nothing, removed or not."""
+        pointers = Pointers(10)
+        pointers.put(1, Pointer(HOST, 1, 1, 50))
+        self.assertIsNotNone(pointers.get(1, 49))
+        self.assertIsNone(pointers.get(1, 51))
+        pointers.expire(51)
+        self.assertEqual(len(pointers), 0)
+
+    def test_restart_keeps_pointers_to_earlier_lives(self) -> None:
+        """Only the pointers to earlier lives of that host last longer."""
+        pointers = Pointers(10)
+        pointers.put(1, Pointer(HOST, 1, 1, 50))
+        pointers.put(2, Pointer(HOST, 2, 1, 50))
+        pointers.put(3, Pointer(b'otherh', 1, 1, 50))
+        pointers.extend(HOST, 2, 500)
+        kept = [number for number in (1, 2, 3) if pointers.get(number, 60)]
+        self.assertEqual(kept, [1])
--- /dev/null
+++ b/tests/sidecar/test_packets.py
@@ -0,0 +1,405 @@
+"""Tests of ownership: real entries and sidecars in a pool in memory."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from siskinbank.choice.rendezvous import prepare_rendezvous
+from siskinbank.config.site import Address
+from siskinbank.kernel.reasons import Drop, GivenUp
+from siskinbank.lab.pool import Pool, PoolSidecar
+from siskinbank.lab.sites import SERVICE, SERVICE_ADDRESS, PoolPlan
+from siskinbank.lab.sites import host_address
+from siskinbank.lab.standins.packets import (
+    ACK,
+    FIN,
+    RST,
+    SYN,
+    Flow,
+    make_packet,
+    make_udp,
+)
+from siskinbank.util import digest64
+from siskinbank.wire.envelopes import NAMED, UNCACHED, Envelope
+from siskinbank.wire.messages import Moved, Owner
+from siskinbank.wire.packets import flow_number, pack_address, parse_inner
+
+HOSTS = 5
+ENTRIES = 3
+_PROTOCOL = 9
+_TCP = 6
+SENDER: Address = ('10.250.0.1', 1)
+
+
+def _flow(port: int) -> Flow:
+    return Flow('10.9.0.1', port, *SERVICE_ADDRESS)
+
+
+def _first_packet(port: int, *, udp: bool) -> bytes:
+    if udp:
+        return make_udp(_flow(port), bytes(20))
+    return make_packet(_flow(port), SYN)
+
+
+def _only_tcp(packets: list[bytes]) -> list[bytes]:
+    return [raw for raw in packets if raw[_PROTOCOL] == _TCP]
+
+
+class PoolCase(unittest.TestCase):
+    """A pool of five hosts behind three entries."""
+
+    def setUp(self) -> None:
+        """Start the pool."""
+        self.pool = Pool(seed=5)
+        self.plan = PoolPlan(dict.fromkeys(range(HOSTS), 'active'))
+        for number in range(HOSTS + 2):
+            self.add_sidecar(number)
+        for number in range(ENTRIES):
+            self.pool.add_entry(f'entry-{number}', number)
+        self.site = self.plan.next_site()
+        self.pool.publish(self.site)
+        # Past the time in which the hosts mistrust their new pool.
+        self.pool.run(70)
+
+    def add_sidecar(self, number: int) -> None:
+        """Start a host's sidecar."""
+        self.pool.add_sidecar(f'{SERVICE}-{number}', host_address(number))
+
+    def send(self, raw: bytes, entry: int = 0, seconds: float = 0.5) -> None:
+        """Hand a packet to one entry and let time pass."""
+        name = f'entry-{entry}'
+        self.pool.entries[name].ingress.receive(raw, SENDER)
+        self.pool.run(seconds)
+
+    def owners(self, raw: bytes) -> list[str]:
+        """Return the hosts that own the packet's flow."""
+        packet = parse_inner(raw)
+        assert packet is not None
+        return [
+            name
+            for name, sidecar in self.pool.sidecars.items()
+            if sidecar.alive and sidecar.handler.flows.get(packet.flow)
+        ]
+
+    def delivered(self, raw: bytes) -> dict[str, int]:
+        """Return how many packets of a flow each upstream got."""
+        packet = parse_inner(raw)
+        assert packet is not None
+        return {
+            name: sidecar.upstream.packets[packet.key]
+            for name, sidecar in self.pool.sidecars.items()
+            if sidecar.upstream.packets[packet.key]
+        }
+
+    def drops(self, reason: Drop) -> int:
+        """Return a drop's count over the whole pool."""
+        parts = [*self.pool.entries.values(), *self.pool.sidecars.values()]
+        return sum(part.process.metrics.value(reason) for part in parts)
+
+    def restart(self, name: str) -> PoolSidecar:
+        """Restart a sidecar beside its running upstream."""
+        old = self.pool.sidecars[name]
+        self.pool.kill(name)
+        new = self.pool.add_sidecar(name, old.address, old.upstream)
+        new.view.adopt(self.site)
+        return new
+
+    def forget_routes(self) -> None:
+        """Replace all entries by new ones of the same names."""
+        for number in range(ENTRIES):
+            entry = self.pool.add_entry(f'entry-{number}', number)
+            entry.view.adopt(self.site)
+
+
+class TestOpening(PoolCase):
+    """Each flow is taken by exactly one host."""
+
+    def test_copies_through_uneven_entries(self) -> None:
+        """A first packet's copy under another generation finds the owner."""
+        for udp in (False, True):
+            for port in range(2000, 2080):
+                with self.subTest(udp=udp, port=port):
+                    raw = _first_packet(port, udp=udp)
+                    self.send(raw, 0, 0.01)
+                    self._grow_at(port, 2040)
+                    self.send(raw, 1, 0.01)
+                    self.assertEqual(len(self.owners(raw)), 1)
+                    self.assertEqual(len(self.delivered(raw)), 1)
+
+    def test_both_asked_at_once(self) -> None:
+        """Two entries offer one flow to two hosts in the same moment."""
+        self._grow_unevenly()
+        for port in range(3000, 3060):
+            raw = make_udp(_flow(port), bytes(20))
+            self.send(raw, 0, 0)
+            self.send(raw, 1, 0.05)
+            with self.subTest(port):
+                self.assertEqual(len(self.owners(raw)), 1)
+
+    def test_silent_host_delays_only(self) -> None:
+        """Where the host to ask is dead, the third copy is taken."""
+        self.pool.kill(f'{SERVICE}-0')
+        self.plan.states[0] = 'draining'
+        self.site = self.plan.next_site()
+        self.pool.publish(self.site)
+        for port in range(2000, 2020):
+            raw = make_packet(_flow(port), SYN)
+            for _ in range(3):
+                self.send(raw, 0, 1)
+            with self.subTest(port):
+                self.assertEqual(len(self.owners(raw)), 1)
+
+    def test_agrees_with_stateless_hashing(self) -> None:
+        """In a pool at rest the naive choice and ours are one."""
+        rank = prepare_rendezvous(self.site.services[SERVICE].hosts, 1)
+
+        @settings(max_examples=60, deadline=None)
+        @given(st.integers(1024, 65535), st.booleans(), st.integers(0, 2))
+        def check(port: int, udp: bool, entry: int) -> None:
+            raw = _first_packet(port, udp=udp)
+            packet = parse_inner(raw)
+            assert packet is not None
+            self.send(raw, entry, 0.02)
+            expected = rank(packet.key)[0].name
+            self.assertEqual(self.owners(raw), [expected])
+
+        check()
+
+    def _grow_at(self, port: int, wanted: int) -> None:
+        if port == wanted:
+            self._grow_unevenly()
+
+    def _grow_unevenly(self) -> None:
+        """Add two hosts; entry 0 and some sidecars stay behind."""
+        self.plan.states.update(
+            {number: 'active' for number in range(HOSTS + 2)},
+        )
+        self.site = self.plan.next_site()
+        self.pool.entries['entry-1'].view.adopt(self.site)
+        for number in (1, 3, HOSTS, HOSTS + 1):
+            self.pool.sidecars[f'{SERVICE}-{number}'].view.adopt(self.site)
+
+
+class TestMoved(PoolCase):
+    """Flows that do not live where they rank."""
+
+    def test_found_after_growth(self) -> None:
+        """TCP and UDP flows are found by pointers."""
+        self._check_all(self._open_and_move())
+
+    def test_found_though_pointers_were_lost(self) -> None:
+        """Without any pointer the packets are passed along by rank."""
+        packets = self._open_and_move()
+        for sidecar in self.pool.sidecars.values():
+            for raw in packets:
+                packet = parse_inner(raw)
+                assert packet is not None
+                sidecar.handler.pointers.forget(packet.key)
+        self._check_all(_only_tcp(packets))
+
+    def test_found_after_home_restarted(self) -> None:
+        """A sidecar that lost its pointers is told them again."""
+        packets = self._open_and_move()
+        for number in range(HOSTS, HOSTS + 2):
+            self.restart(f'{SERVICE}-{number}')
+        self.pool.run(0.1)
+        self._check_all(packets)
+
+    def test_adopted_after_restart(self) -> None:
+        """A sidecar's restart cuts no flow, with routes kept or forgotten."""
+        packets = self._open_and_move()
+        for forget in (False, True):
+            for number in range(HOSTS):
+                self.restart(f'{SERVICE}-{number}')
+            self.pool.run(3)
+            if forget:
+                self.forget_routes()
+            with self.subTest(forget=forget):
+                self._check_all(_only_tcp(packets))
+
+    def _open_and_move(self, count: int = 60) -> list[bytes]:
+        """Open TCP and UDP flows, then add two hosts and forget routes."""
+        opened = []
+        for port in range(2000, 2000 + count):
+            first = make_packet(_flow(port), SYN)
+            later = make_packet(_flow(port), ACK, b'x')
+            if port % 2:
+                first = make_udp(_flow(port), bytes(20))
+                later = first
+            self.send(first, 0, 0.01)
+            opened.append(later)
+        self.plan.states.update(
+            {number: 'active' for number in range(HOSTS + 2)},
+        )
+        self.site = self.plan.next_site()
+        self.pool.publish(self.site)
+        self.pool.run(0.5)
+        self.forget_routes()
+        return opened
+
+    def _check_all(self, packets: list[bytes]) -> None:
+        for raw in packets:
+            before = self.delivered(raw)
+            self.send(raw, 1, 0.05)
+            after = self.delivered(raw)
+            self.assertEqual(after.keys(), before.keys())
+            self.assertGreater(sum(after.values()), sum(before.values()))
+            self.assertEqual(len(self.owners(raw)), 1)
+
+
+class TestFences(PoolCase):
+    """What must not be believed or delivered."""
+
+    def setUp(self) -> None:
+        """Open one flow."""
+        super().setUp()
+        self.raw = make_packet(_flow(2000), ACK, b'x')
+        self.send(make_packet(_flow(2000), SYN))
+        self.owner = self.owners(self.raw)[0]
+        self.sidecar = self.pool.sidecars[self.owner]
+
+    def test_crafted_envelopes(self) -> None:
+        """Envelopes that lie are dropped and counted; the flow goes on."""
+        own = pack_address(self.sidecar.address)
+        ident = digest64(SERVICE)
+        other = make_packet(Flow('10.9.0.1', 2000, '10.77.0.2', 443), ACK)
+        loop = (pack_address(host_address(1)), pack_address(host_address(2)))
+        unknown = make_packet(_flow(9), ACK)
+        cases = (
+            ('service', NAMED, 0, digest64('other'), self.raw, (own,)),
+            ('address', NAMED, 0, ident, other, (own,)),
+            ('truncated', NAMED, 0, ident, self.raw[:30], (own,)),
+            ('hops', UNCACHED, 15, ident, unknown, loop),
+        )
+        expected = {
+            'service': Drop.wrong_service,
+            'address': Drop.wrong_service,
+            'truncated': Drop.malformed,
+            'hops': Drop.hop_limit,
+        }
+        for name, flags, hops, service, raw, candidates in cases:
+            with self.subTest(name):
+                before = self.drops(expected[name])
+                upstreams = [
+                    sidecar.upstream.packets.total()
+                    for sidecar in self.pool.sidecars.values()
+                ]
+                self.sidecar.handler.receive(
+                    Envelope(
+                        flags, hops, 0, service, 1, 0, own, candidates, raw
+                    ),
+                    SENDER,
+                )
+                self.pool.run(0.5)
+                self.assertEqual(self.drops(expected[name]), before + 1)
+                self.assertEqual(
+                    [
+                        sidecar.upstream.packets.total()
+                        for sidecar in self.pool.sidecars.values()
+                    ],
+                    upstreams,
+                )
+        self.send(self.raw)
+        self.assertEqual(self.delivered(self.raw), {self.owner: 2})
+
+    def test_unkeyed_and_noise(self) -> None:
+        """Datagrams without our key are counted, whatever they hold."""
+        before = self.drops(Drop.unkeyed)
+        for noise in (b'', b'\x01', bytes(200), self.raw):
+            self.pool.network.deliver(noise, self.sidecar.address)
+        self.assertEqual(self.drops(Drop.unkeyed), before + 4)
+
+    def test_replayed_hint(self) -> None:
+        """A hint of a wrong host costs hops, and no flow."""
+        wrong = next(name for name in self.pool.sidecars if name != self.owner)
+        stranger = self.pool.sidecars[wrong]
+        packet = parse_inner(self.raw)
+        assert packet is not None
+        for life in (0, 1, stranger.handler.incarnation):
+            hint = Owner(
+                packet.flow,
+                pack_address(stranger.address),
+                life,
+                1,
+            )
+            self.pool.entries['entry-0'].ingress.learn(hint, SENDER)
+            self.send(self.raw)
+        self.assertEqual(self.delivered(self.raw), {self.owner: 4})
+        self.assertEqual(self.owners(self.raw), [self.owner])
+
+    def test_false_pointers(self) -> None:
+        """Malformed or circular pointers break nothing."""
+        ident = digest64(SERVICE)
+        packet = parse_inner(self.raw)
+        assert packet is not None
+        number = flow_number(packet.flow).to_bytes(8, 'big')
+        names = [name for name in self.pool.sidecars if name != self.owner]
+        for name in names:
+            there = pack_address(self.pool.sidecars[names[0]].address)
+            for flows in (number[:5], b'', number):
+                told = Moved(ident, there, 1, 1, 30, flows)
+                self.pool.sidecars[name].handler.learn(told, SENDER)
+        self.forget_routes()
+        self.send(self.raw, 0)
+        self.send(self.raw, 1)
+        self.assertEqual(self.delivered(self.raw), {self.owner: 3})
+
+    def test_forged_end_cuts_nothing(self) -> None:
+        """After a reset that the upstream ignores the flow goes on."""
+        for flags in (RST, FIN | ACK):
+            self.send(make_packet(_flow(2000), flags))
+            self.send(self.raw)
+        self.assertEqual(self.delivered(self.raw), {self.owner: 5})
+
+    def test_address_of_another_service(self) -> None:
+        """A host that now serves another service delivers nothing."""
+        self.pool.entries['entry-0'].ingress.receive(self.raw, SENDER)
+        self.pool.run(1)
+        before = self.delivered(self.raw)
+        del self.plan.states[int(self.owner.rpartition('-')[2])]
+        self.sidecar.view.adopt(self.plan.next_site())
+        self.send(self.raw)
+        self.assertEqual(self.delivered(self.raw), before)
+        counts = self.sidecar.process.metrics
+        self.assertEqual(counts.value(GivenUp.removed), 1)
+        self.assertEqual(counts.value(Drop.wrong_service), 1)
+
+    def test_centre_out(self) -> None:
+        """Flows there are given up at once; no packet is delivered."""
+        number = int(self.owner.rpartition('-')[2])
+        self.send(self.raw)
+        before = self.delivered(self.raw)
+        self.plan.centres = {number: 'b'}
+        self.plan.out.add('b')
+        self.pool.publish(self.plan.next_site())
+        self.send(self.raw)
+        self.assertEqual(self.delivered(self.raw), before)
+        counts = self.sidecar.process.metrics
+        self.assertEqual(counts.value(GivenUp.centre_out), 1)
+        self.assertEqual(self.drops(Drop.owner_gone), 1)
+
+
+class TestSuspension(PoolCase):
+    """What processes do that wake up late."""
+
+    def test_waking_processes_look_first(self) -> None:
+        """Nothing passes until the view is fresh; then all goes on."""
+        raw = make_packet(_flow(2000), ACK, b'x')
+        self.send(make_packet(_flow(2000), SYN))
+        self.send(raw)
+        owner = self.owners(raw)[0]
+        self.pool.clock.advance(60)
+        self.send(raw, 0, 0)
+        sidecar = self.pool.sidecars[owner]
+        own = pack_address(sidecar.address)
+        envelope = Envelope(
+            NAMED, 0, 0, digest64(SERVICE), 1, 0, own, (own,), raw
+        )
+        self.assertFalse(sidecar.handler.take_owned(envelope.pack()))
+        sidecar.handler.receive(envelope, SENDER)
+        self.assertEqual(self.delivered(raw), {owner: 2})
+        self.assertEqual(self.drops(Drop.stale_view), 2)
+        self.pool.run(4)
+        self.send(raw)
+        self.assertEqual(self.delivered(raw), {owner: 3})
