--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -184,12 +184,15 @@
                 if prober:
                     self._announcer.tell(prober, packet.flow, pointer)
                 return
-        if packet.may_open:
-            self._open(envelope, packet, number)
-        elif envelope.flags & ORPHAN and self._forwarder.is_last(envelope):
-            self._adopt(envelope, packet)
-        elif self._may_be_ours(envelope):
+        if envelope.flags & ORPHAN:
+            if self._forwarder.is_last(envelope):
+                self._adopt(envelope, packet)
+            else:
+                self._pass_on(envelope, packet, number)
+        elif self._may_be_ours(envelope, packet):
             self._search_then_adopt(envelope, packet, number)
+        elif packet.may_open:
+            self._open(envelope, packet, number)
         else:
             self._pass_on(envelope, packet, number)
 
@@ -255,19 +258,23 @@
         self._announcer.announce_new(packet.flow)
         return True
 
-    def _may_be_ours(self, envelope: Envelope) -> bool:
+    def _may_be_ours(self, envelope: Envelope, packet: InnerPacket) -> bool:
         """Whether an unknown flow may have been owned here earlier.
 
         That is so when somebody remembers it, or when this process started
         lately and the entry offered the packet here first. A restart of the
         sidecar alone leaves the upstream's connections whole.
         """
-        if envelope.flags & ORPHAN:
+        if packet.first:
             return False
         if envelope.flags & NAMED:
-            return same_host(envelope.incarnation, self.incarnation)
+            remembered = envelope.incarnation
+            if packet.may_open and remembered == self.incarnation:
+                return False
+            return same_host(remembered, self.incarnation)
         recovering = _REFILL_SECONDS < self.age < _RECOVERY_SECONDS
-        return recovering and envelope.position == 0
+        first = envelope.position == 0 and not packet.may_open
+        return recovering and first
 
     def _search_then_adopt(
         self,
@@ -305,7 +312,8 @@
     ) -> None:
         if envelope.flags & NAMED:
             self._forwarder.restart(envelope)
-        if packet.may_open and not envelope.flags & PROBE:
+        opens = packet.may_open and not envelope.flags & (PROBE | ORPHAN)
+        if opens:
             # Who is asked next need not ask again who owns the flow.
             envelope.flags |= PROBED
         receiver = self._forwarder.send_to_next(envelope)
@@ -318,7 +326,7 @@
             self._metrics.count(
                 Drop.at_limit if packet.may_open else Drop.unknown_flow,
             )
-        elif packet.may_open and not envelope.flags & PROBE:
+        elif opens:
             self._remember_passed(number, receiver)
 
     def _remember_passed(self, number: int, receiver: bytes) -> None:
--- a/tests/sidecar/test_packets.py
+++ b/tests/sidecar/test_packets.py
@@ -218,6 +218,22 @@
             with self.subTest(forget=forget):
                 self._check_all(_only_tcp(packets))
 
+    def test_udp_adopted_by_draining_host(self) -> None:
+        """A draining host's sidecar restarts; its UDP flows stay there.
+
+        Found by ``lab flows --seed 9``.
+        """
+        packets = self._open_and_move()
+        self.plan.states[0] = 'draining'
+        self.site = self.plan.next_site()
+        self.pool.publish(self.site)
+        self.pool.run(1)
+        udp = [raw for raw in packets if raw not in _only_tcp(packets)]
+        self._check_all(udp)
+        self.restart(f'{SERVICE}-0')
+        self.pool.run(0.1)
+        self._check_all(udp)
+
     def _open_and_move(self, count: int = 60) -> list[bytes]:
         """Open TCP and UDP flows, then add two hosts and forget routes."""
         opened = []
