--- a/tests/peers/test_datagrams.py
+++ b/tests/peers/test_datagrams.py
@@ -10,8 +10,8 @@
 
 KEYS = KeyRing([Key(1, bytes(32))])
 SENDER = ('10.0.0.1', 7100)
-OWNER = Owner(1, bytes(6))
-MOVED = Moved(1, bytes(6), 1, [])
+OWNER = Owner(bytes(13), bytes(6), 1, 1)
+MOVED = Moved(1, bytes(6), 1, 1, 1, bytes())
 
 
 class TestSubscriptions(unittest.TestCase):
--- a/tests/wire/test_replay.py
+++ b/tests/wire/test_replay.py
@@ -66,12 +66,12 @@
         wire = Wire()
         sender = PeerSocket(RING, Metrics())
         sender.use(wire)  # type: ignore[arg-type]
-        sender.send_message(Owner(1, bytes(6)), PEER)
+        sender.send_message(Owner(bytes(13), bytes(6), 1, 1), PEER)
         metrics = Metrics()
         receiver = PeerSocket(RING, metrics)
         taken: list[Message] = []
         receiver.on_message = lambda message, _sender: taken.append(message)
         for _ in range(3):
             receiver.receive(wire.sent[0], PEER)
-        self.assertEqual(taken, [Owner(1, bytes(6))])
+        self.assertEqual(taken, [Owner(bytes(13), bytes(6), 1, 1)])
         self.assertEqual(metrics.value(Drop.replayed), 2)
