--- a/siskinbank/sidecar/pool_history.py
+++ b/siskinbank/sidecar/pool_history.py
@@ -24,17 +24,27 @@
         self._now: PoolRanks | None = None
         self._earlier: list[tuple[float, PoolRanks]] = []
         self._changed = clock()
+        self._since: float | None = None
 
     @property
     def settled(self) -> bool:
         """Whether the pool has not changed for long enough."""
         return self._clock() - self._changed > SKEW_SECONDS
 
+    @property
+    def is_young(self) -> bool:
+        """Whether this process may be newer than what others rank by."""
+        if self._since is None:
+            return True
+        return self._clock() - self._since <= SKEW_SECONDS
+
     def update(self, ranks: PoolRanks) -> bool:
         """Take over the ranking in force; return whether it has changed."""
         if ranks is self._now:
             return False
         now = self._clock()
+        if self._since is None:
+            self._since = now
         if self._now is not None:
             self._earlier.append((now, self._now))
             del self._earlier[:-_MAX_EARLIER]
@@ -85,8 +95,8 @@
         offered = self.fresh(number) if first else self.known(number)
         wanted = offered[:1]
         if not self.settled:
-            # A process that has seen no earlier pool asks all it knows.
-            asked = 1 if self._earlier else None
+            # A young process knows of no earlier pool, and asks all.
+            asked = None if self.is_young else 1
             wanted.extend(self.known(number)[:asked])
             wanted.extend(self._earlier_firsts(number))
         return _unique(wanted, own)
--- a/tests/sidecar/test_packets.py
+++ b/tests/sidecar/test_packets.py
@@ -218,6 +218,27 @@
             with self.subTest(forget=forget):
                 self._check_all(_only_tcp(packets))
 
+    def test_young_host_asks_before_it_takes(self) -> None:
+        """A host that came with others, two generations ago, takes no flow.
+
+        The owners have not heard of it, so it has no pointers. Found by
+        ``lab flows --seed 3`` and ``--seed 5``.
+        """
+        flows = [make_udp(_flow(port), bytes(20)) for port in range(100, 400)]
+        for raw in flows:
+            self.send(raw, 0, 0.002)
+        for added in ((HOSTS, HOSTS + 1, HOSTS + 2), (HOSTS + 3,)):
+            for number in added:
+                self.add_sidecar(number)
+                self.plan.states[number] = 'active'
+            self.site = self.plan.next_site()
+            self.pool.entries['entry-1'].view.adopt(self.site)
+            for number in range(HOSTS, added[-1] + 1):
+                name = f'{SERVICE}-{number}'
+                self.pool.sidecars[name].view.adopt(self.site)
+            self.pool.run(1)
+        self._check_all(flows)
+
     def test_udp_adopted_by_draining_host(self) -> None:
         """A draining host's sidecar restarts; its UDP flows stay there.
 
