Test each fault at each step of a request, and keep bodies that start large

The HTTP parser's refusals were log lines without a counter. Change: bodies are read 64 KB at a time; parser refusals are counted.

--- a/siskinbank/entry/calls.py
+++ b/siskinbank/entry/calls.py
@@ -10,6 +10,7 @@
 from siskinbank.kernel.clock import Clock
 from siskinbank.kernel.outcomes import NotRun
 from siskinbank.kernel.reasons import Refusal
+from siskinbank.wire.bodies import CHUNK_BYTES, START_BYTES
 from siskinbank.wire.headers import (
     DEADLINE_HEADER,
     IDEMPOTENT_HEADER,
@@ -25,7 +26,6 @@
 DEFAULT_DEADLINE_SECONDS = 30.0
 _MAX_DEADLINE_SECONDS = 3600.0
 _MAX_KEY_CHARACTERS = 255
-_START_BYTES = 64 * 1024
 _REPLAY_BYTES = 256 * 1024
 _IDEMPOTENT_METHODS = frozenset(
     ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'TRACE'),
@@ -55,7 +55,7 @@
 
     async def read_start(self) -> None:
         """Read a small body whole, before a host is kept busy with it."""
-        while not self._whole and self._size < _START_BYTES:
+        while not self._whole and self._size < START_BYTES:
             await self._read_more()
 
     async def parts(self, position: int) -> bytes:
@@ -70,7 +70,7 @@
         if not self._asked:
             self._asked = True
             await self._ask_for_body()
-        chunk = await self._request.content.readany()
+        chunk = await self._request.content.read(CHUNK_BYTES)
         self._whole = not chunk
         self._size += len(chunk)
         if self.replayable and chunk:
--- a/siskinbank/ingress/http.py
+++ b/siskinbank/ingress/http.py
@@ -9,6 +9,7 @@
 from siskinbank.entry.context import EntryContext
 from siskinbank.entry.problems import problem_response
 from siskinbank.entry.ticketing import issue_ticket
+from siskinbank.ingress.parse_log import make_parse_logger
 from siskinbank.ingress.registry import (
     IngressHandle,
     IngressPlugin,
@@ -104,6 +105,7 @@
         ingress.serve,
         handler_cancellation=True,
         access_log=None,
+        logger=make_parse_logger(context.process),
         keepalive_timeout=_KEEP_ALIVE_SECONDS,
         max_line_size=_MAX_LINE_BYTES,
         max_field_size=MAX_HEADER_BYTES,
--- a/siskinbank/lab/faulty_link.py
+++ b/siskinbank/lab/faulty_link.py
@@ -5,13 +5,16 @@
 """
 
 import asyncio
+import enum
 import random
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from siskinbank.config.site import Address
+from siskinbank.wire.messages import Message, decode
 
-__all__ = ('FaultyLink', 'LinkFaults')
+__all__ = ('Fault', 'FaultyLink', 'LinkFaults')
 
 _LEAD = struct.Struct('!IQ')
 _RAW_BYTES = 16 * 1024
@@ -28,6 +31,19 @@
     delay: float = 0
 
 
+class Fault(enum.StrEnum):
+    """What befalls one frame."""
+
+    lose = 'lose'
+    double = 'double'
+    reorder = 'reorder'
+    cut = 'cut'
+
+
+#: Chooses the fault of a frame: its message, and whether it goes there.
+Script = Callable[[Message, bool], Fault | None]
+
+
 class FaultyLink:
     """Passes connections on to one address, with faults."""
 
@@ -44,6 +60,7 @@
         self.faults = faults
         self._rng = rng
         self._frames = frames
+        self.script: Script | None = None
         self._open = asyncio.Event()
         self._open.set()
         self._server: asyncio.Server | None = None
@@ -104,8 +121,12 @@
     ) -> None:
         far_reader, far_writer = await asyncio.open_connection(*self.target)
         self._writers.add(far_writer)
-        there = asyncio.create_task(self._pass_on(reader, far_writer))
-        back = asyncio.create_task(self._pass_on(far_reader, writer))
+        there = asyncio.create_task(
+            self._pass_on(reader, far_writer, there=True)
+        )
+        back = asyncio.create_task(
+            self._pass_on(far_reader, writer, there=False)
+        )
         try:
             await asyncio.wait(
                 (there, back),
@@ -121,37 +142,40 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        *,
+        there: bool,
     ) -> None:
-        held: bytes | None = None
+        held = b''
         while frame := await self._read(reader):
             await self._open.wait()
             if self.faults.delay:
                 await asyncio.sleep(self._rng.uniform(0, self.faults.delay))
-            draw = self._rng.random()
-            if draw < self.faults.cut:
+            fault = self._draw(frame, there=there)
+            if fault is Fault.cut:
                 writer.transport.abort()
                 return
-            held = self._write(writer, frame, held)
+            if fault is Fault.reorder and not held:
+                held = frame
+                continue
+            writer.write(_after(frame, fault) + held)
+            held = b''
             await writer.drain()
-        if held is not None:
-            writer.write(held)
-
-    def _write(
-        self,
-        writer: asyncio.StreamWriter,
-        frame: bytes,
-        held: bytes | None,
-    ) -> bytes | None:
-        """Write a frame with its faults; return one that is held back."""
-        if self._frames and self._rng.random() < self.faults.lose:
-            return held
-        if held is None and self._rng.random() < self.faults.reorder:
-            return frame
-        writer.write(frame)
-        if self._rng.random() < self.faults.double:
-            writer.write(frame)
-        if held is not None:
-            writer.write(held)
+        writer.write(held)
+
+    def _draw(self, frame: bytes, *, there: bool) -> Fault | None:
+        if self.script is not None:
+            return self.script(decode(frame[_LEAD.size :]), there)
+        chances = (
+            (Fault.cut, self.faults.cut),
+            (Fault.lose, self.faults.lose),
+            (Fault.double, self.faults.double),
+            (Fault.reorder, self.faults.reorder),
+        )
+        draw = self._rng.random()
+        for fault, chance in chances:
+            if draw < chance:
+                return fault
+            draw -= chance
         return None
 
     async def _read(self, reader: asyncio.StreamReader) -> bytes:
@@ -165,6 +189,13 @@
         return lead + await reader.readexactly(size)
 
 
+def _after(frame: bytes, fault: Fault | None) -> bytes:
+    """Return what is left of a frame."""
+    if fault is Fault.lose:
+        return b''
+    return frame + frame if fault is Fault.double else frame
+
+
 async def _end(*tasks: asyncio.Task[None]) -> None:
     for task in tasks:
         task.cancel()
--- a/siskinbank/lab/request_upstream.py
+++ b/siskinbank/lab/request_upstream.py
@@ -75,7 +75,7 @@
             raise
 
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
-        body = await request.read()
+        body = await request.content.read()
         key = request.headers.get(KEY_HEADER, '')
         self.runs[key] += 1
         pause = self.work_seconds * self._rng.uniform(0.5, 1.5)
--- /dev/null
+++ b/tests/sidecar/test_once.py
@@ -0,0 +1,262 @@
+"""Tests of at most one run: copies, other entries, changes and restarts."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+
+from siskinbank.lab.faulty_link import Fault, LinkFaults
+from siskinbank.lab.request_rig import RequestRig, RigHost, wait_until
+from siskinbank.sidecar.homes import SETTLE_SECONDS
+from siskinbank.wire.messages import (
+    AnswerHead,
+    BodyPart,
+    Message,
+    RequestHead,
+)
+from tests.request_case import RequestCase, running_rig
+
+#: A message of the exchange, and whether it goes from entry to sidecar.
+STEPS = (
+    (RequestHead, True),
+    (BodyPart, True),
+    (AnswerHead, False),
+    (BodyPart, False),
+)
+BODY = b'x' * 100_000
+SHORT_DEADLINE = 0.8
+
+Change = Callable[[RequestRig, RigHost], Awaitable[None]]
+
+
+def fail_first(step: tuple[type[Message], bool], fault: Fault) -> object:
+    """Return a script that lets one fault befall one message."""
+    done = False
+
+    def script(sent: Message, there: bool) -> Fault | None:
+        nonlocal done
+        if done or not isinstance(sent, step[0]) or there is not step[1]:
+            return None
+        done = True
+        return fault
+
+    return script
+
+
+class TestFaultAtEachStep(RequestCase):
+    """Each fault at each step of the exchange."""
+
+    async def check(
+        self,
+        step: tuple[type[Message], bool],
+        fault: Fault,
+    ) -> None:
+        """Send one ticket twice through a link that fails once."""
+        async with running_rig(entries=2, hosts=1) as rig:
+            link = rig.hosts['matcher-1'].link
+            ticket = await self.take_ticket(rig.urls()[0])
+            link.script = fail_first(step, fault)  # type: ignore[assignment]
+            first = await self.send(rig, 0, ticket)
+            again = await self.send(rig, 1, ticket)
+            runs = rig.hosts['matcher-1'].upstream.runs.total()
+            self.assertLessEqual(runs, 1)
+            for outcome, body in (first, again):
+                self.assertIn(
+                    outcome, {'answered', 'not-run', 'unknown', 'lost'}
+                )
+                if outcome == 'answered':
+                    self.assertEqual(body, BODY)
+                if outcome == 'not-run':
+                    self.assertEqual(runs, 0)
+            if fault is Fault.double:
+                self.assertEqual(first[0], 'answered')
+
+    async def send(
+        self,
+        rig: RequestRig,
+        entry: int,
+        ticket: str,
+    ) -> tuple[str, bytes]:
+        """Send the ticket through one entry."""
+        url = rig.urls()[entry]
+        return await self.post(
+            url, BODY, ticket=ticket, deadline=SHORT_DEADLINE
+        )
+
+    async def test_all(self) -> None:
+        """At most one run, true refusals, whole answers."""
+        cases = list(itertools.product(STEPS, Fault))
+        checks = [self.check(step, fault) for step, fault in cases]
+        results = await asyncio.gather(*checks, return_exceptions=True)
+        for case, result in zip(cases, results, strict=True):
+            with self.subTest(case):
+                if isinstance(result, BaseException):
+                    raise result
+
+
+class TestSameKeyAgain(RequestCase):
+    """The same request sent again."""
+
+    async def test_through_other_entries_at_once(self) -> None:
+        """Ten copies of a key, and of a ticket, run once."""
+        async with running_rig(entries=3, hosts=3) as rig:
+            urls = rig.urls()
+            ticket = await self.take_ticket(urls[0], 'k2')
+            for key, given in (('k1', ''), ('k2', ticket)):
+                outcomes = await asyncio.gather(
+                    *(
+                        self.post(url, key=key, ticket=given)
+                        for url in itertools.chain(urls, urls, urls)
+                    ),
+                )
+                with self.subTest(key):
+                    tags = [outcome for outcome, _body in outcomes]
+                    self.assertEqual(tags.count('answered'), 1)
+                    self.assertEqual(tags.count('unknown'), 8)
+                    self.assertEqual(self.runs(rig, key), 1)
+
+    async def test_after_each_change(self) -> None:
+        """Pool changes and restarts between two copies."""
+        changes = {
+            'drained': self.drain,
+            'gone': self.remove,
+            'sidecar restarted': self.restart,
+            'seen by one entry only': self.change_unevenly,
+        }
+        for name, change in changes.items():
+            with self.subTest(name):
+                await self.check_change(change)
+
+    async def check_change(self, change: Change) -> None:
+        """Send a bare key and a ticket before and after a change."""
+        async with running_rig(entries=2, hosts=3) as rig:
+            urls = rig.urls()
+            ticket = await self.take_ticket(urls[0], 'k2')
+            await self.post(urls[0], key='k1')
+            await self.post(urls[0], key='k2', ticket=ticket)
+            await change(rig, self.ran_at(rig, 'k1'))
+            await change(rig, self.ran_at(rig, 'k2'))
+            for url in urls:
+                bare = await self.post(url, key='k1')
+                told = await self.post(url, key='k2', ticket=ticket)
+                self.assertEqual((bare[0], told[0]), ('unknown', 'unknown'))
+            self.assertEqual(self.runs(rig, 'k1'), 1)
+            self.assertEqual(self.runs(rig, 'k2'), 1)
+
+    async def test_new_key_after_a_drain(self) -> None:
+        """A new home asks the former one, and runs what is new at once."""
+        async with running_rig(entries=1, hosts=3) as rig:
+            await self.drain(rig, rig.hosts['matcher-1'])
+            outcomes = {
+                (await self.post(rig.urls()[0], key=f'k{number}'))[0]
+                for number in range(20)
+            }
+            self.assertEqual(outcomes, {'answered'})
+
+    async def test_restarted_home_waits(self) -> None:
+        """A restarted home runs no bare key until it may vouch for it."""
+        async with running_rig(entries=1, hosts=1) as rig:
+            url = rig.urls()[0]
+            await self.restart(rig, rig.hosts['matcher-1'])
+            self.assertEqual((await self.post(url, key='k'))[0], 'unknown')
+            self.assertEqual(self.runs(rig, 'k'), 0)
+            ticket = await self.take_ticket(url)
+            told, _body = await self.post(url, ticket=ticket)
+            self.assertEqual(told, 'answered')
+            rig.skew += SETTLE_SECONDS + 1
+            self.assertEqual((await self.post(url, key='k'))[0], 'answered')
+
+    async def test_late_copy(self) -> None:
+        """What is held back past its deadline is never run."""
+        async with running_rig(entries=1, hosts=1) as rig:
+            host = rig.hosts['matcher-1']
+            url = rig.urls()[0]
+            ticket = await self.take_ticket(url)
+            host.link.pause()
+            for key, given in (('k1', ''), ('k2', ticket)):
+                told, _body = await self.post(
+                    url, key=key, ticket=given, deadline=0.3
+                )
+                self.assertEqual(told, 'unknown')
+            host.link.resume()
+            # The link is in order: a later answer comes after the late copies.
+            self.assertEqual((await self.post(url, key='k3'))[0], 'answered')
+            self.assertEqual(host.upstream.runs.keys(), {'k3'})
+
+    async def test_refused_ticket_is_spent(self) -> None:
+        """After a refusal a copy of the ticket does not run."""
+        async with running_rig(entries=1, hosts=1) as rig:
+            url = rig.urls()[0]
+            ticket = await self.take_ticket(url)
+            rig.hosts['matcher-1'].state = 'draining'
+            rig.publish()
+            self.assertEqual(
+                (await self.post(url, ticket=ticket))[0], 'not-run'
+            )
+            rig.hosts['matcher-1'].state = 'active'
+            rig.publish()
+            self.assertEqual(
+                (await self.post(url, ticket=ticket))[0], 'unknown'
+            )
+            self.assertEqual(rig.hosts['matcher-1'].upstream.arrivals, 0)
+
+    async def test_lossy_link(self) -> None:
+        """Copies through a link with all faults at once."""
+        async with running_rig(entries=2, hosts=2) as rig:
+            for host in rig.hosts.values():
+                host.link.faults = LinkFaults(0.03, 0.1, 0.03, 0.03, 0.002)
+            keys = [f'k{number}' for number in range(30)]
+            await asyncio.gather(
+                *(
+                    self.post(url, key=key, deadline=1)
+                    for key in keys
+                    for url in rig.urls()
+                ),
+            )
+            self.assertLessEqual(max(self.runs(rig, key) for key in keys), 1)
+
+    async def drain(self, rig: RequestRig, host: RigHost) -> None:
+        """Let a host drain."""
+        host.state = 'draining'
+        rig.publish()
+
+    async def remove(self, rig: RequestRig, host: RigHost) -> None:
+        """Take a host out of the configuration."""
+        host.state = 'absent'
+        rig.publish()
+
+    async def restart(self, rig: RequestRig, host: RigHost) -> None:
+        """Restart a sidecar."""
+        await rig.kill_sidecar(host.name)
+        await rig.start_sidecar(host.name)
+
+    async def change_unevenly(self, rig: RequestRig, host: RigHost) -> None:
+        """Drain a host in the eyes of one entry and the other sidecars."""
+        host.state = 'draining'
+        rig.generation += 1
+        site = rig.site()
+        for view in rig.views():
+            if view not in {rig.entries[0].view, host.view}:
+                view.adopt(site)
+
+
+class TestNoKey(RequestCase):
+    """Not idempotent and without a key."""
+
+    async def test_sent_once_after_doubt(self) -> None:
+        """Doubt ends it; a fenced refusal goes on to the next host."""
+        async with running_rig(entries=1, hosts=2) as rig:
+            for host in rig.hosts.values():
+                host.upstream.behaviour = host.upstream.behaviour.drop
+            told, _body = await self.post(rig.urls()[0])
+            self.assertEqual(told, 'unknown')
+            self.assertEqual(self.runs(rig, ''), 1)
+
+    async def test_passed_on_after_refusal(self) -> None:
+        """An upstream that is down has run nothing."""
+        async with running_rig(entries=1, hosts=2) as rig:
+            await rig.hosts['matcher-1'].upstream.stop()
+            for _ in range(6):
+                told, _body = await self.post(rig.urls()[0])
+                self.assertEqual(told, 'answered')
+            self.assertEqual(self.runs(rig, ''), 6)
+            await wait_until(lambda: rig.hosts['matcher-2'].upstream.served)
--- /dev/null
+++ b/tests/wire/test_bodies.py
@@ -0,0 +1,91 @@
+"""Tests of bodies in parts, within credit."""
+
+import asyncio
+import unittest
+
+from siskinbank.kernel.reasons import Drop
+from siskinbank.wire.bodies import (
+    CHUNK_BYTES,
+    WINDOW_BYTES,
+    BodyCutError,
+    BodyReader,
+    SendWindow,
+    send_body,
+)
+from siskinbank.wire.messages import BodyPart, Credit, Message
+
+NUMBER = 3
+
+
+class TestBodies(unittest.IsolatedAsyncioTestCase):
+    """Sender and reader."""
+
+    async def test_large_body_within_the_window(self) -> None:
+        """A body of many windows comes whole, and never too much of it."""
+        window = SendWindow()
+        waiting = 0
+
+        def grant(sent: Message) -> None:
+            nonlocal waiting
+            assert isinstance(sent, Credit)
+            waiting -= sent.size
+            window.give(sent.size)
+
+        reader = BodyReader(NUMBER, grant)
+        most = 0
+
+        async def deliver(sent: Message) -> None:
+            nonlocal waiting, most
+            assert isinstance(sent, BodyPart)
+            self.assertLessEqual(len(sent.content), CHUNK_BYTES)
+            self.assertIsNone(reader.put(sent))
+            waiting += len(sent.content)
+            most = max(most, waiting)
+
+        chunks = [*(bytes(WINDOW_BYTES) for _ in range(5)), b'end', b'']
+
+        async def read() -> bytes:
+            return chunks.pop(0)
+
+        sender = asyncio.create_task(
+            send_body(NUMBER, read, deliver, window),
+        )
+        size = 0
+        while part := await reader.read():
+            size += len(part)
+        await sender
+        self.assertEqual(size, 5 * WINDOW_BYTES + 3)
+        self.assertLessEqual(most, WINDOW_BYTES)
+        self.assertTrue(reader.ended)
+
+    async def test_refuses_what_does_not_fit(self) -> None:
+        """Doubled, skipped and oversized parts, and parts after the end."""
+        good = BodyPart(NUMBER, 0, False, b'a')
+        big = bytes(WINDOW_BYTES + 1)
+        cases = (
+            ((good, good), Drop.malformed),
+            ((BodyPart(NUMBER, 1, False, b'a'),), Drop.malformed),
+            ((BodyPart(NUMBER, 0, False, big),), Drop.over_credit),
+            (
+                (
+                    BodyPart(NUMBER, 0, True, b''),
+                    BodyPart(NUMBER, 1, True, b''),
+                ),
+                Drop.malformed,
+            ),
+        )
+        for parts, wanted in cases:
+            with self.subTest(wanted):
+                reader = BodyReader(NUMBER, lambda _sent: None)
+                self.assertEqual(
+                    [reader.put(part) for part in parts][-1], wanted
+                )
+
+    async def test_cut_body_never_looks_whole(self) -> None:
+        """What came is read; then the reader fails."""
+        reader = BodyReader(NUMBER, lambda _sent: None)
+        reader.put(BodyPart(NUMBER, 0, False, b'a'))
+        reader.fail(OSError('lost'))
+        self.assertEqual(await reader.read(), b'a')
+        with self.assertRaises(BodyCutError):
+            await reader.read()
--- /dev/null
+++ b/tests/wire/test_headers.py
@@ -0,0 +1,77 @@
+"""Tests of headers that must not pass between HTTP and the stream."""
+
+import unittest
+from typing import Any
+
+from siskinbank.wire.headers import (
+    MAX_HEADER_BYTES,
+    MAX_HEADERS,
+    forwarded_headers,
+    header_problem,
+    target_problem,
+)
+
+BAD_HEADERS: tuple[list[Any], ...] = (
+    [['a', 'b\r\nInjected: yes']],
+    [['a', 'b\nInjected: yes']],
+    [['a', 'b\0c']],
+    [['a\r\nInjected', 'yes']],
+    [['a b', 'c']],
+    [['', 'c']],
+    [['a:', 'c']],
+    [['Transfer-Encoding', 'chunked']],
+    [['content-length', '5']],
+    [['Connection', 'close']],
+    [['Upgrade', 'h2c']],
+    [['a', 5]],
+    [['a']],
+    ['ab'],
+    [['a', 'x' * (MAX_HEADER_BYTES + 1)]],
+    [['a', 'x'] for _ in range(MAX_HEADERS + 1)],
+)
+BAD_TARGETS = (
+    ('GET', ''),
+    ('GET', 'http://elsewhere/'),
+    ('GET', '/ HTTP/1.1\r\nInjected: yes'),
+    ('GET', '/a b'),
+    ('GET', f'/{"x" * 10_000}'),
+    ('GET\r\n', '/'),
+    ('G ET', '/'),
+    ('', '/'),
+    ('CONNECT', '/'),
+)
+
+
+class TestHeaders(unittest.TestCase):
+    """What is refused, and what is held back."""
+
+    def test_bad_headers(self) -> None:
+        """Nothing gets by that an HTTP parser would refuse."""
+        for headers in BAD_HEADERS:
+            with self.subTest(str(headers)[:60]):
+                self.assertIsNotNone(header_problem(headers))
+
+    def test_good_headers(self) -> None:
+        """Ordinary headers pass, text beyond ASCII too."""
+        good = [['Accept', '*/*'], ['X-Name', 'Þórr\tx'], ['x-empty', '']]
+        self.assertIsNone(header_problem(good))
+
+    def test_targets(self) -> None:
+        """Request lines are checked as well."""
+        for method, target in BAD_TARGETS:
+            with self.subTest((method, target[:40])):
+                self.assertIsNotNone(target_problem(method, target))
+        self.assertIsNone(target_problem('PATCH', '/a?b=%20c'))
+        self.assertIsNone(target_problem('OPTIONS', '*'))
+
+    def test_held_back(self) -> None:
+        """Headers of the connection, and those it names, end here."""
+        given = {
+            'Connection': 'close, X-Private',
+            'X-Private': '1',
+            'Transfer-Encoding': 'chunked',
+            'Siskinbank-Ticket': 't',
+            'Siskinbank-Outcome': 'answered',
+            'Accept': '*/*',
+        }
+        self.assertEqual(forwarded_headers(given), [['Accept', '*/*']])
