Learn the configuration and the live list from peers

Cause: every process watched the platform and polled the live list. Change: three readers for each data centre by rank read; the rest learns by announcements, content-addressed documents in pieces and buckets of the list. A new process asks peers before it serves; a lease on the suspension-counting clock tells whether it may act; silence and list together make a host gone.

--- a/siskinbank/choice/router.py
+++ b/siskinbank/choice/router.py
@@ -62,7 +62,12 @@
         if site is None:
             return PoolRanks(_rank_none, _rank_none, ())
         leaving = self._view.leaving
-        present = [host for host in service.hosts if not site.is_out(host)]
+        gone = self._view.gone
+        present = [
+            host
+            for host in service.hosts
+            if not site.is_out(host) and host.name not in gone
+        ]
         fresh = [
             host
             for host in present
--- a/siskinbank/commands/_options.py
+++ b/siskinbank/commands/_options.py
@@ -108,6 +108,13 @@
             help_text="URL of the platform's configuration service.",
             required=True,
         ),
+        _option(
+            '--peers',
+            help_text='Peer to ask first; may be given again. Not needed as '
+            'long as the platform lists the instances.',
+            type=ADDRESS,
+            multiple=True,
+        ),
         _option(
             '--admin',
             help_text='Address for status and metrics.',
--- a/siskinbank/config/sections.py
+++ b/siskinbank/config/sections.py
@@ -1,5 +1,6 @@
 """Split an effective document into published sections, and join them again."""
 
+import json
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,10 +18,21 @@
 from siskinbank.kernel.findings import Findings, Place
 from siskinbank.util import canonical_json, hex_digest
 
-__all__ = ('Manifest', 'join_sections', 'make_site', 'split_sections')
+__all__ = (
+    'DocumentKey',
+    'Manifest',
+    'join_sections',
+    'make_site',
+    'parse_manifest',
+    'split_sections',
+)
+
+#: Orders documents: the generation, then the digest over the manifest.
+DocumentKey = tuple[int, bytes]
 
 _SITE = 'site'
 _SERVICE = 'service/'
+DIGEST_DIGITS = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +45,36 @@
     @property
     def digest(self) -> str:
         """The digest over the whole manifest."""
-        return hex_digest(canonical_json([self.generation, self.sections]))
+        return hex_digest(self.raw)
+
+    @property
+    def raw(self) -> bytes:
+        """The one byte form of the manifest."""
+        return canonical_json([self.generation, self.sections])
+
+    @property
+    def key(self) -> DocumentKey:
+        """What decides between two documents: the higher one wins."""
+        return self.generation, bytes.fromhex(self.digest)
+
+
+def parse_manifest(raw: bytes) -> Manifest:
+    """Read the byte form of a manifest.
+
+    Raises:
+        ValueError: the bytes are no manifest.
+    """
+    parsed = json.loads(raw)
+    if not isinstance(parsed, list) or len(parsed) != 2:
+        raise ValueError('not a manifest')
+    generation, sections = parsed
+    if not isinstance(generation, int) or not isinstance(sections, dict):
+        raise ValueError('not a manifest')
+    for digest in sections.values():
+        if not isinstance(digest, str) or len(digest) != DIGEST_DIGITS:
+            raise ValueError('not a manifest')
+        bytes.fromhex(digest)
+    return Manifest(generation, sections)
 
 
 def split_sections(model: DocumentModel) -> dict[str, bytes]:
--- a/siskinbank/kernel/events.py
+++ b/siskinbank/kernel/events.py
@@ -74,6 +74,37 @@
     'platform unreachable',
     'The configuration service does not answer; all goes on as it is.',
 )
+CONFLICT = _define(
+    203,
+    'ERROR',
+    'two documents with one generation',
+    'The platform published two documents under one number; the one with the '
+    'higher digest is in force everywhere. Publish a higher generation.',
+)
+READING = _define(
+    211,
+    'INFO',
+    'reading the platform',
+    'By its rank this process reads the platform for its data centre.',
+)
+LIST_HELD = _define(
+    220,
+    'WARNING',
+    'live list omits much of the fleet',
+    'The list is believed only if it says the same for a while.',
+)
+ISOLATED = _define(
+    221,
+    'WARNING',
+    'no peer answers',
+    'The process goes on with what it has until a peer answers.',
+)
+HEARD = _define(
+    222,
+    'INFO',
+    'peers answer again',
+    'The process knows again what the fleet has in force.',
+)
 HOST_GONE = _define(
     300,
     'WARNING',
--- a/siskinbank/kernel/reasons.py
+++ b/siskinbank/kernel/reasons.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ('Drop', 'Refusal', 'Retry')
+__all__ = ('Drop', 'Ignored', 'Refusal', 'Retry')
 
 
 class Refusal(enum.StrEnum):
@@ -40,3 +40,13 @@
     at_limit = 'at-limit'
     centre_out = 'data-centre-out'
     too_large = 'too-large'
+
+
+class Ignored(enum.StrEnum):
+    """Why something that was offered as configuration was not put in force."""
+
+    older = 'older'
+    conflict = 'same-generation'
+    invalid = 'invalid'
+    over_rate = 'over-rate'
+    list_held = 'list-held'
--- a/siskinbank/lab/standins/platform.py
+++ b/siskinbank/lab/standins/platform.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+from siskinbank.util import canonical_json, hex_digest
+
 __all__ = ('PlatformStandIn',)
 
 _MAX_WAIT_SECONDS = 60
@@ -77,8 +79,18 @@
             raise web.HTTPNotFound
         return web.Response(text=section, content_type='application/json')
 
-    async def _get_instances(self, _request: web.Request) -> web.Response:
-        return web.json_response(self._instances)
+    async def _get_instances(self, request: web.Request) -> web.Response:
+        raw = canonical_json(self._instances)
+        tag = f'"{hex_digest(raw)}"'
+        if request.headers.get('If-None-Match') == tag:
+            return web.Response(status=304, headers={'ETag': tag})
+        answer = web.Response(
+            body=raw,
+            content_type='application/json',
+            headers={'ETag': tag},
+        )
+        answer.enable_compression()
+        return answer
 
     async def _put_configuration(self, request: web.Request) -> web.Response:
         await self.publish(json.loads(await request.text()))
--- /dev/null
+++ b/siskinbank/lab/virtual_fleet.py
@@ -0,0 +1,351 @@
+"""A fleet in virtual time, its platform, and its readers."""
+
+import random
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Any
+
+from siskinbank.config.models import DocumentModel
+from siskinbank.config.sections import Manifest, split_sections
+from siskinbank.config.site import Address
+from siskinbank.kernel.clock import FakeClock
+from siskinbank.lab.network import FakeNetwork
+from siskinbank.lab.virtual import VirtualNode
+from siskinbank.peers.gossip import Identity
+from siskinbank.peers.readers import (
+    READ_SECONDS,
+    READERS,
+    read_interval,
+    reader_rank,
+)
+from siskinbank.platform.listing import ListReader
+from siskinbank.platform.live import Instance, InstanceState, Role
+from siskinbank.platform.roster import Roster, record_of
+from siskinbank.util import hex_digest
+
+__all__ = ('VirtualFleet', 'VirtualPlatform')
+
+CENTRES = ('north-a', 'north-b', 'south-a', 'south-b')
+REGIONS = {name: name.split('-')[0] for name in CENTRES}
+_ENTRY_SHARE = 410 / 3610
+_HOSTS_A_SERVICE = 9
+_PORT = 7100
+_WATCH_SECONDS = 30
+_LOOK_SECONDS = 0.5
+_CALL_SECONDS = 0.005
+_SYNC_SECONDS = 1.0
+
+
+class VirtualPlatform:
+    """What is published, and how often it was asked."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        """Start empty."""
+        self._clock = clock
+        self.manifest = Manifest(0, {})
+        self.sections: dict[bytes, bytes] = {}
+        self.instances: list[Instance] = []
+        self.down = False
+        self.calls: Counter[int] = Counter()
+        self.watchers: list['VirtualReader'] = []
+
+    def call(self) -> bool:
+        """Count one call; return whether it is answered."""
+        self.calls[int(self._clock.now)] += 1
+        return not self.down
+
+    def rate(self, start: float, end: float) -> float:
+        """Return the calls a second from ``start`` to ``end``."""
+        seconds = range(int(start), int(end))
+        total = sum(self.calls[second] for second in seconds)
+        return total / max(len(seconds), 1)
+
+    def publish(self, manifest: Manifest, sections: Iterable[bytes]) -> None:
+        """Publish a document and wake the waiting watches."""
+        self.manifest = manifest
+        for raw in sections:
+            self.sections[bytes.fromhex(hex_digest(raw))] = raw
+        watchers, self.watchers = self.watchers, []
+        for reader in watchers:
+            reader.wake()
+
+
+class VirtualReader:
+    """The reads of one process, decided by the product's own functions."""
+
+    def __init__(self, node: VirtualNode, platform: VirtualPlatform) -> None:
+        """Read ``platform`` for ``node``."""
+        self._node = node
+        self._platform = platform
+        self._lists = ListReader(lambda: node.timers.now)
+        self._watching = False
+        self._list_due: float = 0
+        self._next_read: float = 0
+        node.timers.every(_LOOK_SECONDS, self.look, jitter=0.2)
+
+    def look(self) -> None:
+        """Read if this process's rank asks for it."""
+        gossip = self._node.gossip
+        identity = gossip.identity
+        now = gossip.now
+        if not gossip.joined:
+            return
+        rank = reader_rank(
+            gossip.roster,
+            identity.data_centre,
+            identity.name,
+            gossip.words,
+        )
+        interval = read_interval(
+            rank,
+            gossip.read_age,
+            len(gossip.roster),
+            self._node.rng,
+        )
+        if interval is None:
+            self._next_read = 0
+            return
+        if rank is not None and rank < READERS:
+            self._read_list(READS_APART)
+            self._watch()
+        elif not self._next_read:
+            self._next_read = now + interval
+        elif now >= self._next_read:
+            self._next_read = now + interval
+            self._read_list(0)
+            self._read_manifest()
+
+    def wake(self) -> None:
+        """A watch was answered."""
+        self._watching = False
+        self._node.timers.after(_CALL_SECONDS, self._take_manifest)
+
+    def _watch(self) -> None:
+        if self._watching or not self._platform.call():
+            return
+        if self._platform.manifest.generation != self._node.generation:
+            self._node.timers.after(_CALL_SECONDS, self._take_manifest)
+        self._watching = True
+        self._platform.watchers.append(self)
+        self._node.timers.after(_WATCH_SECONDS, self._end_watch)
+
+    def _end_watch(self) -> None:
+        if self in self._platform.watchers:
+            self._platform.watchers.remove(self)
+        self._watching = False
+
+    def _read_manifest(self) -> None:
+        if self._platform.call():
+            self._take_manifest()
+
+    def _take_manifest(self) -> None:
+        platform = self._platform
+        gossip = self._node.gossip
+        if platform.down:
+            return
+        gossip.note_read()
+        manifest = platform.manifest
+        if not gossip.store.wants(manifest.key):
+            return
+        gossip.store.put_raw(manifest.raw)
+        for digest in gossip.store.missing(manifest.key):
+            if platform.call():
+                gossip.store.put_raw(platform.sections[digest])
+        gossip.offer(manifest.key)
+
+    def _read_list(self, apart: float) -> None:
+        gossip = self._node.gossip
+        if gossip.now < self._list_due:
+            return
+        spread = self._node.rng.uniform(0.8, 1.2)
+        self._list_due = gossip.now + apart * spread
+        if not self._platform.call():
+            return
+        gossip.note_read()
+        records = self._lists.read(self._platform.instances, gossip.roster)
+        gossip.take_records(records)
+
+
+READS_APART = READ_SECONDS * READERS
+
+
+class VirtualFleet:
+    """Nodes by name, their platform, and the document that is published."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        """Plan ``size`` processes in four data centres of two regions."""
+        self.rng = random.Random(seed)
+        self.clock = FakeClock(now=1000)
+        self.network = FakeNetwork(self.clock, random.Random(seed + 1))
+        self.platform = VirtualPlatform(self.clock)
+        self.nodes: dict[str, VirtualNode] = {}
+        self.left: list[VirtualNode] = []
+        self.generation = 0
+        self._epoch = 1
+        entries = max(round(size * _ENTRY_SHARE), 1)
+        self.instances = [
+            _instance(number, number < entries) for number in range(size)
+        ]
+        self.document = _document(self.instances)
+        self.place = {
+            instance.address: instance.data_centre
+            for instance in self.instances
+        }
+
+    @property
+    def alive(self) -> list[VirtualNode]:
+        """The nodes that run."""
+        return list(self.nodes.values())
+
+    def start(self) -> None:
+        """Start all nodes with generation 1 in force and in one mind."""
+        self.publish()
+        self.platform.instances = list(self.instances)
+        roster, _news = Roster().merged(
+            record_of(instance, 1) for instance in self.instances
+        )
+        first: VirtualNode | None = None
+        for instance in self.instances:
+            node = self._make(instance)
+            node.gossip.roster = roster
+            if first is None:
+                self._load(node)
+                first = node
+            else:
+                node.gossip.store.copy_from(first.gossip.store)
+            node.start()
+        self.network.run(_SYNC_SECONDS * 3)
+
+    def publish(self, change: int = 0) -> None:
+        """Publish the next generation with one service changed."""
+        self.generation += 1
+        services: dict[str, Any] = self.document['services']
+        names = sorted(services)
+        service = services[names[change % len(names)]]
+        service['connections'] = 2000 + self.generation
+        model = DocumentModel.model_validate(self.document)
+        sections = split_sections(model)
+        digests = {name: hex_digest(raw) for name, raw in sections.items()}
+        manifest = Manifest(self.generation, digests)
+        self.platform.publish(manifest, sections.values())
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.network.run(seconds)
+
+    def kill(self, name: str) -> VirtualNode:
+        """End a process without warning."""
+        node = self.nodes.pop(name)
+        node.kill()
+        self.left.append(node)
+        return node
+
+    def restart(self, name: str) -> VirtualNode:
+        """Start a process anew that knows only the platform's list."""
+        self.kill(name)
+        instance = next(one for one in self.instances if one.name == name)
+        node = self._make(instance)
+        node.start()
+        listed = [record_of(one, 0) for one in self.platform.instances]
+        wait = self.rng.uniform(0.2, 1.5)
+
+        def read_list() -> None:
+            if not len(node.gossip.roster) and self.platform.call():
+                node.gossip.take_records(
+                    [replace(record, version=1) for record in listed],
+                )
+
+        node.timers.after(wait, read_list)
+        return node
+
+    def list_as(self, name: str, state: InstanceState) -> None:
+        """Let the platform list an instance in another state."""
+        self.platform.instances = [
+            replace(one, state=state) if one.name == name else one
+            for one in self.platform.instances
+        ]
+
+    def cut_regions(self) -> None:
+        """Let the regions lose each other."""
+        regions = {
+            address: REGIONS[centre] for address, centre in self.place.items()
+        }
+
+        def cut(sender: Address, receiver: Address) -> bool:
+            return regions[sender] != regions[receiver]
+
+        self.network.cut = cut
+
+    def heal(self) -> None:
+        """Let all reach each other again."""
+        self.network.cut = lambda _sender, _receiver: False
+
+    def _make(self, instance: Instance) -> VirtualNode:
+        self._epoch += 1
+        identity = Identity(
+            instance.name,
+            instance.role.value,
+            instance.data_centre,
+            instance.address,
+            self._epoch,
+        )
+        rng = random.Random(self.rng.random())
+        node = VirtualNode(identity, self.network, self.clock, rng)
+        self.nodes[instance.name] = node
+        VirtualReader(node, self.platform)
+        return node
+
+    def _load(self, node: VirtualNode) -> None:
+        store = node.gossip.store
+        store.put_raw(self.platform.manifest.raw)
+        for raw in self.platform.sections.values():
+            store.put_raw(raw)
+        node.gossip.offer(self.platform.manifest.key)
+
+
+def _instance(number: int, is_entry: bool) -> Instance:
+    role = Role.entry if is_entry else Role.sidecar
+    address = f'10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}'
+    return Instance(
+        f'{role.value}-{number}',
+        role,
+        CENTRES[number % len(CENTRES)],
+        (address, _PORT),
+    )
+
+
+def _document(instances: list[Instance]) -> dict[str, Any]:
+    hosts = [one for one in instances if one.role is Role.sidecar]
+    services: dict[str, object] = {}
+    for first in range(0, len(hosts), _HOSTS_A_SERVICE):
+        number = first // _HOSTS_A_SERVICE
+        pool = hosts[first : first + _HOSTS_A_SERVICE]
+        services[f'service-{number:03d}'] = _service(number, pool)
+    return {
+        'site': 'lab',
+        'data_centres': {
+            name: {'region': region} for name, region in REGIONS.items()
+        },
+        'services': services,
+    }
+
+
+def _service(number: int, pool: list[Instance]) -> dict[str, object]:
+    return {
+        'ingress': {
+            'fou': {
+                'address': f'10.77.{number >> 8}.{number & 255}',
+                'port': 443,
+            },
+        },
+        'cold': {'connections': 100, 'slots': 1, 'warm_up_seconds': 30},
+        'hosts': {
+            one.name: {
+                'data_centre': one.data_centre,
+                'address': one.address[0],
+                'port': one.address[1],
+            }
+            for one in pool
+        },
+    }
--- a/siskinbank/node.py
+++ b/siskinbank/node.py
@@ -1,11 +1,16 @@
 """The parts that entries and sidecars have in common."""
 
+import random
+import time
 from dataclasses import dataclass
 
+from siskinbank.config.site import Site
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.peers.datagrams import PeerSocket
+from siskinbank.peers.gossip import Gossip, Identity
 from siskinbank.platform.client import PlatformClient
 from siskinbank.platform.follower import Follower
+from siskinbank.platform.store import DocumentStore
 from siskinbank.platform.view import FleetView
 from siskinbank.settings import ProcessSettings
 from siskinbank.status import start_admin
@@ -21,6 +26,7 @@
     settings: ProcessSettings
     view: FleetView
     peers: PeerSocket
+    gossip: Gossip
 
 
 async def start_node(
@@ -35,10 +41,61 @@
     view = FleetView(process.log, lambda: process.timers.now)
     peers = PeerSocket(settings.keys, process.metrics)
     await peers.open(settings.bind)
-    node = Node(process, settings, view, peers)
+    gossip = _make_gossip(process, settings, view, peers)
+    node = Node(process, settings, view, peers, gossip)
     client = PlatformClient(settings.platform)
-    follower = Follower(client, view, process.log)
+    follower = Follower(client, gossip, process.log, process.metrics)
+    gossip.start()
     process.start_task(follower.run())
+    process.start_task(_declare_leaving(process, gossip))
     process.on_close(client.close)
     await start_admin(node)
     return node
+
+
+def _make_gossip(
+    process: ProcessContext,
+    settings: ProcessSettings,
+    view: FleetView,
+    peers: PeerSocket,
+) -> Gossip:
+    identity = Identity(
+        process.name,
+        process.role,
+        settings.data_centre,
+        settings.bind,
+        int(time.time()),
+    )
+    gossip = Gossip(
+        identity,
+        DocumentStore(process.log, process.metrics),
+        process.timers,
+        peers.send_message,
+        process.log,
+        process.metrics,
+        random.Random(),
+    )
+
+    def adopt(site: Site) -> None:
+        hosts = [
+            host.address
+            for service in site.services.values()
+            for host in service.hosts
+        ]
+        gossip.seeds = (*settings.peers, *hosts)
+        view.adopt(site)
+
+    def tell() -> None:
+        view.take_beliefs(gossip.leaving, gossip.gone)
+
+    gossip.seeds = settings.peers
+    gossip.on_adopt = adopt
+    gossip.on_beliefs = tell
+    gossip.subscribe_to(peers.subscribe)
+    view.follow_freshness(lambda: gossip.fresh)
+    return gossip
+
+
+async def _declare_leaving(process: ProcessContext, gossip: Gossip) -> None:
+    await process.stopping.wait()
+    gossip.declare_leaving()
--- /dev/null
+++ b/siskinbank/peers/rosters.py
@@ -0,0 +1,83 @@
+"""Compare rosters with peers, bucket by bucket."""
+
+import random
+
+from siskinbank.config.site import Address
+from siskinbank.kernel.metrics import Metrics
+from siskinbank.kernel.reasons import Drop, Ignored
+from siskinbank.peers.rate import TokenBucket
+from siskinbank.peers.transfer import Send
+from siskinbank.platform.roster import (
+    BUCKET_DIGEST_BYTES,
+    BUCKETS,
+    Record,
+    Roster,
+    parse_record,
+)
+from siskinbank.wire.gossip import Bucket, Buckets
+
+__all__ = ('RosterSync', 'parse_records')
+
+_BUCKETS_A_REPLY = 32
+_RECORD_BYTES = 45
+
+
+def parse_records(given: list[object], metrics: Metrics) -> list[Record]:
+    """Return the sound records of a message; count the others."""
+    records = [parse_record(parts) for parts in given]
+    sound = [record for record in records if record is not None]
+    if len(sound) < len(given):
+        metrics.count(Drop.malformed)
+    return sound
+
+
+class RosterSync:
+    """Sends digests and buckets within the upload rate."""
+
+    def __init__(
+        self,
+        send: Send,
+        rate: TokenBucket,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        """Send over ``send``."""
+        self._send = send
+        self._rate = rate
+        self._rng = rng
+        self._metrics = metrics
+
+    def send_digests(self, roster: Roster, peer: Address) -> None:
+        """Show a peer the digests of all buckets."""
+        if self._rate.take(BUCKETS * BUCKET_DIGEST_BYTES):
+            self._send(Buckets(roster.digests), peer)
+
+    def answer_digests(
+        self,
+        received: Buckets,
+        roster: Roster,
+        peer: Address,
+    ) -> None:
+        """Send the buckets that differ, and ask for the peer's."""
+        if len(received.digests) != BUCKETS * BUCKET_DIGEST_BYTES:
+            self._metrics.count(Drop.malformed)
+            return
+        differing = roster.differing(received.digests)
+        self._rng.shuffle(differing)
+        for index in differing[:_BUCKETS_A_REPLY]:
+            self.send_bucket(index, roster, peer, wanted=True)
+
+    def send_bucket(
+        self,
+        index: int,
+        roster: Roster,
+        peer: Address,
+        *,
+        wanted: bool,
+    ) -> None:
+        """Send one bucket; ``wanted`` asks for the peer's in return."""
+        records = [record.parts for record in roster.bucket(index)]
+        if self._rate.take(_RECORD_BYTES * (len(records) + 1)):
+            self._send(Bucket(index, wanted, records), peer)
+        else:
+            self._metrics.count(Ignored.over_rate)
--- a/siskinbank/platform/client.py
+++ b/siskinbank/platform/client.py
@@ -1,6 +1,6 @@
 """Read and watch the platform's configuration service over HTTP."""
 
-import json
+from http import HTTPStatus
 from typing import Any
 
 import aiohttp
@@ -14,6 +14,7 @@
 
 MAX_VALUE_BYTES = 1024 * 1024
 _READ_SECONDS = 5
+_LIST_PATH = '/v1/instances'
 _WATCH_SECONDS = 30
 
 
@@ -35,6 +36,9 @@
         """Read from the service at ``url``."""
         self._url = url.rstrip('/')
         self._session: aiohttp.ClientSession | None = None
+        self._instances: list[Instance] | None = None
+        self._list_tag = ''
+        self.list_octets = 0
 
     async def manifest(self) -> Manifest:
         """Return the published generation and digests.
@@ -42,7 +46,7 @@
         Raises:
             PlatformError: no valid answer.
         """
-        return _parse_manifest(await self._get('/v1/manifest'))
+        return _parse_manifest(await self._get('/v1/manifest') or b'')
 
     async def watch(self, after: int) -> Manifest:
         """Wait for a generation other than ``after``, or for the time-out.
@@ -52,48 +56,62 @@
         """
         path = f'/v1/manifest?after={after}&wait={_WATCH_SECONDS}'
         raw = await self._get(path, _WATCH_SECONDS + _READ_SECONDS)
-        return _parse_manifest(raw)
+        return _parse_manifest(raw or b'')
 
-    async def section(self, name: str, digest: str) -> Any:
-        """Return one parsed section that has this digest.
+    async def section(self, name: str, digest: str) -> bytes:
+        """Return the bytes of one section that has this digest.
 
         Raises:
             PlatformError: no answer, or another content.
         """
-        raw = await self._get(f'/v1/sections/{name}')
+        raw = await self._get(f'/v1/sections/{name}') or b''
         if hex_digest(raw) != digest:
             raise PlatformError(f'section {name} has another digest')
-        try:
-            return json.loads(raw)
-        except ValueError as error:
-            raise PlatformError(f'section {name} is not JSON') from error
+        return raw
 
     async def instances(self) -> list[Instance]:
-        """Return the live list.
+        """Return the live list; parsed again only if it has changed.
 
         Raises:
             PlatformError: no valid answer.
         """
-        raw = await self._get('/v1/instances')
+        raw = await self._get(_LIST_PATH, tag=self._list_tag)
+        if raw is None and self._instances is not None:
+            self.list_octets = 0
+            return self._instances
         try:
-            return parse_instances(raw)
+            self._instances = parse_instances(raw or b'')
         except ValueError as error:
             raise PlatformError(str(error)) from error
+        return self._instances
 
     async def close(self) -> None:
         """Close the connection."""
         if self._session is not None:
             await self._session.close()
 
-    async def _get(self, path: str, seconds: float = _READ_SECONDS) -> bytes:
+    async def _get(
+        self,
+        path: str,
+        seconds: float = _READ_SECONDS,
+        tag: str | None = None,
+    ) -> bytes | None:
+        """Return a value; None when it still has the entity tag ``tag``."""
         if self._session is None:
             self._session = aiohttp.ClientSession()
-        timeout = aiohttp.ClientTimeout(total=seconds)
+        asked: dict[str, Any] = {
+            'timeout': aiohttp.ClientTimeout(total=seconds),
+            'headers': {'If-None-Match': tag} if tag else {},
+        }
         url = f'{self._url}{path}'
         try:
-            async with self._session.get(url, timeout=timeout) as answer:
+            async with self._session.get(url, **asked) as answer:
+                if tag and answer.status == HTTPStatus.NOT_MODIFIED:
+                    return None
                 answer.raise_for_status()
                 raw = await _read_bounded(answer.content)
+                if path == _LIST_PATH:
+                    self._note_list(answer, raw)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             reason = str(error) or type(error).__name__
             raise PlatformError(f'{path}: {reason}') from error
@@ -101,6 +119,11 @@
             raise PlatformError(f'{path}: more than {MAX_VALUE_BYTES} bytes')
         return raw
 
+    def _note_list(self, answer: aiohttp.ClientResponse, raw: bytes) -> None:
+        """Note the list's tag and what it took to transfer."""
+        self._list_tag = answer.headers.get('ETag', '')
+        self.list_octets = answer.content_length or len(raw)
+
 
 async def _read_bounded(content: aiohttp.StreamReader) -> bytes:
     """Read up to one byte more than a value may have."""
--- a/siskinbank/platform/view.py
+++ b/siskinbank/platform/view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
+from siskinbank.config.sections import DocumentKey, Manifest
 from siskinbank.config.site import Service, Site
 from siskinbank.kernel import events
 from siskinbank.kernel.clock import Clock
@@ -18,8 +19,12 @@
         self._log = log
         self._clock = clock
         self._site: Site | None = None
+        self._key: DocumentKey = (0, b'')
         self._instances: tuple[Instance, ...] = ()
         self._listed_at: float | None = None
+        self._leaving: frozenset[str] = frozenset()
+        self._gone: frozenset[str] = frozenset()
+        self._is_fresh: Callable[[], bool] = _always
         self._subscribers: list[Callable[[], None]] = []
 
     @property
@@ -46,13 +51,22 @@
 
     @property
     def leaving(self) -> frozenset[str]:
-        """The names of sidecar instances that the platform takes away."""
-        return frozenset(
-            instance.name
-            for instance in self._instances
-            if instance.role is Role.sidecar
-            and instance.state is InstanceState.leaving
-        )
+        """The names of instances that leave, by the list or their own word."""
+        return self._leaving
+
+    @property
+    def gone(self) -> frozenset[str]:
+        """The names of instances that list and silence say are gone."""
+        return self._gone
+
+    @property
+    def fresh(self) -> bool:
+        """Whether the process may act on this view.
+
+        False after a pause, until a peer has answered or it is clear that
+        none does.
+        """
+        return self._is_fresh()
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` after each change, and now if one has been."""
@@ -65,8 +79,12 @@
         return self._site.by_ident.get(ident) if self._site else None
 
     def adopt(self, site: Site) -> bool:
-        """Put a newer generation in force; refuse an older one."""
-        if site.generation <= self.generation:
+        """Put a newer generation in force; refuse an older one.
+
+        Of two sites with one generation the one with the higher digest wins.
+        """
+        key = Manifest(site.generation, site.digests).key
+        if self._site is not None and key <= self._key:
             if site.generation < self.generation:
                 self._log.write(
                     events.OLDER,
@@ -75,6 +93,7 @@
                 )
             return False
         self._site = site
+        self._key = key
         self._log.write(events.ADOPTED, generation=site.generation)
         self._tell()
         return True
@@ -85,8 +104,34 @@
         if tuple(instances) == self._instances:
             return
         self._instances = tuple(instances)
+        leaving = frozenset(
+            instance.name
+            for instance in self._instances
+            if instance.role is Role.sidecar
+            and instance.state is InstanceState.leaving
+        )
+        self.take_beliefs(leaving, self._gone)
+
+    def take_beliefs(
+        self,
+        leaving: frozenset[str],
+        gone: frozenset[str],
+    ) -> None:
+        """Take over which instances leave or are gone."""
+        if (leaving, gone) == (self._leaving, self._gone):
+            return
+        self._leaving = leaving
+        self._gone = gone
         self._tell()
 
+    def follow_freshness(self, is_fresh: Callable[[], bool]) -> None:
+        """Ask ``is_fresh`` whether the process may act on the view."""
+        self._is_fresh = is_fresh
+
     def _tell(self) -> None:
         for callback in self._subscribers:
             callback()
+
+
+def _always() -> bool:
+    return True
--- a/siskinbank/settings.py
+++ b/siskinbank/settings.py
@@ -1,6 +1,6 @@
 """Process settings, as given in flags and environment variables."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from siskinbank.wire.keys import KeyRing
 
@@ -19,6 +19,7 @@
     admin: Address
     platform: str
     keys: KeyRing
+    peers: tuple[Address, ...] = field(default=(), kw_only=True)
 
 
 @dataclass(frozen=True, slots=True)
--- a/siskinbank/status.py
+++ b/siskinbank/status.py
@@ -6,11 +6,14 @@
 
 from siskinbank import __version__
 from siskinbank.kernel.process import ProcessContext
+from siskinbank.peers.gossip import Gossip
+from siskinbank.peers.readers import READERS, reader_rank
 from siskinbank.platform.view import FleetView
 from siskinbank.settings import ProcessSettings
 
 __all__ = ('describe', 'start_admin')
 
+_SHOWN = 20
 _EXPOSITION = 'text/plain; version=0.0.4; charset=utf-8'
 
 
@@ -18,9 +21,18 @@
     process: ProcessContext,
     settings: ProcessSettings,
     view: FleetView,
+    gossip: Gossip,
 ) -> dict[str, Any]:
     """Return the status document of a process."""
     site = view.site
+    now = process.timers.now
+    laggards = gossip.laggards.lowest(view.generation, now)
+    rank = reader_rank(
+        gossip.roster,
+        settings.data_centre,
+        process.name,
+        gossip.words,
+    )
     return {
         'name': process.name,
         'role': process.role,
@@ -30,8 +42,24 @@
         'site': site.name if site else None,
         'generation': view.generation,
         'services': sorted(site.services) if site else [],
-        'instances': len(view.instances),
-        'live_list_age_seconds': view.list_age,
+        'fresh': view.fresh,
+        'isolated': gossip.freshness.isolated,
+        'heard_age_seconds': gossip.freshness.age,
+        'fleet_lowest_generation': min(
+            [view.generation, *(lag.generation for lag in laggards)],
+        ),
+        'lagging': {lag.name: lag.generation for lag in laggards},
+        'refused_generation': gossip.store.refused[0],
+        'findings': gossip.store.findings,
+        'instances': len(gossip.roster),
+        'leaving': sorted(view.leaving),
+        'gone': sorted(view.gone)[:_SHOWN],
+        'gone_count': len(view.gone),
+        'reads_platform': rank is not None and rank < READERS,
+        'live_list_age_seconds': gossip.ages.read_age(
+            settings.data_centre,
+            now,
+        ),
         'counts': process.metrics.counts,
     }
 
@@ -46,7 +74,7 @@
 
     async def status(_request: web.Request) -> web.Response:
         return web.json_response(
-            describe(process, node.settings, node.view),
+            describe(process, node.settings, node.view, node.gossip),
         )
 
     async def metrics(_request: web.Request) -> web.Response:
--- a/siskinbank/wire/messages.py
+++ b/siskinbank/wire/messages.py
@@ -32,6 +32,7 @@
 MessageT = TypeVar('MessageT', bound=type[Message])
 
 _KINDS: dict[int, type[Message]] = {}
+_FIELDS: dict[type[Message], dict[str, Any]] = {}
 
 
 def message(cls: MessageT) -> MessageT:
@@ -44,9 +45,9 @@
 
 def encode(sent: Message) -> bytes:
     """Return the msgpack form: a list of the kind and the fields in order."""
-    fields = dataclasses.fields(sent)  # type: ignore[arg-type]
+    names = _field_types(type(sent))
     packed: bytes = msgpack.packb(
-        [sent.kind, *(getattr(sent, field.name) for field in fields)],
+        [sent.kind, *(getattr(sent, name) for name in names)],
     )
     return packed
 
@@ -83,13 +84,23 @@
 
 
 def _check_fields(known: type[Message], given: list[Any]) -> None:
-    fields = dataclasses.fields(known)  # type: ignore[arg-type]
+    fields = _field_types(known)
     if len(given) != len(fields):
         raise MessageError(f'{len(given)} fields for {known.__name__}')
-    for field, content in zip(fields, given, strict=True):
-        allowed = _TYPES[field.type]
+    for name, content in zip(fields, given, strict=True):
+        allowed = fields[name]
         if not isinstance(content, allowed) or _is_bad_bool(content, allowed):
-            raise MessageError(f'{known.__name__}.{field.name}')
+            raise MessageError(f'{known.__name__}.{name}')
+
+
+def _field_types(known: type[Message]) -> dict[str, Any]:
+    """Return the fields of a message class with their types, in order."""
+    types = _FIELDS.get(known)
+    if types is None:
+        fields = dataclasses.fields(known)  # type: ignore[arg-type]
+        types = {field.name: _TYPES[field.type] for field in fields}
+        _FIELDS[known] = types
+    return types
 
 
 _TYPES: dict[Any, type | tuple[type, ...]] = {
