--- a/siskinbank/entry/daemon.py
+++ b/siskinbank/entry/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from siskinbank.choice.homes import KeyHomes
 from siskinbank.choice.router import Router
 from siskinbank.entry.context import EntryContext
 from siskinbank.entry.links import RequestLinks
@@ -9,6 +10,7 @@
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.kernel.registry import PluginNotFoundError
 from siskinbank.node import start_node
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.settings import EntrySettings
 
 __all__ = ('start_entry',)
@@ -30,7 +32,8 @@
         node.view,
         Router(node.view),
         node.peers,
-        RequestLinks(process),
+        RequestLinks(process, PeerStreams(process, settings.keys)),
+        KeyHomes(node.view),
     )
     opener = _Opener(context)
     node.view.subscribe(opener.wake)
--- a/siskinbank/ingress/tcp.py
+++ b/siskinbank/ingress/tcp.py
@@ -65,10 +65,13 @@
             context.process.metrics.count(Refusal.no_host)
             return
         caller = '{0}:{1}'.format(*writer.get_extra_info('peername')[:2])
+        started = context.process.timers.now
         stream = await _open(context, service, caller)
+        took = context.process.timers.now - started
+        context.process.metrics.time('flow_opening', took)
         if stream is not None:
             context.process.metrics.tally('flows_opened')
-            await pump_both(reader, writer, stream.reader, stream.writer)
+            await pump_both(reader, writer, stream)
     finally:
         writer.close()
 
@@ -98,7 +101,7 @@
     metrics = context.process.metrics
     for host in context.router.fresh(service, digest64(caller)):
         try:
-            stream = await _offer(host, service, caller)
+            stream = await _offer(context, host, service, caller)
         except (OSError, MessageError):
             metrics.count(Retry.unreachable)
             continue
@@ -110,12 +113,13 @@
 
 
 async def _offer(
+    context: EntryContext,
     host: Host,
     service: Service,
     caller: str,
 ) -> MessageStream | None:
     async with asyncio.timeout(_OPEN_SECONDS):
-        stream = MessageStream(*await asyncio.open_connection(*host.address))
+        stream = await context.links.streams.connect(host.address)
         await stream.send(OpenTunnel(service.ident, caller))
         answer = await stream.receive()
     if isinstance(answer, TunnelOpened):
--- a/siskinbank/kernel/events.py
+++ b/siskinbank/kernel/events.py
@@ -105,6 +105,26 @@
     'peers answer again',
     'The process knows again what the fleet has in force.',
 )
+UNKEYED = _define(
+    240,
+    'WARNING',
+    'no valid key: refused',
+    'Something without a valid key sent datagrams or opened a stream. Nothing '
+    'of it was taken. Written at most once a minute; the counters '
+    '`unkeyed` and `unkeyed-stream` have them all.',
+)
+KEYS_READ = _define(
+    241,
+    'INFO',
+    'keys read again',
+    'The file of keys has changed; the fields tell which keys are valid now.',
+)
+KEYS_BAD = _define(
+    242,
+    'ERROR',
+    'keys cannot be read',
+    'The file of keys is missing or malformed; the keys before stay valid.',
+)
 HOST_GONE = _define(
     300,
     'WARNING',
--- a/siskinbank/kernel/metrics.py
+++ b/siskinbank/kernel/metrics.py
@@ -14,11 +14,14 @@
 )
 from prometheus_client.registry import Collector
 
+from siskinbank.kernel.reasons import Drop, Refusal, Retry
+
 __all__ = ('Metrics',)
 
 _PREFIX = 'siskinbank'
 _MAX_MICROSECONDS = 600_000_000
 _DIGITS = 2
+_PERCENTILES = (50, 90, 99)
 _MICROSECONDS = 1_000_000
 
 
@@ -30,6 +33,7 @@
         self._counts: Counter[tuple[str, str]] = Counter()
         self._gauges: dict[str, float] = {}
         self._times: dict[str, HdrHistogram] = {}
+        self._cells: dict[str, list[int]] = {}
 
     @property
     def counts(self) -> dict[str, dict[str, int]]:
@@ -37,8 +41,20 @@
         families: dict[str, dict[str, int]] = {}
         for (family, reason), count in sorted(self._counts.items()):
             families.setdefault(family, {})[reason] = count
+        for name, cell in sorted(self._cells.items()):
+            if cell[0]:
+                reasons = families.setdefault(name, {})
+                reasons[''] = reasons.get('', 0) + cell[0]
         return families
 
+    @property
+    def times(self) -> dict[str, dict[str, float]]:
+        """The durations: name, then quantile, to seconds."""
+        return {
+            name: _quantiles(histogram)
+            for name, histogram in sorted(self._times.items())
+        }
+
     def count(self, reason: enum.StrEnum, amount: int = 1) -> None:
         """Count one event of ``reason``; its class names the family."""
         family = type(reason).__name__.lower()
@@ -48,17 +64,17 @@
         """Count events that have no reasons, such as packets passed."""
         self._counts[family, ''] += amount
 
+    def cell(self, family: str) -> list[int]:
+        """Return a list of one number that a hot path adds to by itself."""
+        return self._cells.setdefault(family, [0])
+
     def value(self, reason: enum.StrEnum) -> int:
         """Return the count of one reason."""
         return self._counts[type(reason).__name__.lower(), reason.value]
 
     def total(self, family: str) -> int:
         """Return the count of all reasons in a family."""
-        return sum(
-            count
-            for (name, _reason), count in self._counts.items()
-            if name == family
-        )
+        return sum(self.counts.get(family, {}).values())
 
     def gauge(self, name: str, amount: float) -> None:
         """Set a figure that goes up and down."""
@@ -75,7 +91,7 @@
 
     def collect(self) -> Iterator[Metric]:
         """Yield every family for the exposition format."""
-        for family, reasons in self.counts.items():
+        for family, reasons in self._all_counts().items():
             counter = CounterMetricFamily(
                 f'{_PREFIX}_{family}',
                 f'Number of {family} events.',
@@ -99,6 +115,16 @@
         registry.register(self)
         return generate_latest(registry)
 
+    def _all_counts(self) -> dict[str, dict[str, int]]:
+        """Return the counters, those that are still zero included."""
+        families: dict[str, dict[str, int]] = {
+            kind.__name__.lower(): {reason.value: 0 for reason in kind}
+            for kind in (Drop, Refusal, Retry)
+        }
+        for family, reasons in self.counts.items():
+            families.setdefault(family, {}).update(reasons)
+        return families
+
     def _summary(self, name: str, histogram: HdrHistogram) -> Metric:
         count = histogram.get_total_count()
         mean = histogram.get_mean_value() / _MICROSECONDS
@@ -108,11 +134,19 @@
             count_value=count,
             sum_value=mean * count,
         )
-        for quantile in (50, 90, 99):
-            seconds = histogram.get_value_at_percentile(quantile)
+        for quantile, seconds in _quantiles(histogram).items():
             summary.add_sample(
                 f'{_PREFIX}_{name}_seconds',
-                {'quantile': str(quantile / 100)},
-                seconds / _MICROSECONDS,
+                {'quantile': quantile},
+                seconds,
             )
         return summary
+
+
+def _quantiles(histogram: HdrHistogram) -> dict[str, float]:
+    return {
+        str(percentile / 100): (
+            histogram.get_value_at_percentile(percentile) / _MICROSECONDS
+        )
+        for percentile in _PERCENTILES
+    }
--- a/siskinbank/lab/pool.py
+++ b/siskinbank/lab/pool.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from siskinbank.choice.homes import KeyHomes
 from siskinbank.choice.router import Router
 from siskinbank.config.site import Address, Site
 from siskinbank.entry.context import EntryContext
@@ -16,6 +17,7 @@
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.kernel.timers import TimerService
 from siskinbank.lab.network import FakeNetwork
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.platform.view import FleetView
 from siskinbank.settings import EntrySettings, SidecarSettings
@@ -24,11 +26,12 @@
 from siskinbank.wire.keys import KEY_BYTES, Key, KeyRing
 from siskinbank.wire.packets import InnerPacket, parse_inner
 
-__all__ = ('FakeUpstream', 'Pool', 'PoolEntry', 'PoolSidecar')
+__all__ = ('UPSTREAM_PORT', 'FakeUpstream', 'Pool', 'PoolEntry', 'PoolSidecar')
 
 _TICK_SECONDS = 0.1
 _KEYS = KeyRing([Key(1, bytes(KEY_BYTES))])
-_UPSTREAM_PORT = 5555
+#: Where the fake upstreams receive, at their hosts' own addresses.
+UPSTREAM_PORT = 5555
 
 
 @dataclass(slots=True)
@@ -105,16 +108,23 @@
             view,
             Router(view),
             peers,
-            RequestLinks(process),
+            RequestLinks(process, PeerStreams(process, _KEYS)),
+            KeyHomes(view),
         )
         entry = PoolEntry(process, view, PacketIngress(context))
         self.entries[name] = entry
         return entry
 
-    def add_sidecar(self, name: str, address: Address) -> PoolSidecar:
-        """Start a sidecar with a fresh upstream; it replaces one of its name.
+    def add_sidecar(
+        self,
+        name: str,
+        address: Address,
+        upstream: FakeUpstream | None = None,
+    ) -> PoolSidecar:
+        """Start a sidecar beside an upstream, a fresh one by default.
 
-        The name must be a host's name in the site that is published.
+        It replaces one of its name, which must be a host's name in the site
+        that is published.
         """
         process = self._process('sidecar', name)
         view = FleetView(process.log, self.clock)
@@ -123,15 +133,21 @@
         settings = SidecarSettings(
             name, 'a', address, address, '', _KEYS, None, None, None
         )
-        context = SidecarContext(process, settings, view, peers)
-        upstream = FakeUpstream()
+        context = SidecarContext(
+            process,
+            settings,
+            view,
+            peers,
+            PeerStreams(process, _KEYS),
+        )
+        beside = upstream or FakeUpstream()
 
         def receive(datagram: bytes, _sender: Address) -> None:
             packet = parse_inner(datagram)
             if packet is not None:
-                upstream.receive(packet, self.clock.now)
+                beside.receive(packet, self.clock.now)
 
-        inner: Address = (address[0], _UPSTREAM_PORT)
+        inner: Address = (address[0], UPSTREAM_PORT)
         self.network.bind(inner, receive)
         transport = _Connected(self.network, inner)
         handler = PacketHandler(context, transport)
@@ -140,7 +156,7 @@
             view,
             context,
             handler,
-            upstream,
+            beside,
             address,
         )
         self.sidecars[name] = sidecar
@@ -164,11 +180,12 @@
         else:
             self.entries[name].alive = False
 
-    def spray(self, datagram: bytes) -> None:
-        """Hand a caller's packet to any entry."""
+    def spray(self, datagram: bytes) -> PoolEntry:
+        """Hand a caller's packet to any entry; return which one got it."""
         alive = [entry for entry in self.entries.values() if entry.alive]
         entry = self.rng.choice(alive)
         entry.ingress.receive(datagram, ('10.250.0.1', 1))
+        return entry
 
     def run(self, seconds: float) -> None:
         """Let virtual time pass, timers included."""
--- a/siskinbank/node.py
+++ b/siskinbank/node.py
@@ -8,12 +8,14 @@
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.peers.gossip import Gossip, Identity
+from siskinbank.peers.refusals import RefusalLog
 from siskinbank.platform.client import PlatformClient
 from siskinbank.platform.follower import Follower
 from siskinbank.platform.store import DocumentStore
 from siskinbank.platform.view import FleetView
 from siskinbank.settings import ProcessSettings
 from siskinbank.status import start_admin
+from siskinbank.wire.keyfile import follow_keys
 
 __all__ = ('Node', 'start_node')
 
@@ -40,7 +42,10 @@
     """
     view = FleetView(process.log, lambda: process.timers.now)
     peers = PeerSocket(settings.keys, process.metrics)
+    refusals = RefusalLog(process)
+    peers.on_unkeyed = lambda: refusals.write('datagram', 'no valid key')
     await peers.open(settings.bind)
+    follow_keys(process, settings.keys)
     gossip = _make_gossip(process, settings, view, peers)
     node = Node(process, settings, view, peers, gossip)
     client = PlatformClient(settings.platform)
@@ -92,7 +97,10 @@
     gossip.on_adopt = adopt
     gossip.on_beliefs = tell
     gossip.subscribe_to(peers.subscribe)
-    view.follow_freshness(lambda: gossip.fresh)
+    view.follow_freshness(
+        lambda: gossip.fresh,
+        lambda: gossip.freshness.age,
+    )
     return gossip
 
 
--- a/siskinbank/peers/readers.py
+++ b/siskinbank/peers/readers.py
@@ -20,7 +20,6 @@
 #: Calls a second that all processes that fall back may make together.
 _FALLBACK_CALLS = 100
 _CALLS_A_READ = 2
-_UNKNOWN_FLEET = 1000
 
 
 @functools.lru_cache(maxsize=64)
@@ -67,7 +66,8 @@
     """Return the seconds between a process's reads; None for no reading.
 
     Args:
-        rank: the process's rank in its data centre, None if unknown.
+        rank: the process's rank in its data centre, None if nobody is listed
+            and each must read for itself.
         read_age: seconds since a reader of the data centre reached the
             platform, as far as is known.
         fleet: the number of known processes.
@@ -80,9 +80,9 @@
     """
     if rank is not None and rank < READERS:
         return READ_SECONDS
-    steps = _MAX_STEPS if rank is None else min(rank - READERS, _MAX_STEPS)
-    if read_age <= FALLBACK_SECONDS + steps * _STEP_SECONDS:
-        return None
-    size = fleet if rank is not None else max(fleet, _UNKNOWN_FLEET)
-    interval = max(size * _CALLS_A_READ / _FALLBACK_CALLS, READ_SECONDS)
+    if rank is not None:
+        steps = min(rank - READERS, _MAX_STEPS)
+        if read_age <= FALLBACK_SECONDS + steps * _STEP_SECONDS:
+            return None
+    interval = max(fleet * _CALLS_A_READ / _FALLBACK_CALLS, READ_SECONDS)
     return interval * rng.uniform(0.5, 1.5)
--- a/siskinbank/platform/follower.py
+++ b/siskinbank/platform/follower.py
@@ -65,6 +65,7 @@
         self._lists = ListReader(lambda: gossip.now)
         self._rng = random.Random()
         self._reading = False
+        self._alone = False
         self._held = False
         self._lost = False
 
@@ -103,10 +104,11 @@
         if reading and not self._reading:
             self._log.write(events.READING, rank=rank)
         self._reading = reading
+        self._alone = rank is None and not self._has_configuration()
         return read_interval(
             rank,
             gossip.read_age,
-            len(gossip.roster),
+            max(len(gossip.roster), len(gossip.seeds)),
             self._rng,
         )
 
@@ -118,7 +120,7 @@
         """
         while True:
             interval = self._interval()
-            if interval is not None and self._reading:
+            if interval is not None and (self._reading or self._alone):
                 return interval
             await asyncio.sleep(interval or _LOOK_SECONDS)
             if interval is not None and self._interval() is not None:
--- a/siskinbank/platform/view.py
+++ b/siskinbank/platform/view.py
@@ -25,6 +25,7 @@
         self._leaving: frozenset[str] = frozenset()
         self._gone: frozenset[str] = frozenset()
         self._is_fresh: Callable[[], bool] = _always
+        self._heard_age: Callable[[], float | None] | None = None
         self._subscribers: list[Callable[[], None]] = []
 
     @property
@@ -44,7 +45,9 @@
 
     @property
     def list_age(self) -> float | None:
-        """Seconds since the live list was read."""
+        """Seconds since the view is known to have been up to date."""
+        if self._heard_age is not None:
+            return self._heard_age()
         if self._listed_at is None:
             return None
         return self._clock() - self._listed_at
@@ -124,9 +127,14 @@
         self._gone = gone
         self._tell()
 
-    def follow_freshness(self, is_fresh: Callable[[], bool]) -> None:
-        """Ask ``is_fresh`` whether the process may act on the view."""
+    def follow_freshness(
+        self,
+        is_fresh: Callable[[], bool],
+        heard_age: Callable[[], float | None],
+    ) -> None:
+        """Ask whether the process may act on the view, and its age."""
         self._is_fresh = is_fresh
+        self._heard_age = heard_age
 
     def _tell(self) -> None:
         for callback in self._subscribers:
--- a/siskinbank/sidecar/context.py
+++ b/siskinbank/sidecar/context.py
@@ -6,6 +6,7 @@
 from siskinbank.choice.router import Router
 from siskinbank.config.site import Host, Service
 from siskinbank.kernel.process import ProcessContext
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.platform.view import FleetView
 from siskinbank.settings import SidecarSettings
@@ -30,18 +31,25 @@
         settings: SidecarSettings,
         view: FleetView,
         peers: PeerSocket,
+        streams: PeerStreams,
     ) -> None:
         """Share the parts of a started node."""
         self.process = process
         self.settings = settings
         self.view = view
         self.peers = peers
+        self.streams = streams
         self.router = Router(view)
         self.limits: Limits | None = None
         self.service: Service | None = None
         self.host: Host | None = None
         view.subscribe(self._refresh)
 
+    @property
+    def now(self) -> float:
+        """The process's clock in seconds."""
+        return self.process.timers.now
+
     @property
     def is_out(self) -> bool:
         """Whether this data centre is out of service."""
--- a/siskinbank/sidecar/daemon.py
+++ b/siskinbank/sidecar/daemon.py
@@ -4,6 +4,7 @@
 
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.node import start_node
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.settings import SidecarSettings
 from siskinbank.sidecar.context import SidecarContext
 from siskinbank.sidecar.packets import PacketHandler
@@ -23,7 +24,13 @@
         OSError: an address could not be bound.
     """
     node = await start_node(process, settings)
-    context = SidecarContext(process, settings, node.view, node.peers)
+    context = SidecarContext(
+        process,
+        settings,
+        node.view,
+        node.peers,
+        PeerStreams(process, settings.keys),
+    )
     PacketHandler(context, await _open_upstream(settings))
     await start_streams(context, RequestServer(context))
 
--- a/siskinbank/wire/gossip.py
+++ b/siskinbank/wire/gossip.py
@@ -35,7 +35,7 @@
     milliseconds.
     """
 
-    kind = 40
+    kind = 80
     name: str
     epoch: int
     flags: int
@@ -56,7 +56,7 @@
 class Ask(Message):
     """Asks for the pieces of a compressed document from ``first`` on."""
 
-    kind = 41
+    kind = 81
     digest: bytes
     first: int
 
@@ -66,7 +66,7 @@
 class Piece(Message):
     """One piece of a compressed document; ``total`` counts all its pieces."""
 
-    kind = 42
+    kind = 82
     digest: bytes
     index: int
     total: int
@@ -78,7 +78,7 @@
 class Buckets(Message):
     """The digests of all buckets of the sender's roster, one after another."""
 
-    kind = 43
+    kind = 83
     digests: bytes
 
 
@@ -87,7 +87,7 @@
 class Bucket(Message):
     """All records of one bucket; ``wanted`` asks for the receiver's."""
 
-    kind = 44
+    kind = 84
     index: int
     wanted: bool
     records: list  # type: ignore[type-arg]
