--- a/siskinbank/choice/router.py
+++ b/siskinbank/choice/router.py
@@ -77,7 +77,12 @@
         if site is None:
             return PoolRanks(_rank_none, _rank_none, ())
         leaving = self._view.leaving
-        present = tuple(host for host in service.hosts if not site.is_out(host))
+        gone = self._view.gone
+        present = tuple(
+            host
+            for host in service.hosts
+            if not site.is_out(host) and host.name not in gone
+        )
         takers = tuple(
             host
             for host in present
