--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := .venv/bin
 STAMP := .venv/.ready
 
-.PHONY: setup demo test lint format lock events clean
+.PHONY: setup demo test lint format lock events binary clean
 
 setup: $(STAMP)
 
@@ -21,12 +21,12 @@
 	$(BIN)/python -m tests.run
 
 lint: setup
-	$(BIN)/ruff format --check siskinbank tests
-	$(BIN)/flake8 siskinbank tests
+	$(BIN)/ruff format --check siskinbank tests tools examples
+	$(BIN)/flake8 siskinbank tests tools
 	$(BIN)/mypy
 
 format: setup
-	$(BIN)/ruff format siskinbank tests
+	$(BIN)/ruff format siskinbank tests tools examples
 
 # Write the versions that are installed now into the lock.
 lock: setup
@@ -36,5 +36,9 @@
 events: setup
 	$(BIN)/python -m siskinbank.kernel.events > docs/EVENTS.md
 
+# One file, dist/siskinbank, that runs where the same Python is installed.
+binary: setup
+	$(BIN)/python tools/build_binary.py dist/siskinbank
+
 clean:
 	rm -rf .venv build dist *.egg-info
--- /dev/null
+++ b/tests/tools/test_binary.py
@@ -0,0 +1,73 @@
+"""Tests of the one-file build."""
+
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from siskinbank import __version__
+
+ROOT = Path(__file__).parents[2]
+#: Hash seeds that give sets and dictionaries of strings different orders.
+SEEDS = ('1', '2')
+#: Loads an extension module of each library that has some.
+LOAD = (
+    'import aiohttp._http_parser, cryptography.x509, msgpack._cmsgpack, uvloop,'
+    ' pydantic, xxhash, yaml._yaml; print(uvloop.__file__)'
+)
+
+
+def start_build(target: Path, seed: str) -> subprocess.Popen[bytes]:
+    """Start a build in a process of its own."""
+    return subprocess.Popen(
+        [sys.executable, 'tools/build_binary.py', str(target)],
+        cwd=ROOT,
+        env={**os.environ, 'PYTHONHASHSEED': seed},
+    )
+
+
+class TestBinary(unittest.TestCase):
+    """One file, the same each time, that needs nothing beside it."""
+
+    def test_builds_the_same_and_runs(self) -> None:
+        """Two builds are equal, and the file answers from an empty folder."""
+        with tempfile.TemporaryDirectory() as folder:
+            place = Path(folder)
+            targets = [place / f'siskinbank-{seed}' for seed in SEEDS]
+            builds = list(map(start_build, targets, SEEDS))
+            self.assertEqual([done.wait(120) for done in builds], [0, 0])
+            first, second = (target.read_bytes() for target in targets)
+            self.assertEqual(first, second)
+            binary = str(targets[0])
+            # Isolated and without site-packages: only the file's own code.
+            python = [sys.executable, '-I', '-S']
+            told = subprocess.run(
+                [*python, binary, '--version'],
+                capture_output=True,
+                text=True,
+                check=True,
+                timeout=60,
+            )
+            self.assertIn(__version__, told.stdout)
+            loaded = subprocess.run(
+                [*python, '-c', _loader(binary)],
+                capture_output=True,
+                text=True,
+                check=True,
+                timeout=60,
+            )
+            self.assertIn(f'{binary}/uvloop', loaded.stdout)
+
+
+def _loader(binary: str) -> str:
+    return (
+        f'import sys; sys.path.insert(0, {binary!r})\n'
+        'import zipimport\n'
+        f'code = zipimport.zipimporter({binary!r}).get_code("__main__")\n'
+        'space = {"__name__": "bootstrap"}\n'
+        'exec(code, space)\n'
+        f'sys.meta_path.insert(0, space["ExtensionFinder"]({binary!r}))\n'
+        f'{LOAD}\n'
+    )
--- a/tools/bootstrap.py
+++ b/tools/bootstrap.py
@@ -5,12 +5,11 @@
 memory and loaded through its place under /proc.
 """
 
-import importlib.machinery
-import importlib.util
 import os
 import sys
 import zipfile
 from collections.abc import Sequence
+from importlib import machinery, util
 from types import ModuleType
 
 __all__ = ('ExtensionFinder',)
@@ -37,13 +36,13 @@
         fullname: str,
         _path: Sequence[str] | None = None,
         _target: ModuleType | None = None,
-    ) -> importlib.machinery.ModuleSpec | None:
+    ) -> machinery.ModuleSpec | None:
         """Return how to load an extension module, or None if not here."""
         if fullname not in self._modules:
             return None
         place = self._copy_to_memory(fullname)
-        loader = importlib.machinery.ExtensionFileLoader(fullname, place)
-        return importlib.util.spec_from_file_location(
+        loader = machinery.ExtensionFileLoader(fullname, place)
+        return util.spec_from_file_location(
             fullname,
             place,
             loader=loader,
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -6,7 +6,6 @@
 one date, and are compiled without anything that depends on the machine.
 """
 
-import importlib.util
 import io
 import marshal
 import re
@@ -14,7 +13,8 @@
 import sys
 import zipfile
 from collections.abc import Iterator
-from importlib import metadata
+from importlib import metadata, util
+from importlib.machinery import SourceFileLoader as _Compiler
 from pathlib import Path
 
 __all__ = ('build', 'closure')
@@ -87,9 +87,9 @@
         return f'_extensions/{module}', content
     if not name.endswith('.py'):
         return name, content
-    code = compile(content, name, 'exec', dont_inherit=True, optimize=0)
-    digest = importlib.util.source_hash(content)
-    head = importlib.util.MAGIC_NUMBER + _UNCHECKED + digest
+    code = _Compiler('', '').source_to_code(content, name)
+    digest = util.source_hash(content)
+    head = util.MAGIC_NUMBER + _UNCHECKED + digest
     return f'{name}c', head + marshal.dumps(code, _MARSHAL_VERSION)
 
 
