--- a/tests/peers/test_datagrams.py
+++ b/tests/peers/test_datagrams.py
@@ -7,11 +7,17 @@
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.wire.keys import Key, KeyRing
 from siskinbank.wire.messages import Message, Moved, Owner, encode
+from siskinbank.wire.replay import ReplayGuard
 
 KEYS = KeyRing([Key(1, bytes(32))])
 SENDER = ('10.0.0.1', 7100)
 OWNER = Owner(bytes(13), bytes(6), 1, 1)
-MOVED = Moved(1, bytes(6), 1, [])
+MOVED = Moved(1, bytes(6), 1, 1, 1.0, b'')
+
+
+def stamped(sent: Message) -> bytes:
+    """Return a control message as a peer sends it."""
+    return b'\0' + ReplayGuard().stamp() + encode(sent)
 
 
 class TestSubscriptions(unittest.TestCase):
@@ -37,7 +43,7 @@
     def test_by_class(self) -> None:
         """Each class reaches its own subscriber, the rest the default."""
         for sent in (OWNER, MOVED):
-            self.peers.receive(KEYS.seal(b'\0' + encode(sent)), SENDER)
+            self.peers.receive(KEYS.seal(stamped(sent)), SENDER)
         self.assertEqual((self.owners, self.others), ([OWNER], [MOVED]))
 
     def test_one_subscriber_a_class(self) -> None:
@@ -47,6 +53,6 @@
 
     def test_unkeyed_is_counted(self) -> None:
         """What is not sealed reaches nobody."""
-        self.peers.receive(b'\0' + encode(OWNER), SENDER)
+        self.peers.receive(stamped(OWNER), SENDER)
         self.assertEqual(self.metrics.value(Drop.unkeyed), 1)
         self.assertEqual((self.owners, self.others), ([], []))
