--- /dev/null
+++ b/siskinbank/lab/key_cost.py
@@ -0,0 +1,212 @@
+"""What keys cost: packets and streams with them and without, in one run."""
+
+import asyncio
+import random
+import statistics
+import time
+from collections.abc import Awaitable, Callable
+
+from siskinbank.config.site import Address
+from siskinbank.kernel.process import ProcessContext
+from siskinbank.lab.experiment import ExperimentReport, at_least
+from siskinbank.lab.pool import Pool
+from siskinbank.lab.sites import SERVICE_ADDRESS, PoolPlan, host_address
+from siskinbank.lab.standins.packets import ACK, SYN, Flow, make_packet
+from siskinbank.peers.connect import PeerStreams
+from siskinbank.wire.keys import KEY_BYTES, Key, KeyRing
+from siskinbank.wire.streams import MessageStream
+
+__all__ = ('measure_key_cost',)
+
+_HOSTS = 7
+_FLOWS = 500
+_PAYLOAD_BYTES = 200
+_STREAM_BYTES = 32 * 1024 * 1024
+_CHUNK = bytes(64 * 1024)
+_OPENINGS = 40
+_MEBIBYTE = 1024 * 1024
+_MILLISECONDS = 1000
+_MICROSECONDS = 1_000_000
+_SEALS = 20_000
+_HEAD_BYTES = 40
+#: The least share of the rate without keys that is left with them.
+_LEAST_PACKETS = 0.5
+_LEAST_BYTES = 0.2
+
+
+class _PlainRing(KeyRing):
+    """Seals nothing and opens all; only for the comparison."""
+
+    def seal(self, body: bytes) -> bytes:
+        """Return the body."""
+        return body
+
+    def seal_parts(self, head: bytes, tail: bytes) -> bytes:
+        """Return the parts in one piece."""
+        return head + tail
+
+    def open(self, datagram: bytes) -> bytes | None:
+        """Return the datagram."""
+        return datagram
+
+
+def measure_key_cost(seed: int, rounds: int) -> ExperimentReport:
+    """Measure with and without keys in turn; the median of the rounds."""
+    secret = random.Random(seed).randbytes(KEY_BYTES)
+    keyed = KeyRing([Key(1, secret)])
+    plain = _PlainRing([Key(1, secret)])
+    packets: dict[KeyRing, list[float]] = {keyed: [], plain: []}
+    streams: dict[bool, list[tuple[float, float]]] = {True: [], False: []}
+    for _ in range(rounds):
+        for ring, rates in packets.items():
+            rates.append(_packet_rate(seed, ring))
+        for with_tls, measured in streams.items():
+            measured.append(asyncio.run(_stream_rates(keyed, with_tls)))
+    with_keys = _figures(packets[keyed], streams[True], _seal_cost(keyed))
+    without = _figures(packets[plain], streams[False], _seal_cost(plain))
+    return ExperimentReport(
+        'key-cost',
+        seed,
+        with_keys,
+        without,
+        [
+            at_least(
+                'share of the packet rate',
+                _LEAST_PACKETS,
+                with_keys['packets_a_second'] / without['packets_a_second'],
+            ),
+            at_least(
+                'share of the stream rate',
+                _LEAST_BYTES,
+                with_keys['mebibytes_a_second'] / without['mebibytes_a_second'],
+            ),
+        ],
+    )
+
+
+def _figures(
+    packets: list[float],
+    streams: list[tuple[float, float]],
+    seal_cost: float,
+) -> dict[str, float]:
+    return {
+        'packets_a_second': statistics.median(packets),
+        'seal_and_open_microseconds': seal_cost,
+        'mebibytes_a_second': statistics.median(rate for rate, _ in streams),
+        'opening_milliseconds': statistics.median(each for _, each in streams),
+    }
+
+
+def _seal_cost(ring: KeyRing) -> float:
+    """Return microseconds to seal one packet and to open it again."""
+    head = bytes(_HEAD_BYTES)
+    tail = bytes(_PAYLOAD_BYTES)
+    started = time.perf_counter()
+    for _ in range(_SEALS):
+        ring.open(ring.seal_parts(head, tail))
+    return (time.perf_counter() - started) / _SEALS * _MICROSECONDS
+
+
+def _packet_rate(seed: int, ring: KeyRing) -> float:
+    """Return packets a second through entry and sidecar, in one process."""
+    pool = Pool(seed, ring)
+    pool.add_entry('entry-1', 1)
+    for number in range(_HOSTS):
+        pool.add_sidecar(f'matcher-{number}', host_address(number))
+    pool.publish(PoolPlan(dict.fromkeys(range(_HOSTS), 'active')).next_site())
+    flows = [
+        Flow('10.9.0.1', port, *SERVICE_ADDRESS)
+        for port in range(1024, 1024 + _FLOWS)
+    ]
+    for flow in flows:
+        pool.spray(make_packet(flow, SYN))
+    pool.run(1)
+    payload = bytes(_PAYLOAD_BYTES)
+    packets = [make_packet(known, ACK, payload) for known in flows]
+    entry = pool.entries['entry-1'].ingress
+    started = time.perf_counter()
+    for packet in packets * 4:
+        entry.receive(packet, ('10.250.0.1', 1))
+    pool.network.run(1)
+    return len(packets) * 4 / (time.perf_counter() - started)
+
+
+async def _stream_rates(ring: KeyRing, with_tls: bool) -> tuple[float, float]:
+    """Return MiB a second over one stream, and ms to open one."""
+    tasks: set[asyncio.Task[None]] = set()
+
+    def accept(stream: MessageStream) -> None:
+        tasks.add(asyncio.create_task(_drain(stream)))
+
+    streams = PeerStreams(ProcessContext('lab', 'key-cost'), ring)
+    listen, connect = _openers(streams, with_tls)
+    server = await listen(('127.0.0.1', 0), accept)
+    address = server.sockets[0].getsockname()
+    try:
+        rate = await _send_all(await connect(address), tasks)
+        each = await _open_many(connect, address)
+        await asyncio.wait(tasks)
+    finally:
+        server.close()
+    return rate, each
+
+
+async def _send_all(
+    stream: MessageStream,
+    tasks: set[asyncio.Task[None]],
+) -> float:
+    """Return MiB a second until the other side has it all."""
+    started = time.perf_counter()
+    for _ in range(_STREAM_BYTES // len(_CHUNK)):
+        stream.writer.write(_CHUNK)
+        await stream.writer.drain()
+    await stream.close()
+    await asyncio.wait(tasks)
+    return _STREAM_BYTES / _MEBIBYTE / (time.perf_counter() - started)
+
+
+async def _open_many(connect: 'Connect', address: Address) -> float:
+    """Return milliseconds to open a stream and close it."""
+    started = time.perf_counter()
+    for _ in range(_OPENINGS):
+        stream = await connect(address)
+        await stream.close()
+    seconds = (time.perf_counter() - started) / _OPENINGS
+    return seconds * _MILLISECONDS
+
+
+Listen = Callable[
+    [Address, Callable[[MessageStream], None]],
+    Awaitable[asyncio.Server],
+]
+Connect = Callable[[Address], Awaitable[MessageStream]]
+
+
+def _openers(streams: PeerStreams, with_tls: bool) -> tuple[Listen, Connect]:
+    if with_tls:
+        return streams.listen, streams.connect
+
+    async def listen(
+        address: Address,
+        accept: Callable[[MessageStream], None],
+    ) -> asyncio.Server:
+        def take(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            accept(MessageStream(reader, writer))
+
+        return await asyncio.start_server(take, *address)
+
+    async def connect(address: Address) -> MessageStream:
+        return MessageStream(*await asyncio.open_connection(*address))
+
+    return listen, connect
+
+
+async def _drain(stream: MessageStream) -> None:
+    try:
+        while not stream.reader.at_eof():
+            await stream.reader.read(len(_CHUNK))
+    finally:
+        stream.writer.close()
--- a/siskinbank/lab/pool.py
+++ b/siskinbank/lab/pool.py
@@ -83,8 +83,9 @@
 class Pool:
     """Entries and sidecars by name, in virtual time."""
 
-    def __init__(self, seed: int) -> None:
-        """Start empty."""
+    def __init__(self, seed: int, keys: KeyRing = _KEYS) -> None:
+        """Start empty; all processes share ``keys``."""
+        self._keys = keys
         self.rng = random.Random(seed)
         self.clock = FakeClock()
         self.network = FakeNetwork(self.clock, random.Random(seed + 1))
@@ -96,10 +97,10 @@
         process = self._process('entry', name)
         view = FleetView(process.log, self.clock)
         address = (f'10.200.{number >> 8}.{number & 0xFF}', 7100)
-        peers = PeerSocket(_KEYS, process.metrics)
+        peers = PeerSocket(self._keys, process.metrics)
         peers.use(self.network.bind(address, peers.receive))
         settings = EntrySettings(
-            name, 'a', address, address, '', _KEYS, None, ''
+            name, 'a', address, address, '', self._keys, None, ''
         )
         context = EntryContext(
             process,
@@ -107,7 +108,7 @@
             view,
             Router(view),
             peers,
-            RequestLinks(process, PeerStreams(process, _KEYS)),
+            RequestLinks(process, PeerStreams(process, self._keys)),
         )
         entry = PoolEntry(process, view, PacketIngress(context))
         self.entries[name] = entry
@@ -126,10 +127,10 @@
         """
         process = self._process('sidecar', name)
         view = FleetView(process.log, self.clock)
-        peers = PeerSocket(_KEYS, process.metrics)
+        peers = PeerSocket(self._keys, process.metrics)
         peers.use(self.network.bind(address, peers.receive))
         settings = SidecarSettings(
-            name, 'a', address, address, '', _KEYS, None, None, None
+            name, 'a', address, address, '', self._keys, None, None, None
         )
         context = SidecarContext(process, settings, view, peers)
         beside = upstream or FakeUpstream()
--- /dev/null
+++ b/tests/platform/test_border.py
@@ -0,0 +1,102 @@
+"""Whatever the platform answers: valid and taken, or refused with a reason."""
+
+import json
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from siskinbank.config.check import check_content
+from siskinbank.config.documents import parse_document
+from siskinbank.config.sections import Manifest, join_sections
+from siskinbank.kernel.findings import Findings
+from siskinbank.platform.client import PlatformError, _parse_manifest
+from siskinbank.platform.live import parse_instances
+
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=12)
+    | st.sampled_from(('in', 'out', 'active', '10.0.0.1', 'http', 'a'))
+)
+NAMES = st.text(max_size=8) | st.sampled_from(
+    (
+        'site',
+        'data_centres',
+        'services',
+        'hosts',
+        'ingress',
+        'cold',
+        'port',
+        'state',
+        'name',
+        'role',
+        'address',
+        'generation',
+        'sections',
+        'slots',
+    ),
+)
+ANY = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=4) | st.dictionaries(NAMES, inner, max_size=5)
+    ),
+    max_leaves=20,
+)
+
+
+class TestAnswers(unittest.TestCase):
+    """The platform may publish anything."""
+
+    @given(ANY | st.binary(max_size=60))
+    @settings(max_examples=60, deadline=None)
+    def test_manifest_and_list(self, answer: Any) -> None:
+        """An answer is read or refused with the documented error."""
+        raw = (
+            answer if isinstance(answer, bytes) else json.dumps(answer).encode()
+        )
+        for parse, refused in (
+            (_parse_manifest, PlatformError),
+            (parse_instances, ValueError),
+        ):
+            try:
+                parse(raw)
+            except refused as error:
+                self.assertTrue(str(error))
+
+    @given(st.dictionaries(NAMES, ANY, max_size=4), st.integers(0, 1 << 62))
+    @settings(max_examples=60, deadline=None)
+    def test_sections(self, parsed: dict[str, Any], generation: int) -> None:
+        """Sections make a site, or findings say why not."""
+        findings = Findings()
+        digests = dict.fromkeys(parsed, '0' * 32)
+        site = join_sections(Manifest(generation, digests), parsed, findings)
+        self.assertNotEqual(site is None, not list(findings))
+
+
+class TestFiles(unittest.TestCase):
+    """Operators may write anything."""
+
+    @given(st.text(max_size=200))
+    @settings(max_examples=60, deadline=None)
+    def test_text(self, text: str) -> None:
+        """Any text is a document or has findings with a place."""
+        findings = Findings()
+        document = parse_document('base.yaml', text, findings)
+        self.assertIsInstance(document.content, dict)
+        for finding in findings:
+            self.assertTrue(str(finding).startswith('base.yaml'))
+
+    @given(st.dictionaries(NAMES, ANY, max_size=5))
+    @settings(max_examples=60, deadline=None)
+    def test_content(self, content: dict[str, Any]) -> None:
+        """Any content is a model, or findings say why not."""
+        findings = Findings()
+        text = json.dumps(content)
+        document = parse_document('base.yaml', text, findings)
+        model = check_content(document.content, document.place, findings)
+        self.assertFalse(model is None and not list(findings))
