--- a/siskinbank/lab/pool.py
+++ b/siskinbank/lab/pool.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from siskinbank.choice.homes import KeyHomes
 from siskinbank.choice.router import Router
 from siskinbank.config.site import Address, Site
 from siskinbank.entry.context import EntryContext
@@ -109,6 +110,7 @@
             Router(view),
             peers,
             RequestLinks(process, PeerStreams(process, self._keys)),
+            KeyHomes(view),
         )
         entry = PoolEntry(process, view, PacketIngress(context))
         self.entries[name] = entry
@@ -132,7 +134,13 @@
         settings = SidecarSettings(
             name, 'a', address, address, '', self._keys, None, None, None
         )
-        context = SidecarContext(process, settings, view, peers)
+        context = SidecarContext(
+            process,
+            settings,
+            view,
+            peers,
+            PeerStreams(process, self._keys),
+        )
         beside = upstream or FakeUpstream()
 
         def receive(datagram: bytes, _sender: Address) -> None:
--- a/siskinbank/sidecar/streams.py
+++ b/siskinbank/sidecar/streams.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from siskinbank.kernel.reasons import Refusal
-from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.pump import pump_both
 from siskinbank.sidecar.context import SidecarContext
 from siskinbank.sidecar.requests import RequestServer
@@ -35,31 +34,41 @@
     """
     tunnels: set[asyncio.Task[None]] = set()
 
-    async def serve(stream: MessageStream) -> None:
-        hello = await _receive_hello(context, stream)
-        try:
-            if isinstance(hello, OpenRequests):
-                await requests.serve(stream)
-            elif isinstance(hello, OpenTunnel):
-                await _track(tunnels, _serve_tunnel(context, stream, hello))
-        finally:
-            stream.writer.close()
-
     def accept(stream: MessageStream) -> None:
-        context.process.start_task(serve(stream))
+        context.process.start_task(_serve(context, requests, tunnels, stream))
 
-    streams = PeerStreams(context.process, context.settings.keys)
-    server = await streams.listen(context.settings.bind, accept)
+    server = await context.streams.listen(context.settings.bind, accept)
 
     async def drain() -> None:
-        if tunnels:
-            await asyncio.wait(tunnels)
         await requests.drain()
+        while tunnels:
+            await asyncio.wait(tunnels)
         server.close()
 
+    async def close() -> None:
+        server.close()
+
+    context.process.on_close(close)
+    context.process.open_work['tunnels'] = lambda: len(tunnels)
     context.process.on_drain(drain)
 
 
+async def _serve(
+    context: SidecarContext,
+    requests: RequestServer,
+    tunnels: set[asyncio.Task[None]],
+    stream: MessageStream,
+) -> None:
+    hello = await _receive_hello(context, stream)
+    try:
+        if isinstance(hello, OpenRequests):
+            await requests.serve(stream)
+        elif isinstance(hello, OpenTunnel):
+            await _track(tunnels, _serve_tunnel(context, stream, hello))
+    finally:
+        stream.writer.close()
+
+
 async def _receive_hello(
     context: SidecarContext,
     stream: MessageStream,
