Admit by adaptive limits, watch the upstream, and balance by passing on

Cause: the sidecar's limit only climbed with time, nothing judged the upstream, and plain ranking loads the busiest host far above the mean. Change: one paced limit for each resource, shared by all ingresses; a judge of answers and reports; flows suspended on sudden cold; bounded loads by a gossip of fixed cost; experiments fairness, cold and data-centre.

--- a/siskinbank/admission/balance.py
+++ b/siskinbank/admission/balance.py
@@ -16,7 +16,7 @@
 #: Age in seconds at which a load report says nothing any more.
 MAX_AGE_SECONDS = 20.0
 #: Hosts that are drawn beyond those to ask, so that the most loaded drop out.
-_SPARE = 2
+_SPARE = 0
 
 
 @dataclass(slots=True)
@@ -44,7 +44,7 @@
         self._hosts: dict[int, Host] = {}
         self._addresses: dict[bytes, Host] = {}
         self._loads: dict[int, HostLoad] = {}
-        self._others = (0.0, 0.0)
+        self._others: tuple[float, float] = (0, 0)
         self._rooms: dict[bytes, int] = {}
 
     @property
@@ -80,15 +80,14 @@
 
     def refresh(self) -> None:
         """Sum up the hosts that could take more."""
-        load = weight = 0.0
-        for host, known in self.fresh():
-            if known.room:
-                load += known.load
-                weight += host.weight
-        self._others = (load, weight)
+        fresh = self.fresh()
+        roomy = [(host, known) for host, known in fresh if known.room]
+        self._others = (
+            sum(known.load for _host, known in roomy),
+            sum(host.weight for host, _known in roomy),
+        )
         self._rooms = {
-            pack_address(host.address): known.room
-            for host, known in self.fresh()
+            pack_address(host.address): known.room for host, known in fresh
         }
 
     def fair_load(self, own_load: int, own_weight: float) -> float:
--- a/siskinbank/admission/judge.py
+++ b/siskinbank/admission/judge.py
@@ -76,15 +76,15 @@
         self,
         clock: Clock,
         conclude: Callable[[Verdict], None],
-        believe_seconds: float = 60,
+        believe_seconds: float,
     ) -> None:
         """Call ``conclude`` with each verdict.
 
         Args:
             clock: the time in seconds.
             conclude: is told each verdict.
-            believe_seconds: the time after which claims that no answer bore
-                out are believed again.
+            believe_seconds: twice the warm-up; the time after which claims
+                that no answer bore out are believed again.
         """
         self._clock = clock
         self._conclude = conclude
@@ -95,10 +95,10 @@
         self._usual: float | None = None
         self._unreachable = False
         self._report: LoadReport | None = None
-        self._reported_at = 0.0
         self._claims: deque[float] = deque()
         self._distrusting = False
         self._cold_at = float('-inf')
+        self._warm_at = float('-inf')
 
     @property
     def unreachable(self) -> bool:
@@ -108,6 +108,7 @@
     def note_cold(self) -> None:
         """Note that the upstream counts as cold, whatever its report says."""
         self._cold_at = self._clock()
+        self._warm_at = self._cold_at + self._believe_seconds / 2
 
     def note_answer(self, seconds: float, *, good: bool = True) -> None:
         """Note an answer to a probe or request and the time it took."""
@@ -142,12 +143,13 @@
         if known is not None and self._says_restarted(known, report):
             self._hear_claim(Verdict.cold)
         elif report.health is Health.cold:
-            if known is None or known.health is not Health.cold:
-                self._hear_claim(Verdict.cold)
+            self._hear_cold(known)
         elif report.health is not Health.good:
             self._hear_claim(Verdict.trouble)
-        if report.health is not Health.silent:
-            self._reported_at = self._clock()
+
+    def _hear_cold(self, known: LoadReport | None) -> None:
+        if known is None or known.health is not Health.cold:
+            self._hear_claim(Verdict.cold)
 
     def _says_restarted(self, known: LoadReport, report: LoadReport) -> bool:
         if report.health is Health.silent:
@@ -170,7 +172,7 @@
         while claims and now - claims[0] > self._believe_seconds:
             claims.popleft()
         claims.append(now)
-        if len(claims) > _MAX_CLAIMS and self._answers_are_good:
+        if len(claims) > _MAX_CLAIMS and self._answers_are_good():
             claims.popleft()
             if not self._distrusting:
                 self._distrusting = True
@@ -179,7 +181,6 @@
         self._distrusting = False
         self._conclude(verdict)
 
-    @property
     def _answers_are_good(self) -> bool:
         self._drop_old()
         return bool(self._answers) and all(good for _at, good in self._answers)
@@ -198,6 +199,9 @@
             self._conclude(Verdict.trouble)
 
     def _judge_time(self, seconds: float) -> None:
+        if self._clock() < self._warm_at:
+            # It is slow because it is cold, and gets little for that already.
+            return
         usual = self._usual
         if usual is None:
             self._usual = seconds
--- a/siskinbank/admission/limit.py
+++ b/siskinbank/admission/limit.py
@@ -48,7 +48,7 @@
         """
         self._clock = clock
         self._paced = paced
-        self._tokens = 0.0
+        self._tokens: float = 0
         self._paced_at = clock()
         self._since = clock()
         self._blocked = False
@@ -57,7 +57,7 @@
         self._return_seconds = 1.0
         self._describe(cold, full, warm_up_seconds)
         self._level: float = self._cold
-        self._tokens = self._burst
+        self._tokens = self._burst()
         self.used = 0
         self.suspended = 0
         self.presumed_ended = 0
@@ -67,7 +67,12 @@
         """The most that may be in use now."""
         if self._blocked:
             return 0
-        return self._climbed
+        return self._climbed()
+
+    @property
+    def full(self) -> int:
+        """What the upstream bears when it is warm."""
+        return self._full
 
     @property
     def in_use(self) -> int:
@@ -77,9 +82,9 @@
     @property
     def room(self) -> int:
         """The units that are left."""
-        left = max(self.limit - self._open, 0)
+        left = max(self.limit - self._open(), 0)
         if self._paced and not self.is_full:
-            return min(left, int(self._refilled))
+            return min(left, int(self._refilled()))
         return left
 
     @property
@@ -90,47 +95,12 @@
     @property
     def retry_after(self) -> float:
         """Seconds until a unit can be expected to be free."""
-        wait = _MIN_RETRY_SECONDS
-        missing = self._open + 1 - self.limit
-        if self._blocked:
-            wait = self._warm_up
-        elif missing > 0:
-            wait = self._return_seconds * missing
-            if self._climb and self.limit < self._full:
-                wait = min(wait, missing / self._climb)
-        elif self._paced and not self.is_full:
-            wait = (1 - self._refilled) / max(self._pace, 1)
-        return min(max(wait, _MIN_RETRY_SECONDS), _MAX_RETRY_SECONDS)
-
-    @property
-    def _open(self) -> int:
-        """What may be open at the upstream, suspended or not."""
-        return self.used - min(self.presumed_ended, self.suspended)
-
-    @property
-    def _climbed(self) -> int:
-        elapsed = self._clock() - self._since
-        if elapsed >= self._warm_up:
-            return self._full
-        return min(self._full, int(self._level + self._climb * elapsed))
-
-    @property
-    def _burst(self) -> float:
-        return max(1, self._climbed * _BURST_SHARE)
-
-    @property
-    def _pace(self) -> float:
-        return self.limit * _PACE_SHARE
-
-    @property
-    def _refilled(self) -> float:
-        elapsed = self._clock() - self._paced_at
-        return min(self._tokens + elapsed * self._pace, self._burst)
+        return min(max(self._wait(), _MIN_RETRY_SECONDS), _MAX_RETRY_SECONDS)
 
     def change(self, cold: int, full: int, warm_up_seconds: float) -> None:
         """Follow a new configuration from the limit of now."""
         if (cold, full, warm_up_seconds) != self._stated:
-            level = self._climbed
+            level = self._climbed()
             self._describe(cold, full, warm_up_seconds)
             self._start_from(min(level, self._full))
 
@@ -149,12 +119,12 @@
         if now - self._lowered_at < _TROUBLE_SECONDS:
             return
         self._lowered_at = now
-        carried = min(self._climbed, self.in_use)
+        carried = min(self._climbed(), self.in_use)
         self._start_from(max(self._cold, int(carried * _TROUBLE_SHARE)))
 
     def take(self) -> bool:
         """Take one unit if there is one."""
-        if self._open >= self.limit or not self.claim():
+        if self._open() >= self.limit or not self.claim():
             return False
         self.used += 1
         return True
@@ -165,7 +135,7 @@
             return False
         if not self._paced or self.is_full:
             return True
-        self._tokens = self._refilled
+        self._tokens = self._refilled()
         self._paced_at = self._clock()
         if self._tokens < 1:
             return False
@@ -183,6 +153,39 @@
             )
         self._returned_at = now
 
+    def _wait(self) -> float:
+        if self._blocked:
+            return self._warm_up
+        missing = self._open() + 1 - self.limit
+        if missing > 0:
+            returned = self._return_seconds * missing
+            if self.is_full or not self._climb:
+                return returned
+            return min(returned, missing / self._climb)
+        if self._paced and not self.is_full:
+            return (1 - self._refilled()) / max(self._pace(), 1)
+        return 0
+
+    def _open(self) -> int:
+        """What may be open at the upstream, suspended or not."""
+        return self.used - min(self.presumed_ended, self.suspended)
+
+    def _climbed(self) -> int:
+        elapsed = self._clock() - self._since
+        if elapsed >= self._warm_up:
+            return self._full
+        return min(self._full, int(self._level + self._climb * elapsed))
+
+    def _burst(self) -> float:
+        return max(1, self._climbed() * _BURST_SHARE)
+
+    def _pace(self) -> float:
+        return self.limit * _PACE_SHARE
+
+    def _refilled(self) -> float:
+        elapsed = self._clock() - self._paced_at
+        return min(self._tokens + elapsed * self._pace(), self._burst())
+
     def _describe(self, cold: int, full: int, warm_up: float) -> None:
         self._stated = (cold, full, warm_up)
         self._full = full
@@ -193,5 +196,5 @@
     def _start_from(self, level: int) -> None:
         self._level = level
         self._since = self._clock()
-        self._tokens = min(self._refilled, self._burst)
+        self._tokens = min(self._refilled(), self._burst())
         self._paced_at = self._clock()
--- a/siskinbank/admission/places.py
+++ b/siskinbank/admission/places.py
@@ -44,8 +44,8 @@
     def suspend(self, flows: Iterable[Hashable]) -> None:
         """Take the places of all ``flows``."""
         now = self._clock()
-        self._suspended.update((flow, now) for flow in flows)
-        self._closing.clear()
+        for owned in flows:
+            self._suspended.setdefault(owned, now)
         self._deadlines.clear()
         self._tell()
 
@@ -67,16 +67,21 @@
         """Free the places of flows that were silent for too long."""
         now = self._clock()
         silent = [flow for flow, due in self._deadlines.items() if due <= now]
-        for flow in silent:
-            del self._deadlines[flow]
-            self._suspended[flow] = now
+        for quiet in silent:
+            del self._deadlines[quiet]
+            self._suspended[quiet] = now
         latest = now - _ENDED_SECONDS
         self._limit.presumed_ended = sum(
-            seen < latest or flow in self._closing
-            for flow, seen in self._suspended.items()
+            seen < latest or held in self._closing
+            for held, seen in self._suspended.items()
         )
         self._tell()
 
+    def reopen(self, flow: Hashable) -> None:
+        """Note that a closing flow's name is used anew."""
+        if flow in self._closing:
+            self.forget(flow)
+
     def forget(self, flow: Hashable) -> None:
         """Forget a flow that is owned no more."""
         self._suspended.pop(flow, None)
@@ -87,9 +92,9 @@
     def keep_only(self, flows: Container[object]) -> None:
         """Forget all flows that are not in ``flows``."""
         known = self._suspended.keys() | self._closing | self._deadlines.keys()
-        for flow in known:
-            if flow not in flows:
-                self.forget(flow)
+        for gone in known:
+            if gone not in flows:
+                self.forget(gone)
 
     def _resume(self, flow: Hashable) -> bool:
         # The upstream has a closing flow anyhow, so its last packets pass.
--- a/siskinbank/kernel/events.py
+++ b/siskinbank/kernel/events.py
@@ -26,6 +26,8 @@
     meaning: str
 
 
+_WARNING = 'WARNING'
+
 _defined: dict[int, Event] = {}
 
 
@@ -46,7 +48,7 @@
 STOPPED = _define(102, 'INFO', 'stopped', 'The process ends; nothing was cut.')
 CUT = _define(
     103,
-    'WARNING',
+    _WARNING,
     'stopped at once',
     'A second signal ended the process; the fields say what was cut.',
 )
@@ -64,25 +66,76 @@
 )
 OLDER = _define(
     202,
-    'WARNING',
+    _WARNING,
     'older configuration ignored',
     'Someone offered a generation lower than the one in force.',
 )
 PLATFORM_LOST = _define(
     210,
-    'WARNING',
+    _WARNING,
     'platform unreachable',
     'The configuration service does not answer; all goes on as it is.',
 )
+CONFLICT = _define(
+    203,
+    'ERROR',
+    'two documents with one generation',
+    'The platform published two documents under one number; the one with the '
+    'higher digest is in force everywhere. Publish a higher generation.',
+)
+READING = _define(
+    211,
+    'INFO',
+    'reading the platform',
+    'By its rank this process reads the platform for its data centre.',
+)
+LIST_HELD = _define(
+    220,
+    _WARNING,
+    'live list omits much of the fleet',
+    'The list is believed only if it says the same for a while.',
+)
+ISOLATED = _define(
+    221,
+    _WARNING,
+    'no peer answers',
+    'The process goes on with what it has until a peer answers.',
+)
+HEARD = _define(
+    222,
+    'INFO',
+    'peers answer again',
+    'The process knows again what the fleet has in force.',
+)
+UNKEYED = _define(
+    240,
+    _WARNING,
+    'no valid key: refused',
+    'Something without a valid key sent datagrams or opened a stream. Nothing '
+    'of it was taken. Written at most once a minute; the counters '
+    '`unkeyed` and `unkeyed-stream` have them all.',
+)
+KEYS_READ = _define(
+    241,
+    'INFO',
+    'keys read again',
+    'The file of keys has changed; the fields tell which keys are valid now.',
+)
+KEYS_BAD = _define(
+    242,
+    'ERROR',
+    'keys cannot be read',
+    'The file of keys is missing or malformed; the keys before stay valid.',
+)
 HOST_GONE = _define(
     300,
-    'WARNING',
+    _WARNING,
     'host unreachable',
     'A host did not answer; its flows are given up when its lease ends.',
 )
 UPSTREAM_COLD = _define(
     400,
-    'WARNING',
+    _WARNING,
     'upstream turned cold',
     'Its limits start again from cold; open flows are let back in as it warms.',
 )
@@ -100,7 +153,7 @@
 )
 REPORT_DISTRUSTED = _define(
     403,
-    'WARNING',
+    _WARNING,
     'upstream report passed over',
     'Its health endpoint claims trouble that its answers do not bear out.',
 )
--- a/siskinbank/kernel/reasons.py
+++ b/siskinbank/kernel/reasons.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ('Drop', 'Refusal', 'Retry')
+__all__ = ('Doubt', 'Drop', 'GivenUp', 'Ignored', 'Refusal', 'Retry')
 
 
 class Refusal(enum.StrEnum):
@@ -17,6 +17,25 @@
     unreachable = 'unreachable'
     wrong_service = 'wrong-service'
     malformed = 'malformed'
+    too_large = 'too-large'
+    entry_at_limit = 'entry-at-limit'
+    keys_full = 'too-many-keys'
+
+
+class Doubt(enum.StrEnum):
+    """Why it cannot be said whether a request ran; the caller is told so."""
+
+    lost = 'link-lost'
+    expired = 'deadline-passed'
+    failed = 'upstream-failed'
+    duplicate = 'duplicate-key'
+    restarted = 'host-restarted'
+    old_ticket = 'ticket-expired'
+    bad_ticket = 'bad-ticket'
+    unsettled = 'key-unsettled'
+    unreachable = 'host-unreachable'
+    cancelled = 'cancelled'
+    malformed = 'malformed-answer'
 
 
 class Retry(enum.StrEnum):
@@ -25,6 +44,8 @@
     not_run = 'not-run'
     unreachable = 'unreachable'
     lost = 'lost'
+    failed = 'failed'
+    no_budget = 'no-budget'
 
 
 class Drop(enum.StrEnum):
@@ -32,6 +53,8 @@
 
     malformed = 'malformed'
     unkeyed = 'unkeyed'
+    replayed = 'replayed'
+    unkeyed_stream = 'unkeyed-stream'
     unknown_service = 'unknown-service'
     wrong_service = 'wrong-service'
     no_host = 'no-host'
@@ -41,3 +64,31 @@
     centre_out = 'data-centre-out'
     too_large = 'too-large'
     upstream_cold = 'upstream-cold'
+    other_pool = 'load-of-other-pool'
+    owner_gone = 'owner-gone'
+    stale_view = 'stale-view'
+    stale_hint = 'stale-hint'
+    doubled = 'doubled'
+    late = 'late'
+    reused_number = 'reused-number'
+    over_credit = 'over-credit'
+    link_lost = 'link-lost'
+
+
+class GivenUp(enum.StrEnum):
+    """Why an owned flow was given up."""
+
+    centre_out = 'data-centre-out'
+    removed = 'host-removed'
+    reassigned = 'address-reassigned'
+    idle = 'idle'
+
+
+class Ignored(enum.StrEnum):
+    """Why something that was offered as configuration was not put in force."""
+
+    older = 'older'
+    conflict = 'same-generation'
+    invalid = 'invalid'
+    over_rate = 'over-rate'
+    list_held = 'list-held'
--- a/siskinbank/lab/bearing.py
+++ b/siskinbank/lab/bearing.py
@@ -104,6 +104,9 @@
             self.open.pop(flow, None)
             return
         is_new = flow not in self.open
+        if is_new and not packet.may_open:
+            # It answers with a reset: nothing is open for this packet.
+            return
         self.open[flow] = now
         if packet.may_open and is_new:
             self.opened.append(now)
@@ -116,15 +119,6 @@
             return len(self.open)
         return sum(seen >= self.judged_from for seen in self.open.values())
 
-    def _judge(self, now: float) -> None:
-        if now < self.judged_from:
-            return
-        served = self.served(now)
-        if served > self.bears(now):
-            self.excess += 1
-        if self.collapses and served > self.bears(now) * _COLLAPSE_SHARE:
-            self.collapse(now)
-
     def collapse(self, now: float) -> None:
         """Answer nothing for a while, then start again from cold."""
         self.collapsed += 1
@@ -138,6 +132,15 @@
         self.open.clear()
         self.flows.clear()
 
+    def _judge(self, now: float) -> None:
+        if now < self.judged_from:
+            return
+        served = self.served(now)
+        if served > self.bears(now):
+            self.excess += 1
+        if self.collapses and served > self.bears(now) * _COLLAPSE_SHARE:
+            self.collapse(now)
+
     def _judge_burst(self, now: float) -> None:
         recent = self._recent
         recent.append(now)
--- a/siskinbank/lab/cold.py
+++ b/siskinbank/lab/cold.py
@@ -100,9 +100,9 @@
     pool = Pool(seed)
     for number in range(entries):
         pool.add_entry(f'entry-{number}', number)
-    upstreams = [_upstream(number) for number in range(hosts)]
-    for number, upstream in enumerate(upstreams):
-        add_bearing(pool, number, upstream)
+    upstreams = _upstreams(hosts)
+    for position, beside in enumerate(upstreams):
+        add_bearing(pool, position, beside)
     shape = SiteShape(hosts, _CONNECTIONS, _COLD, _WARM_UP_SECONDS)
     pool.publish(shape.site(1), spread=2)
     traffic = Traffic(pool, arrivals, _BEAT_SECONDS)
@@ -124,6 +124,10 @@
     )
 
 
+def _upstreams(hosts: int) -> list[BearingUpstream]:
+    return [_upstream(number) for number in range(hosts)]
+
+
 def _upstream(number: int) -> BearingUpstream:
     return BearingUpstream(
         full=_CONNECTIONS,
@@ -162,7 +166,7 @@
     A host that collapsed counts as live until it is missed.
     """
     pool = Pool(0)
-    upstreams = [_upstream(number) for number in range(hosts)]
+    upstreams = _upstreams(hosts)
     traffic = NaiveTraffic(pool, upstreams, arrivals, _BEAT_SECONDS)
     traffic.run(_TURNS_COLD_AT)
     now = pool.clock.now
--- a/siskinbank/lab/fairness.py
+++ b/siskinbank/lab/fairness.py
@@ -56,7 +56,7 @@
     bounds: list[Bound] = []
     for size in sizes:
         arrivals = _arrivals(seed, flows * size)
-        for lag in (0.0,) if size > _SMALL else (0.0, _LAG_SECONDS):
+        for lag in (0,) if size > _SMALL else (0, _LAG_SECONDS):
             name = f'{size} hosts, exchange lags {lag:g} s'
             balance = measure_pool(seed, entries, size, arrivals, lag)
             ours[f'{name}: busiest / mean'] = balance.worst
@@ -189,7 +189,7 @@
     for name, pick in POLICIES.items():
         for says, lag, zero in (
             ('reports lag 10 s', _LAG_SECONDS, False),
-            ('reports say zero', 0.0, True),
+            ('reports say zero', 0, True),
         ):
             rng = random.Random(seed)
             naive = NaivePool(pick, hosts, lag, zero, rng)
--- a/siskinbank/lab/policies.py
+++ b/siskinbank/lab/policies.py
@@ -60,15 +60,15 @@
         samples: Sequence[float],
     ) -> list[list[int]]:
         """Return the hosts' open flows at each sample time."""
-        loads = [0] * self.hosts
+        loads = [0 for _ in range(self.hosts)]
         ends: list[tuple[float, int]] = []
-        reports: deque[tuple[float, list[int]]] = deque([(0, loads[:])])
+        reports: deque[tuple[float, list[int]]] = deque([(0, loads.copy())])
         taken: list[list[int]] = []
         waiting = list(samples)
         for arrival in arrivals:
             while waiting and waiting[0] <= arrival.at:
                 _end_flows(ends, loads, waiting.pop(0))
-                taken.append(loads[:])
+                taken.append(loads.copy())
             _end_flows(ends, loads, arrival.at)
             seen = self._reported(reports, loads, arrival.at)
             host = self.pick(arrival.key, seen, self.rng)
@@ -83,7 +83,7 @@
         now: float,
     ) -> list[int]:
         if now - reports[-1][0] >= _REPORT_SECONDS:
-            said = [0] * self.hosts if self.says_zero else loads[:]
+            said = [0 for _ in loads] if self.says_zero else loads.copy()
             reports.append((now, said))
         while len(reports) > 1 and reports[1][0] <= now - self.lag_seconds:
             reports.popleft()
--- a/siskinbank/lab/pool.py
+++ b/siskinbank/lab/pool.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from siskinbank.choice.homes import KeyHomes
 from siskinbank.choice.router import Router
 from siskinbank.config.site import Address, Site
 from siskinbank.entry.context import EntryContext
@@ -16,6 +17,7 @@
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.kernel.timers import TimerService
 from siskinbank.lab.network import FakeNetwork
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.platform.view import FleetView
 from siskinbank.settings import EntrySettings, SidecarSettings
@@ -24,11 +26,12 @@
 from siskinbank.wire.keys import KEY_BYTES, Key, KeyRing
 from siskinbank.wire.packets import InnerPacket, parse_inner
 
-__all__ = ('FakeUpstream', 'Pool', 'PoolEntry', 'PoolSidecar')
+__all__ = ('UPSTREAM_PORT', 'FakeUpstream', 'Pool', 'PoolEntry', 'PoolSidecar')
 
 _TICK_SECONDS = 0.1
 _KEYS = KeyRing([Key(1, bytes(KEY_BYTES))])
-_UPSTREAM_PORT = 5555
+#: Where the fake upstreams receive, at their hosts' own addresses.
+UPSTREAM_PORT = 5555
 
 
 @dataclass(slots=True)
@@ -81,8 +84,9 @@
 class Pool:
     """Entries and sidecars by name, in virtual time."""
 
-    def __init__(self, seed: int) -> None:
-        """Start empty."""
+    def __init__(self, seed: int, keys: KeyRing = _KEYS) -> None:
+        """Start empty; all processes share ``keys``."""
+        self._keys = keys
         self.rng = random.Random(seed)
         self.clock = FakeClock()
         self.network = FakeNetwork(self.clock, random.Random(seed + 1))
@@ -94,10 +98,10 @@
         process = self._process('entry', name)
         view = FleetView(process.log, self.clock)
         address = (f'10.200.{number >> 8}.{number & 0xFF}', 7100)
-        peers = PeerSocket(_KEYS, process.metrics)
+        peers = PeerSocket(self._keys, process.metrics)
         peers.use(self.network.bind(address, peers.receive))
         settings = EntrySettings(
-            name, 'a', address, address, '', _KEYS, None, ''
+            name, 'a', address, address, '', self._keys, None, ''
         )
         context = EntryContext(
             process,
@@ -105,7 +109,8 @@
             view,
             Router(view),
             peers,
-            RequestLinks(process),
+            RequestLinks(process, PeerStreams(process, self._keys)),
+            KeyHomes(view),
         )
         entry = PoolEntry(process, view, PacketIngress(context))
         self.entries[name] = entry
@@ -124,12 +129,18 @@
         """
         process = self._process('sidecar', name)
         view = FleetView(process.log, self.clock)
-        peers = PeerSocket(_KEYS, process.metrics)
+        peers = PeerSocket(self._keys, process.metrics)
         peers.use(self.network.bind(address, peers.receive))
         settings = SidecarSettings(
-            name, 'a', address, address, '', _KEYS, None, None, None
+            name, 'a', address, address, '', self._keys, None, None, None
+        )
+        context = SidecarContext(
+            process,
+            settings,
+            view,
+            peers,
+            PeerStreams(process, self._keys),
         )
-        context = SidecarContext(process, settings, view, peers)
         beside = upstream or FakeUpstream()
 
         def receive(datagram: bytes, _sender: Address) -> None:
@@ -137,7 +148,7 @@
             if packet is not None:
                 beside.receive(packet, self.clock.now)
 
-        inner: Address = (address[0], _UPSTREAM_PORT)
+        inner: Address = (address[0], UPSTREAM_PORT)
         self.network.bind(inner, receive)
         transport = _Connected(self.network, inner)
         handler = PacketHandler(context, transport)
@@ -170,11 +181,12 @@
         else:
             self.entries[name].alive = False
 
-    def spray(self, datagram: bytes) -> None:
-        """Hand a caller's packet to any entry."""
+    def spray(self, datagram: bytes) -> PoolEntry:
+        """Hand a caller's packet to any entry; return which one got it."""
         alive = [entry for entry in self.entries.values() if entry.alive]
         entry = self.rng.choice(alive)
         entry.ingress.receive(datagram, ('10.250.0.1', 1))
+        return entry
 
     def run(self, seconds: float) -> None:
         """Let virtual time pass, timers included."""
--- a/siskinbank/lab/standins/report.py
+++ b/siskinbank/lab/standins/report.py
@@ -40,9 +40,18 @@
 
 @dataclass(slots=True)
 class RequestReport:
-    """One request as its caller saw it."""
+    """One request as its caller saw it; times are in seconds since 1970.
+
+    ``doubted`` says that there was more than one attempt and that an earlier
+    one may have run; ``lost_at`` is the entry that cut one without an answer.
+    """
 
     key: str
     idempotent: bool
     outcome: str
     reason: str = ''
+    started_at: float = 0
+    ended_at: float = 0
+    entry: str = ''
+    doubted: bool = False
+    lost_at: str = ''
--- a/siskinbank/lab/traffic.py
+++ b/siskinbank/lab/traffic.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 import socket
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from siskinbank.config.models import DocumentModel
@@ -131,6 +132,11 @@
             for sidecar in self._pool.sidecars.values()
         )
 
+    def has_room(self) -> bool:
+        """Whether a warm host that takes work had room for a while."""
+        latest = self._pool.clock.now - _ROOM_SECONDS
+        return any(since <= latest for since in self._room_since.values())
+
     def _send(self, arrival: Arrival, flags: int, tries: int) -> None:
         now = self._pool.clock.now
         if flags == SYN:
@@ -165,11 +171,6 @@
             delay = _RETRY_SECONDS - _CHECK_SECONDS
             self._push(now + delay, arrival, SYN, tries)
 
-    def has_room(self) -> bool:
-        """Whether a warm host that takes work had room for a while."""
-        latest = self._pool.clock.now - _ROOM_SECONDS
-        return any(since <= latest for since in self._room_since.values())
-
     def _note_room(self) -> None:
         for name, sidecar in self._pool.sidecars.items():
             if _has_room(sidecar):
@@ -229,8 +230,8 @@
     def site(
         self,
         generation: int,
-        out: frozenset[int] = frozenset(),
-        draining: frozenset[int] = frozenset(),
+        out: Collection[int] = (),
+        draining: Collection[int] = (),
         weights: dict[int, float] | None = None,
     ) -> Site:
         """Return the site at a generation.
--- a/siskinbank/peers/datagrams.py
+++ b/siskinbank/peers/datagrams.py
@@ -7,13 +7,15 @@
 from siskinbank.config.site import Address
 from siskinbank.kernel.metrics import Metrics
 from siskinbank.kernel.reasons import Drop
+from siskinbank.wire.envelopes import PACKET_KIND, Envelope
 from siskinbank.wire.keys import KeyRing
 from siskinbank.wire.messages import Message, MessageError, decode, encode
-from siskinbank.wire.packets import PACKET_KIND, Envelope
+from siskinbank.wire.replay import STAMP_BYTES, ReplayGuard
 
 __all__ = ('PeerSocket', 'open_udp')
 
 _CONTROL_PREFIX = b'\0'
+_STAMPED = len(_CONTROL_PREFIX) + STAMP_BYTES
 _RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 EnvelopeHandler = Callable[[Envelope, Address], None]
@@ -64,12 +66,28 @@
     """Sends and receives sealed envelopes and messages."""
 
     def __init__(self, keys: KeyRing, metrics: Metrics) -> None:
-        """Seal and open with ``keys``; handlers are set before ``open``."""
+        """Seal and open with ``keys``; handlers are set before ``open``.
+
+        ``on_message`` gets the messages of classes without a subscriber.
+        """
         self.keys = keys
         self._metrics = metrics
+        self._guard = ReplayGuard()
         self._transport: asyncio.DatagramTransport | None = None
+        self._subscribers: dict[type[Message], MessageHandler] = {}
         self.on_envelope: EnvelopeHandler = _ignore
         self.on_message: MessageHandler = _ignore
+        self.on_unkeyed: Callable[[], None] = _do_nothing
+        self.take_body: Callable[[bytes], bool] = _take_nothing
+
+    def subscribe(self, kind: type[Message], handler: MessageHandler) -> None:
+        """Hand messages of one class to ``handler``.
+
+        Raises:
+            ValueError: the class has a subscriber.
+        """
+        if self._subscribers.setdefault(kind, handler) is not handler:
+            raise ValueError(f'{kind.__name__} has a subscriber')
 
     async def open(self, address: Address) -> None:
         """Bind to ``address``."""
@@ -84,25 +102,32 @@
         body = self.keys.open(datagram)
         if body is None:
             self._metrics.count(Drop.unkeyed)
+            self.on_unkeyed()
         elif body[0] == PACKET_KIND:
-            envelope = Envelope.unpack(body)
-            if envelope is None:
-                self._metrics.count(Drop.malformed)
-            else:
-                self.on_envelope(envelope, sender)
+            if not self.take_body(body):
+                self._receive_envelope(body, sender)
         else:
             self._receive_message(body, sender)
 
+    def send_packet(self, head: bytes, raw: bytes, receiver: Address) -> None:
+        """Send a packet behind an envelope's head that is packed already."""
+        if self._transport is not None:
+            sealed = self.keys.seal_parts(head, raw)
+            self._transport.sendto(sealed, receiver)
+
     def send_envelope(self, envelope: Envelope, receiver: Address) -> None:
         """Send a packet on to another process."""
         if self._transport is not None:
-            sealed = self.keys.seal(envelope.pack())
+            sealed = self.keys.seal_parts(envelope.pack_head(), envelope.raw)
             self._transport.sendto(sealed, receiver)
 
     def send_message(self, sent: Message, receiver: Address) -> None:
         """Send a control message to another process."""
         if self._transport is not None:
-            sealed = self.keys.seal(_CONTROL_PREFIX + encode(sent))
+            sealed = self.keys.seal(
+                _CONTROL_PREFIX + self._guard.stamp() + encode(sent),
+            )
+            self._metrics.tally('control_bytes', len(sealed))
             self._transport.sendto(sealed, receiver)
 
     def close(self) -> None:
@@ -110,14 +135,33 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _receive_envelope(self, body: bytes, sender: Address) -> None:
+        envelope = Envelope.unpack(body)
+        if envelope is None:
+            self._metrics.count(Drop.malformed)
+        else:
+            self.on_envelope(envelope, sender)
+
     def _receive_message(self, body: bytes, sender: Address) -> None:
+        if not self._guard.accept(body[len(_CONTROL_PREFIX) : _STAMPED]):
+            self._metrics.count(Drop.replayed)
+            return
         try:
-            received = decode(body[len(_CONTROL_PREFIX) :])
+            received = decode(body[_STAMPED:])
         except MessageError:
             self._metrics.count(Drop.malformed)
             return
-        self.on_message(received, sender)
+        handler = self._subscribers.get(type(received), self.on_message)
+        handler(received, sender)
 
 
 def _ignore(_received: object, _sender: Address) -> None:
     """Drop what nobody handles."""
+
+
+def _do_nothing() -> None:
+    """Tell nobody."""
+
+
+def _take_nothing(_body: bytes) -> bool:
+    return False
--- a/siskinbank/sidecar/context.py
+++ b/siskinbank/sidecar/context.py
@@ -11,6 +11,7 @@
 from siskinbank.config.site import Host, Service
 from siskinbank.kernel import events
 from siskinbank.kernel.process import ProcessContext
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.platform.view import FleetView
 from siskinbank.settings import SidecarSettings
@@ -36,12 +37,14 @@
         settings: SidecarSettings,
         view: FleetView,
         peers: PeerSocket,
+        streams: PeerStreams,
     ) -> None:
         """Share the parts of a started node."""
         self.process = process
         self.settings = settings
         self.view = view
         self.peers = peers
+        self.streams = streams
         self.router = Router(view)
         self.admission: UpstreamAdmission | None = None
         self.owned_flows: OwnedFlows = tuple
@@ -55,6 +58,11 @@
         """The upstream's limits, once its service is known."""
         return self.admission.limits if self.admission else None
 
+    @property
+    def now(self) -> float:
+        """The process's clock in seconds."""
+        return self.process.timers.now
+
     @property
     def is_out(self) -> bool:
         """Whether this data centre is out of service."""
@@ -87,7 +95,7 @@
         if self.admission is None:
             self.admission = make_admission(
                 self.service,
-                lambda: self.process.timers.now,
+                self.process.timers.clock,
                 self._note,
                 lambda: self.owned_flows(),
             )
--- a/siskinbank/sidecar/deflection.py
+++ b/siskinbank/sidecar/deflection.py
@@ -1,11 +1,10 @@
 """Which sidecar takes a first packet: this one, or a less loaded one."""
 
 import random
-from collections.abc import Sequence
 
 from siskinbank.admission.balance import PoolLoads
 from siskinbank.admission.upstream import UpstreamAdmission
-from siskinbank.wire.packets import URGENT, Envelope
+from siskinbank.wire.envelopes import URGENT, Envelope
 
 __all__ = ('bears', 'next_candidates')
 
@@ -14,9 +13,11 @@
 _ASKED = 4
 _BALANCED = 2
 #: The hop from which a host with room takes a first packet at any load.
-_LAST_HOP = 6
+_LAST_HOP = 9
+#: Below this share of its full limit a host is quiet and passes nothing on.
+_QUIET_SHARE = 0.02
 #: The hop from which an urgent packet gets no further hosts to ask.
-_LAST_PLAN_HOP = 4
+_LAST_PLAN_HOP = 10
 
 
 def bears(
@@ -31,7 +32,8 @@
     """
     if not _is_last_chance(envelope):
         load = admission.load
-        if load and load >= loads.fair_load(load, weight):
+        quiet = admission.limits.connections.full * _QUIET_SHARE
+        if load >= max(quiet, loads.fair_load(load, weight)):
             return False
     return admission.limits.connections.take()
 
@@ -86,5 +88,5 @@
     for address in asked[:_BALANCED]:
         loads.expect(address)
     if own is not None:
-        asked[_ASKED - 1 :] = [own]
+        asked = [*asked[: _ASKED - 1], own]
     return tuple(asked)
--- a/siskinbank/sidecar/exchange.py
+++ b/siskinbank/sidecar/exchange.py
@@ -51,7 +51,7 @@
         """Note what another sidecar told; refuse what is malformed."""
         service = self._context.service
         if service is None or received.service != service.ident:
-            self._context.process.metrics.count(Drop.wrong_service)
+            self._context.process.metrics.count(Drop.other_pool)
             return
         if not _is_sound(received):
             self._context.process.metrics.count(Drop.malformed)
@@ -70,10 +70,10 @@
         room = admission.limits.connections.room
         return PoolLoad(
             service.ident,
-            [own.seed, *(host.seed for host, _load in known)],
-            [admission.load, *(load.load for _host, load in known)],
-            [room, *(load.room for _host, load in known)],
-            [0, *(_age(now - load.at) for _host, load in known)],
+            [own.seed, *(host.seed for host, _ in known)],
+            [admission.load, *(load.load for _, load in known)],
+            [room, *(load.room for _, load in known)],
+            [0, *(_age(now - load.at) for _, load in known)],
         )
 
     def _refresh(self) -> None:
@@ -105,12 +105,16 @@
     )
 
 
+def _is_count(number: object) -> bool:
+    return (
+        isinstance(number, int) and not isinstance(number, bool) and number >= 0
+    )
+
+
 def _is_sound(received: PoolLoad) -> bool:
     columns = (received.hosts, received.loads, received.rooms, received.ages)
     if any(len(column) != len(received.hosts) for column in columns):
         return False
     return len(received.hosts) <= _RECORDS and all(
-        type(number) is int and number >= 0
-        for column in columns
-        for number in column
+        _is_count(number) for column in columns for number in column
     )
--- a/siskinbank/sidecar/watch.py
+++ b/siskinbank/sidecar/watch.py
@@ -30,38 +30,54 @@
 
 def start_watch(context: SidecarContext) -> None:
     """Watch from now on, as far as the settings say how."""
-    busy: set[str] = set()
-
-    def start(name: str, work: Callable[[], Awaitable[None]]) -> None:
-        # A round that hangs is not joined by a second one.
-        if name not in busy and context.admission is not None:
-            busy.add(name)
-            context.process.start_task(run(name, work))
-
-    async def run(name: str, work: Callable[[], Awaitable[None]]) -> None:
-        try:
-            await work()
-        finally:
-            busy.discard(name)
-
-    async def probe_upstream() -> None:
-        address = probe_address(context)
-        if address is not None and context.admission is not None:
-            await probe(address, context.admission.judge)
-
-    async def ask_upstream() -> None:
-        url = context.settings.upstream_health
-        if url is not None and context.admission is not None:
-            report = await read_report(url)
-            context.admission.judge.note_report(report)
+    probing = _one_at_a_time(context, _probe_upstream)
+    asking = _one_at_a_time(context, _ask_upstream)
 
     def watch() -> None:
-        start('probe', probe_upstream)
-        start('report', ask_upstream)
+        probing()
+        asking()
 
     context.process.timers.every(_INTERVAL_SECONDS, watch, jitter=0.1)
 
 
+def _one_at_a_time(
+    context: SidecarContext,
+    work: Callable[[SidecarContext, UpstreamJudge], Awaitable[None]],
+) -> Callable[[], None]:
+    """Return a function that starts ``work`` unless it is still running."""
+    running: set[asyncio.Task[None]] = set()
+
+    async def run(judge: UpstreamJudge) -> None:
+        await work(context, judge)
+
+    def start() -> None:
+        if running or context.admission is None:
+            return
+        task = context.process.start_task(run(context.admission.judge))
+        running.add(task)
+        task.add_done_callback(running.discard)
+
+    return start
+
+
+async def _probe_upstream(
+    context: SidecarContext,
+    judge: UpstreamJudge,
+) -> None:
+    address = probe_address(context)
+    if address is not None:
+        await probe(address, judge)
+
+
+async def _ask_upstream(
+    context: SidecarContext,
+    judge: UpstreamJudge,
+) -> None:
+    url = context.settings.upstream_health
+    if url is not None:
+        judge.note_report(await read_report(url))
+
+
 def probe_address(context: SidecarContext) -> Address | None:
     """Return where a connection shows that the upstream lives."""
     settings = context.settings
--- a/siskinbank/wire/loads.py
+++ b/siskinbank/wire/loads.py
@@ -16,7 +16,7 @@
     use, connections left, and the report's age in tenths of a second.
     """
 
-    kind = 40
+    kind = 60
     service: int
     hosts: list  # type: ignore[type-arg]
     loads: list  # type: ignore[type-arg]
