--- a/siskinbank/lab/pool.py
+++ b/siskinbank/lab/pool.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from siskinbank.choice.homes import KeyHomes
 from siskinbank.choice.router import Router
 from siskinbank.config.site import Address, Site
 from siskinbank.entry.context import EntryContext
@@ -108,6 +109,7 @@
             Router(view),
             peers,
             RequestLinks(process, PeerStreams(process, _KEYS)),
+            KeyHomes(view),
         )
         entry = PoolEntry(process, view, PacketIngress(context))
         self.entries[name] = entry
@@ -131,7 +133,13 @@
         settings = SidecarSettings(
             name, 'a', address, address, '', _KEYS, None, None, None
         )
-        context = SidecarContext(process, settings, view, peers)
+        context = SidecarContext(
+            process,
+            settings,
+            view,
+            peers,
+            PeerStreams(process, _KEYS),
+        )
         beside = upstream or FakeUpstream()
 
         def receive(datagram: bytes, _sender: Address) -> None:
