--- a/siskinbank/choice/rendezvous.py
+++ b/siskinbank/choice/rendezvous.py
@@ -15,30 +15,28 @@
 _RANGE = float(_MASK) + 2
 
 
-def _mix(number: int) -> int:
-    """Spread 64 bits; a multiply-xorshift finalizer."""
-    once = (number ^ number >> _SHIFT) * _MULTIPLIER & _MASK
-    twice = (once ^ once >> _SHIFT) * _MULTIPLIER & _MASK
-    return twice ^ twice >> _SHIFT
-
-
 def prepare_rendezvous(hosts: Sequence[Host], count: int) -> Rank:
     """Return a function that ranks the ``count`` best hosts for a flow.
 
     A host's score is ``-weight / ln(u)`` with ``u`` a hash of flow and host
     spread over (0, 1), after Schindelhauer and Schomaker, "Weighted
-    distributed hash tables" (2005).
+    distributed hash tables" (2005). The hash is a multiply-xorshift finalizer
+    on 64 bits, written out because this is the hot part of a first packet.
     """
-    seeds = [(host.seed, host.weight, host) for host in hosts]
+    named = sorted(hosts, key=lambda host: host.name, reverse=True)
+    seeds = [(host.seed, -host.weight, host) for host in named]
     log = math.log
 
     def rank(flow: int) -> list[Host]:
-        scored = []
+        scores = {}
         for seed, weight, host in seeds:
-            spread = (_mix(flow ^ seed) + 1) / _RANGE
-            scored.append((-weight / log(spread), host.name, host))
-        best = heapq.nlargest(count, scored)
-        return [scored_host for _score, _name, scored_host in best]
+            mixed = flow ^ seed
+            mixed = (mixed ^ mixed >> _SHIFT) * _MULTIPLIER & _MASK
+            mixed = (mixed ^ mixed >> _SHIFT) * _MULTIPLIER & _MASK
+            spread = ((mixed ^ mixed >> _SHIFT) + 1) / _RANGE
+            scores[weight / log(spread)] = host
+        best = heapq.nlargest(count, scores)
+        return [scores[score] for score in best]
 
     return rank
 
