--- a/siskinbank/ingress/fou.py
+++ b/siskinbank/ingress/fou.py
@@ -40,7 +40,7 @@
         """Serve all packet services of an entry."""
         self._view = context.view
         self._router = context.router
-        self._peers = context.peers
+        self.peers = context.peers
         self._metrics = context.process.metrics
         self._passed = self._metrics.cell(_PASSED)
         self._clock = context.process.timers.clock
@@ -72,7 +72,7 @@
                 and self._clock() <= self._guard.until
             ):
                 self._passed[0] += 1
-                self._peers.send_packet(
+                self.peers.send_packet(
                     route.head,
                     datagram,
                     route.receiver.address,
@@ -125,7 +125,7 @@
         receiver = route.receiver
         if receiver.allowed:
             self._passed[0] += 1
-            self._peers.send_packet(route.head, packet.raw, receiver.address)
+            self.peers.send_packet(route.head, packet.raw, receiver.address)
             return True
         if packet.may_open:
             self._routes.forget(flow)
@@ -140,7 +140,7 @@
             return
         envelope = self._envelope(service, packet.raw, UNCACHED, candidates)
         self._passed[0] += 1
-        self._peers.send_envelope(envelope, unpack_address(candidates[0]))
+        self.peers.send_envelope(envelope, unpack_address(candidates[0]))
 
     def _candidates(
         self,
