--- a/siskinbank/coordination/__init__.py
+++ b/siskinbank/coordination/__init__.py
@@ -8,14 +8,18 @@
 from typing import Any
 
 _PARTS = {
+    'Backoff': 'siskinbank.coordination.backoff',
     'ClimbingLimit': 'siskinbank.admission.limit',
     'Clock': 'siskinbank.kernel.clock',
     'FakeClock': 'siskinbank.kernel.clock',
     'Key': 'siskinbank.wire.keys',
     'KeyRing': 'siskinbank.wire.keys',
     'Leases': 'siskinbank.coordination.leases',
+    'OnceRegister': 'siskinbank.coordination.tickets',
     'ReplayGuard': 'siskinbank.wire.replay',
+    'RetryBudget': 'siskinbank.coordination.budget',
     'Subscription': 'siskinbank.kernel.timers',
+    'TicketOffice': 'siskinbank.coordination.tickets',
     'TimerService': 'siskinbank.kernel.timers',
     'boot_seconds': 'siskinbank.kernel.clock',
     'prepare_ranking': 'siskinbank.coordination.ranking',
