Give up flows of hosts that are gone; act only on a fresh view

The view now says which hosts list and silence hold for gone, and whether the process may act on it; routing and the suspension guard follow it.

--- a/siskinbank/choice/router.py
+++ b/siskinbank/choice/router.py
@@ -108,16 +108,23 @@
             for service in site.services.values()
             if service.ident in old
         }
-        self._allowed = _addresses(site, out=False)
-        self._out = _addresses(site, out=True) - self._allowed
+        gone = self._view.gone
+        self._allowed = _addresses(site, gone, out=False)
+        self._out = _addresses(site, gone, out=True) - self._allowed
 
 
-def _addresses(site: Site, *, out: bool) -> frozenset[bytes]:
+def _addresses(
+    site: Site,
+    gone: frozenset[str],
+    *,
+    out: bool,
+) -> frozenset[bytes]:
+    """Return the addresses of hosts that are out or gone, or of all others."""
     return frozenset(
         pack_address(host.address)
         for service in site.services.values()
         for host in service.hosts
-        if site.is_out(host) is out
+        if (site.is_out(host) or host.name in gone) is out
     )
 
 
--- a/siskinbank/ingress/fou.py
+++ b/siskinbank/ingress/fou.py
@@ -47,6 +47,7 @@
         self._guard = SuspensionGuard(
             context.process.timers,
             lambda: context.view.list_age,
+            lambda: context.view.fresh,
         )
         self._own = pack_address(context.settings.bind)
         self._routes = RouteCache(_CACHED_FLOWS)
--- a/siskinbank/kernel/suspension.py
+++ b/siskinbank/kernel/suspension.py
@@ -25,10 +25,18 @@
         self,
         timers: TimerService,
         list_age: Callable[[], float | None],
+        may_act: Callable[[], bool],
     ) -> None:
-        """Watch the timers; ``list_age`` tells the age of the live list."""
+        """Watch the timers.
+
+        Args:
+            timers: call the guard while the process is awake.
+            list_age: tells the age of the live list in seconds.
+            may_act: whether the view is fit to act on.
+        """
         self._timers = timers
         self._list_age = list_age
+        self._may_act = may_act
         self._woke: float | None = None
         self.until = timers.now + _TOLERANCE_SECONDS
         timers.every(_BEAT_SECONDS, self._beat)
@@ -40,6 +48,8 @@
 
     def _beat(self) -> None:
         now = self._timers.now
+        if not self._may_act():
+            return
         if now > self.until and not self._is_fresh(now):
             return
         self._woke = None
--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -61,6 +61,7 @@
         self._guard = SuspensionGuard(
             self._timers,
             lambda: context.view.list_age,
+            lambda: context.view.fresh,
         )
         self._name = context.process.name
         self._started: float | None = None
--- a/tests/sidecar/test_packets.py
+++ b/tests/sidecar/test_packets.py
@@ -402,6 +402,21 @@
         self.assertEqual(counts.value(GivenUp.removed), 1)
         self.assertEqual(counts.value(Drop.wrong_service), 1)
 
+    def test_owner_gone(self) -> None:
+        """What lived on a host that is gone is given up, or opened anew."""
+        self.send(self.raw)
+        datagram = make_udp(_flow(7), bytes(20))
+        while self.owners(datagram) != [self.owner]:
+            datagram = make_udp(_flow(self.pool.rng.randrange(9999)), bytes(20))
+            self.send(datagram)
+        self.pool.kill(self.owner)
+        for part in (*self.pool.entries.values(), *self.pool.sidecars.values()):
+            part.view.take_beliefs(frozenset(), frozenset((self.owner,)))
+        self.send(self.raw)
+        self.send(datagram)
+        self.assertEqual(self.drops(Drop.owner_gone), 1)
+        self.assertEqual(len(self.owners(datagram)), 1)
+
     def test_centre_out(self) -> None:
         """Flows there are given up at once; no packet is delivered."""
         number = int(self.owner.rpartition('-')[2])
