--- a/siskinbank/entry/links.py
+++ b/siskinbank/entry/links.py
@@ -10,6 +10,7 @@
 from siskinbank.kernel.clock import Clock
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.kernel.reasons import Drop, Refusal
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.wire.bodies import START_BYTES, BodyReader, SendWindow
 from siskinbank.wire.messages import (
     AnswerHead,
@@ -236,8 +237,9 @@
 class RequestLinks:
     """One link to each sidecar that was needed so far."""
 
-    def __init__(self, process: ProcessContext) -> None:
+    def __init__(self, process: ProcessContext, streams: PeerStreams) -> None:
         """Run links as tasks of ``process``."""
+        self.streams = streams
         self._process = process
         self._links: dict[Address, RequestLink] = {}
         self._locks: dict[Address, asyncio.Lock] = {}
@@ -279,7 +281,7 @@
         return link
 
     async def _open(self, address: Address) -> RequestLink:
-        stream = MessageStream(*await asyncio.open_connection(*address))
+        stream = await self.streams.connect(address)
         try:
             await stream.send(OpenRequests(self._process.name))
             opened = await stream.receive()
--- a/siskinbank/kernel/reasons.py
+++ b/siskinbank/kernel/reasons.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ('Doubt', 'Drop', 'Refusal', 'Retry')
+__all__ = ('Doubt', 'Drop', 'GivenUp', 'Refusal', 'Retry')
 
 
 class Refusal(enum.StrEnum):
@@ -53,6 +53,8 @@
 
     malformed = 'malformed'
     unkeyed = 'unkeyed'
+    replayed = 'replayed'
+    unkeyed_stream = 'unkeyed-stream'
     unknown_service = 'unknown-service'
     wrong_service = 'wrong-service'
     no_host = 'no-host'
@@ -61,8 +63,20 @@
     at_limit = 'at-limit'
     centre_out = 'data-centre-out'
     too_large = 'too-large'
+    owner_gone = 'owner-gone'
+    stale_view = 'stale-view'
+    stale_hint = 'stale-hint'
     doubled = 'doubled'
     late = 'late'
     reused_number = 'reused-number'
     over_credit = 'over-credit'
     link_lost = 'link-lost'
+
+
+class GivenUp(enum.StrEnum):
+    """Why an owned flow was given up."""
+
+    centre_out = 'data-centre-out'
+    removed = 'host-removed'
+    reassigned = 'address-reassigned'
+    idle = 'idle'
--- a/siskinbank/lab/request_rig.py
+++ b/siskinbank/lab/request_rig.py
@@ -22,6 +22,7 @@
 from siskinbank.kernel.clock import boot_seconds
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.kernel.timers import TimerService
+from siskinbank.lab.plain_streams import PlainStreams
 from siskinbank.lab.faulty_link import FaultyLink, LinkFaults
 from siskinbank.lab.ports import free_ports
 from siskinbank.lab.request_upstream import RequestUpstream
@@ -172,7 +173,13 @@
             'http://{0}:{1}'.format(*host.upstream_address),
         )
         peers = PeerSocket(_KEYS, process.metrics)
-        context = SidecarContext(process, settings, view, peers)
+        context = SidecarContext(
+            process,
+            settings,
+            view,
+            peers,
+            PlainStreams(process, _KEYS),
+        )
         await start_streams(context, RequestServer(context))
         view.adopt(self.site())
         host.process = process
@@ -244,7 +251,7 @@
             view,
             Router(view),
             PeerSocket(_KEYS, process.metrics),
-            RequestLinks(process),
+            RequestLinks(process, PlainStreams(process, _KEYS)),
             KeyHomes(view),
         )
         handle = await start_http(context, '0.0.0.0', self.port)
--- a/siskinbank/sidecar/fencing.py
+++ b/siskinbank/sidecar/fencing.py
@@ -5,6 +5,7 @@
 from siskinbank.config.site import Host
 from siskinbank.entry.links import LinkLostError, RequestLinks
 from siskinbank.kernel.process import ProcessContext
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.wire.messages import FenceKey, KeyFenced, RequestHead
 
 __all__ = ('Fencing',)
@@ -15,9 +16,9 @@
 class Fencing:
     """Asks other sidecars over request links, as an entry does."""
 
-    def __init__(self, process: ProcessContext) -> None:
+    def __init__(self, process: ProcessContext, streams: PeerStreams) -> None:
         """Keep links as tasks of ``process``."""
-        self._links = RequestLinks(process)
+        self._links = RequestLinks(process, streams)
 
     async def ask(self, homes: list[Host], head: RequestHead) -> bool:
         """Whether all former homes fenced the key of a request."""
--- a/siskinbank/sidecar/requests.py
+++ b/siskinbank/sidecar/requests.py
@@ -92,7 +92,9 @@
         """Run requests on the context's upstream."""
         self._context = context
         self._metrics = context.process.metrics
-        self._guard = OnceGuard(context, Fencing(context.process).ask)
+        self._guard = OnceGuard(
+            context, Fencing(context.process, context.streams).ask
+        )
         self._slots = SlotQueue(context)
         self._client: UpstreamClient | None = None
         self._links: set[_EntryLink] = set()
--- a/siskinbank/sidecar/streams.py
+++ b/siskinbank/sidecar/streams.py
@@ -34,14 +34,10 @@
     """
     tunnels: set[asyncio.Task[None]] = set()
 
-    def accept(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        stream = MessageStream(reader, writer)
+    def accept(stream: MessageStream) -> None:
         context.process.start_task(_serve(context, requests, tunnels, stream))
 
-    server = await asyncio.start_server(accept, *context.settings.bind)
+    server = await context.streams.listen(context.settings.bind, accept)
 
     async def drain() -> None:
         await requests.drain()
@@ -120,7 +116,7 @@
             return
         await stream.send(TunnelOpened())
         context.process.metrics.tally('flows_opened')
-        await pump_both(stream.reader, stream.writer, reader, writer)
+        await pump_both(reader, writer, stream)
     finally:
         limits.connections.give_back()
 
