--- a/siskinbank/coordination/__init__.py
+++ b/siskinbank/coordination/__init__.py
@@ -1,21 +1,26 @@
 """Parts for coordination without shared state, for others to embed.
 
 Importing this package loads nothing else; each part is loaded when its name
-is first used. None of them needs the daemons, a web library or a socket.
+is first used. None of them needs the daemons, a web library or a socket. The
+client for requests, which needs aiohttp, is `siskinbank.coordination.client`.
 """
 
 import importlib
 from typing import Any
 
 _PARTS = {
+    'Backoff': 'siskinbank.coordination.backoff',
     'ClimbingLimit': 'siskinbank.admission.limit',
     'Clock': 'siskinbank.kernel.clock',
     'FakeClock': 'siskinbank.kernel.clock',
     'Key': 'siskinbank.wire.keys',
     'KeyRing': 'siskinbank.wire.keys',
     'Leases': 'siskinbank.coordination.leases',
+    'OnceRegister': 'siskinbank.coordination.tickets',
     'ReplayGuard': 'siskinbank.wire.replay',
+    'RetryBudget': 'siskinbank.coordination.budget',
     'Subscription': 'siskinbank.kernel.timers',
+    'TicketOffice': 'siskinbank.coordination.tickets',
     'TimerService': 'siskinbank.kernel.timers',
     'boot_seconds': 'siskinbank.kernel.clock',
     'prepare_ranking': 'siskinbank.coordination.ranking',
