Go past a silent sidecar with work that may run again

Cause: a suspended sidecar held an idempotent request until its deadline. Change: after a quiet second the entry asks the link for a sign of life; after another one it counts the link as lost for this attempt.

--- a/siskinbank/entry/exchanges.py
+++ b/siskinbank/entry/exchanges.py
@@ -17,6 +17,7 @@
 
 Result = Answered | NotRun | Unknown
 
+_QUIET_SECONDS = 1.0
 _MIN_STATUS = 200
 _MAX_STATUS = 599
 
@@ -29,7 +30,7 @@
     sender = asyncio.create_task(_send(exchange, call))
     finished = False
     try:
-        reply = await _wait_for_reply(exchange, call)
+        reply = await _wait_for_reply(exchange, call, link)
         if not isinstance(reply, AnswerHead):
             finished = isinstance(reply, NotRun)
             return reply
@@ -93,8 +94,11 @@
 async def _wait_for_reply(
     exchange: Exchange,
     call: Call,
+    link: RequestLink,
 ) -> AnswerHead | NotRun | Unknown:
     async with asyncio.timeout(call.remaining):
+        if call.idempotent:
+            await _watch(exchange, link)
         reply = await exchange.reply
     if isinstance(reply, Refused):
         return _refusal(reply)
@@ -105,6 +109,22 @@
     return reply
 
 
+async def _watch(exchange: Exchange, link: RequestLink) -> None:
+    """Wait for the reply while the sidecar lives.
+
+    Work that may run again need not wait for a sidecar that is suspended.
+
+    Raises:
+        LinkLostError: the sidecar is silent.
+    """
+    while True:
+        await asyncio.wait((exchange.reply,), timeout=_QUIET_SECONDS)
+        if exchange.reply.done():
+            return
+        if not await link.is_alive() and not exchange.reply.done():
+            raise LinkLostError('the sidecar is silent')
+
+
 def _is_bad(reply: AnswerHead) -> bool:
     good_status = _MIN_STATUS <= reply.status <= _MAX_STATUS
     return not good_status or header_problem(reply.headers) is not None
--- a/siskinbank/entry/links.py
+++ b/siskinbank/entry/links.py
@@ -24,6 +24,7 @@
     Message,
     MessageError,
     OpenRequests,
+    Ping,
     Refused,
     TicketIssued,
 )
@@ -32,6 +33,7 @@
 __all__ = ('Exchange', 'LinkLostError', 'RequestLink', 'RequestLinks')
 
 _CONNECT_SECONDS = 1
+_ALIVE_SECONDS = 1
 _IDLE_SECONDS = 60
 _CLOCK_SECONDS = 60
 
@@ -123,6 +125,7 @@
         self._count = count
         self._numbers = itertools.count(1)
         self._exchanges: dict[int, Exchange] = {}
+        self._heard = asyncio.Event()
         self._offset = -math.inf
         self._former_offset = -math.inf
         self._offset_since = clock()
@@ -190,6 +193,17 @@
         except (OSError, RuntimeError) as error:
             raise LinkLostError(str(error)) from error
 
+    async def is_alive(self) -> bool:
+        """Ask for a sign of life; whether anything came in time."""
+        self._heard.clear()
+        self.post(Ping(0))
+        try:
+            async with asyncio.timeout(_ALIVE_SECONDS):
+                await self._heard.wait()
+        except TimeoutError:
+            return False
+        return not self.lost
+
     def end(self) -> None:
         """Close the stream."""
         self.lost = True
@@ -210,6 +224,9 @@
                 exchange.lose(LinkLostError('the sidecar closed the link'))
 
     def _dispatch(self, received: Message) -> None:
+        self._heard.set()
+        if isinstance(received, Ping):
+            return
         if isinstance(received, GoAway):
             self._leave(received)
             return
--- a/siskinbank/sidecar/requests.py
+++ b/siskinbank/sidecar/requests.py
@@ -41,6 +41,7 @@
     LinkOpened,
     Message,
     MessageError,
+    Ping,
     Refused,
     RequestHead,
     TicketIssued,
@@ -103,6 +104,7 @@
             RequestHead: self._start,
             IssueTicket: self._issue,
             FenceKey: self._fence,
+            Ping: lambda asked, link: link.post(asked),
         }
         context.process.open_work['requests'] = lambda: len(self._tasks)
         context.process.on_close(self._close)
--- a/siskinbank/wire/messages.py
+++ b/siskinbank/wire/messages.py
@@ -321,6 +321,15 @@
     good_for: float
 
 
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping(Message):
+    """Asks for a sign of life; it comes back as it is."""
+
+    kind = 47
+    number: int
+
+
 @message
 @dataclasses.dataclass(frozen=True, slots=True)
 class FenceKey(Message):
--- a/tests/ingress/test_http.py
+++ b/tests/ingress/test_http.py
@@ -145,6 +145,17 @@
             self.assertEqual(told, 'not-run')
             self.assertEqual(rig.hosts['matcher-1'].upstream.arrivals, 0)
 
+    async def test_silent_host(self) -> None:
+        """Work that may run again goes past a host that is suspended."""
+        async with running_rig(entries=1, hosts=2) as rig:
+            url = rig.urls()[0]
+            rig.hosts['matcher-1'].link.pause()
+            outcomes = [
+                await self.post(url, Siskinbank_Idempotent='true')
+                for _ in range(4)
+            ]
+            self.assertGreaterEqual(outcomes.count(('answered', b'body')), 3)
+
     async def test_full_host_refuses_and_never_runs_late(self) -> None:
         """With all slots and places taken, the rest is refused at once."""
         async with running_rig(entries=1, hosts=1, slots=2) as rig:
