--- a/examples/library/tickets.py
+++ b/examples/library/tickets.py
@@ -1,16 +1,23 @@
-"""Work that runs once at most, in one life of one host."""
+"""One piece of work runs once, in one life of one host, or nowhere."""
 
 from siskinbank.coordination import FakeClock, OnceRegister, TicketOffice
 
-SERVICE = 7
 clock = FakeClock()
 office = TicketOffice('host-1', clock)
-done = OnceRegister(clock, lifetime=600, capacity=1000)
-ticket = office.issue(SERVICE, 'order-17')
+once = OnceRegister(clock, lifetime=60, capacity=1000)
+ticket = office.issue(service=7, key='booking-1')
 
-print('good:', office.check(ticket, SERVICE, 'order-17') is None)
-print('runs:', done.claim(ticket), done.claim(ticket))
-print('other key:', office.check(ticket, SERVICE, 'order-18'))
 
-restarted = TicketOffice('host-1', clock)
-print('after a restart:', restarted.check(ticket, SERVICE, 'order-17'))
+def run(text: str, key: str) -> str:
+    """Run the work of a ticket unless it ran."""
+    doubt = office.check(text, 7, key)
+    if doubt is not None:
+        return doubt.value
+    return 'runs' if once.claim(text) else 'ran before'
+
+
+print('first copy:', run(ticket, 'booking-1'))
+print('second copy:', run(ticket, 'booking-1'))
+print('for other work:', run(ticket, 'booking-2'))
+office = TicketOffice('host-1', clock)
+print('after a restart:', run(ticket, 'booking-1'))
--- a/tests/peers/test_datagrams.py
+++ b/tests/peers/test_datagrams.py
@@ -1,18 +1,21 @@
 """Tests of the peer socket's subscriptions."""
 
+import random
 import unittest
 
+from siskinbank.kernel.clock import FakeClock
 from siskinbank.kernel.metrics import Metrics
 from siskinbank.kernel.reasons import Drop
+from siskinbank.lab.network import FakeNetwork
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.wire.keys import Key, KeyRing
-from siskinbank.wire.messages import Message, Moved, Owner, encode
-from siskinbank.wire.replay import ReplayGuard
+from siskinbank.wire.messages import Cancel, Message, Owner, encode
 
 KEYS = KeyRing([Key(1, bytes(32))])
 SENDER = ('10.0.0.1', 7100)
+RECEIVER = ('10.0.0.2', 7100)
 OWNER = Owner(b'f' * 13, bytes(6), 1, 1)
-MOVED = Moved(1, bytes(6), 1, 1, 1, b'')
+CANCEL = Cancel(1)
 
 
 class TestSubscriptions(unittest.TestCase):
@@ -37,11 +40,14 @@
 
     def test_by_class(self) -> None:
         """Each class reaches its own subscriber, the rest the default."""
-        guard = ReplayGuard()
-        for sent in (OWNER, MOVED):
-            body = b'\0' + guard.stamp() + encode(sent)
-            self.peers.receive(KEYS.seal(body), SENDER)
-        self.assertEqual((self.owners, self.others), ([OWNER], [MOVED]))
+        network = FakeNetwork(FakeClock(), random.Random(1))
+        network.bind(RECEIVER, self.peers.receive)
+        sending = PeerSocket(KEYS, Metrics())
+        sending.use(network.bind(SENDER, sending.receive))
+        for sent in (OWNER, CANCEL):
+            sending.send_message(sent, RECEIVER)
+        network.run(1)
+        self.assertEqual((self.owners, self.others), ([OWNER], [CANCEL]))
 
     def test_one_subscriber_a_class(self) -> None:
         """A second subscriber is an error of the program."""
