Let a home wait when it cannot know the former homes of a key

Cause: a host that joined the pool, or that missed a generation, asked nobody or the wrong hosts to fence a key, and ran it a second time.

--- a/siskinbank/lab/request_rig.py
+++ b/siskinbank/lab/request_rig.py
@@ -126,6 +126,14 @@
         for view in self.views():
             view.adopt(site)
 
+    def publish_to(self, *parts: RigEntry | RigHost) -> None:
+        """Put the states of the hosts in force at some parts only."""
+        self.generation += 1
+        site = self.site()
+        for part in parts:
+            if part.view is not None:
+                part.view.adopt(site)
+
     def views(self) -> list[FleetView]:
         """Return what all processes believe."""
         views = [entry.view for entry in self.entries]
--- a/siskinbank/sidecar/homes.py
+++ b/siskinbank/sidecar/homes.py
@@ -26,6 +26,7 @@
         self._since = context.now
         self._now: Rank = _nobody
         self._signature: tuple[object, ...] = ()
+        self._generation = 0
         self._former: list[tuple[float, Rank]] = []
         context.view.subscribe(self._refresh)
 
@@ -50,7 +51,8 @@
         """Return the other hosts that were the home of a key lately.
 
         None means that asking them would not settle it: this host is not the
-        home of the key, or is too young to know the former ones.
+        home of the key, or it joined the pool so lately that it does not know
+        the former ones.
         """
         digest = digest64(key)
         now = self._context.now
@@ -59,8 +61,10 @@
             return None
         homes = {}
         for _until, rank in self._former:
-            for host in rank(digest):
-                homes[host.name] = host
+            ranked = rank(digest)
+            if not ranked:
+                return None
+            homes[ranked[0].name] = ranked[0]
         homes.pop(self._context.process.name, None)
         return list(homes.values())
 
@@ -76,6 +80,11 @@
         self._former = [entry for entry in self._former if entry[0] > now]
 
     def _refresh(self) -> None:
+        generation = self._context.view.generation
+        if self._generation and generation > self._generation + 1:
+            # Pools in between were never seen, and so neither their homes.
+            self._remember(_nobody)
+        self._generation = generation
         service = self._context.service
         hosts: tuple[Host, ...] = ()
         if service is not None:
@@ -86,12 +95,15 @@
     def _replace(self, rank: Rank, signature: tuple[object, ...]) -> None:
         if signature == self._signature:
             return
-        now = self._context.now
-        self._forget(now)
-        self._former.append((now + SETTLE_SECONDS, self._now))
+        self._remember(self._now)
         self._now = rank
         self._signature = signature
 
+    def _remember(self, rank: Rank) -> None:
+        now = self._context.now
+        self._forget(now)
+        self._former.append((now + SETTLE_SECONDS, rank))
+
 
 def _nobody(_flow: int) -> list[Host]:
     return []
--- a/tests/sidecar/test_once.py
+++ b/tests/sidecar/test_once.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from siskinbank.lab.faulty_link import Fault, LinkFaults
@@ -152,6 +153,56 @@
             }
             self.assertEqual(outcomes, {'answered'})
 
+    async def test_host_that_joins(self) -> None:
+        """A host that joins does not know the former homes, and waits."""
+        async with running_rig(entries=1, hosts=3) as rig:
+            url = rig.urls()[0]
+            joining = rig.hosts['matcher-3']
+            joining.state = 'absent'
+            rig.publish()
+            rig.skew += 2 * SETTLE_SECONDS
+            await self.restart(rig, joining)
+            rig.skew += 2 * SETTLE_SECONDS
+            self.assertEqual(await self.send_keys(url, 'k'), {'answered'})
+            joining.state = 'active'
+            rig.publish()
+            self.assertEqual(await self.send_keys(url, 'k'), {'unknown'})
+            self.assertEqual(self.most_runs(rig), 1)
+            rig.skew += SETTLE_SECONDS + 1
+            self.assertEqual(await self.send_keys(url, 'new'), {'answered'})
+            self.assertTrue(joining.upstream.runs)
+
+    async def test_unseen_pools(self) -> None:
+        """A host that missed a generation does not know all former homes."""
+        async with running_rig(entries=1, hosts=3) as rig:
+            url = rig.urls()[0]
+            first, second, third = rig.hosts.values()
+            third.state = 'draining'
+            rig.publish()
+            rig.skew += 2 * SETTLE_SECONDS
+            third.state = 'active'
+            rig.publish_to(second, third, rig.entries[0])
+            self.assertEqual(await self.send_keys(url, 'k'), {'answered'})
+            second.state = 'draining'
+            third.state = 'draining'
+            rig.publish()
+            self.assertEqual(await self.send_keys(url, 'k'), {'unknown'})
+            self.assertEqual(self.most_runs(rig), 1)
+
+    async def send_keys(self, url: str, label: str) -> set[str]:
+        """Send twenty keys and return the outcomes."""
+        return {
+            (await self.post(url, key=f'{label}-{number}'))[0]
+            for number in range(20)
+        }
+
+    def most_runs(self, rig: RequestRig) -> int:
+        """Return how often the key that ran most often ran."""
+        runs: Counter[str] = Counter()
+        for host in rig.hosts.values():
+            runs.update(host.upstream.runs)
+        return max(runs.values())
+
     async def test_restarted_home_waits(self) -> None:
         """A restarted home runs no bare key until it may vouch for it."""
         async with running_rig(entries=1, hosts=1) as rig:
