Measure configuration, membership and control in virtual time

Cause: the dissemination had no measurement under faults and few tests. Change: lab configuration, membership and control run the product's own dissemination over the network in memory; tests cause each failure. Two faults found by them are mended: a record's role of another type raised, and of two records of one instance in one message the later one won.

--- a/siskinbank/lab/processes.py
+++ b/siskinbank/lab/processes.py
@@ -38,6 +38,10 @@
         if process.returncode is None:
             process.send_signal(number)
 
+    def ident(self, name: str) -> int:
+        """Return the process number."""
+        return self._processes[name].pid
+
     def running(self, name: str) -> bool:
         """Whether a process still runs."""
         process = self._processes.get(name)
--- /dev/null
+++ b/siskinbank/lab/real_fleet.py
@@ -0,0 +1,94 @@
+"""A fleet of separate processes on loopback, bounded in count and time."""
+
+import asyncio
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from siskinbank.lab.fleet import Fleet, FleetPlan
+from siskinbank.lab.memory import private_kilobytes
+
+__all__ = ('RealFigures', 'measure_real')
+
+_SETTLE_SECONDS = 5
+_MEASURE_SECONDS = 10
+_CENTRES = ('north-a', 'north-b', 'south-a', 'south-b')
+_ENTRY_SHARE = 0.25
+_START_TOGETHER = 8
+_USER_FIELD = 11
+
+
+@dataclass(frozen=True, slots=True)
+class RealFigures:
+    """Means over the processes of one run, idle but for control."""
+
+    processes: int
+    core_share: float
+    bytes_a_second: float
+    kilobytes: dict[str, int]
+
+
+async def measure_real(count: int) -> RealFigures:
+    """Start ``count`` entries and sidecars, and measure them idle.
+
+    Raises:
+        TimeoutError: the processes did not start in time.
+    """
+    entries = max(int(count * _ENTRY_SHARE), 1)
+    plan = FleetPlan('real', _CENTRES, entries, {'matcher': count - entries})
+    fleet = Fleet(plan)
+    try:
+        await _start(fleet)
+        await asyncio.sleep(_SETTLE_SECONDS)
+        return await _measure(fleet)
+    finally:
+        await fleet.stop()
+
+
+async def _start(fleet: Fleet) -> None:
+    """Start the platform, the entries, and some sidecars at a time."""
+    await fleet.start_without_hosts()
+    ports = fleet.admin_ports()
+    names = list(fleet.hosts)
+    for first in range(0, len(names), _START_TOGETHER):
+        batch = names[first : first + _START_TOGETHER]
+        for name in batch:
+            await fleet.start_sidecar(name)
+        for started in batch:
+            await fleet.wait_generation(ports[started])
+
+
+async def _measure(fleet: Fleet) -> RealFigures:
+    names = list(fleet.admin_ports())
+    ids = {name: fleet.processes.ident(name) for name in names}
+    before = await _control_bytes(fleet, names)
+    ticks = {name: _ticks(ids[name]) for name in names}
+    await asyncio.sleep(_MEASURE_SECONDS)
+    used = sum(_ticks(ids[name]) - ticks[name] for name in names)
+    sent = await _control_bytes(fleet, names) - before
+    seconds = _MEASURE_SECONDS * len(names)
+    roles = {'entry': list(fleet.entries), 'sidecar': list(fleet.hosts)}
+    return RealFigures(
+        len(names),
+        used / os.sysconf('SC_CLK_TCK') / seconds,
+        sent / seconds,
+        {
+            role: max(private_kilobytes(ids[name]) for name in members)
+            for role, members in roles.items()
+        },
+    )
+
+
+async def _control_bytes(fleet: Fleet, names: list[str]) -> int:
+    statuses = [await fleet.status(name) for name in names]
+    return sum(
+        status['counts'].get('control_bytes', {}).get('', 0)
+        for status in statuses
+    )
+
+
+def _ticks(process: int) -> int:
+    """Return the clock ticks that a process has used."""
+    stat = Path(f'/proc/{process}/stat').read_text('ascii')
+    fields = stat.rpartition(')')[2].split()
+    return int(fields[_USER_FIELD]) + int(fields[_USER_FIELD + 1])
--- a/siskinbank/lab/virtual_fleet.py
+++ b/siskinbank/lab/virtual_fleet.py
@@ -19,12 +19,13 @@
     read_interval,
     reader_rank,
 )
+from siskinbank.platform.backoff import Backoff
 from siskinbank.platform.listing import ListReader
 from siskinbank.platform.live import Instance, InstanceState, Role
 from siskinbank.platform.roster import Roster, record_of
 from siskinbank.util import hex_digest
 
-__all__ = ('VirtualFleet', 'VirtualPlatform')
+__all__ = ('CENTRES', 'VirtualFleet', 'VirtualPlatform')
 
 CENTRES = ('north-a', 'north-b', 'south-a', 'south-b')
 REGIONS = {name: name.split('-')[0] for name in CENTRES}
@@ -47,13 +48,30 @@
         self.sections: dict[bytes, bytes] = {}
         self.instances: list[Instance] = []
         self.down = False
+        self.only_region = ''
+        self.other: tuple[str, Manifest] | None = None
+        self._previous = self.manifest
+        self._latest = self.manifest
         self.calls: Counter[int] = Counter()
         self.watchers: list['VirtualReader'] = []
 
-    def call(self) -> bool:
+    def call(self, centre: str = '') -> bool:
         """Count one call; return whether it is answered."""
         self.calls[int(self._clock.now)] += 1
-        return not self.down
+        return not self.down and self.reaches(centre)
+
+    def reaches(self, centre: str) -> bool:
+        """Whether a data centre reaches the service."""
+        wanted = self.only_region
+        return not wanted or not centre or REGIONS[centre] == wanted
+
+    def go_back(self) -> None:
+        """Serve the document before the last one, as a stale replica does."""
+        self._latest, self.manifest = self.manifest, self._previous
+
+    def catch_up(self) -> None:
+        """Serve the last document again."""
+        self.manifest = self._latest
 
     def rate(self, start: float, end: float) -> float:
         """Return the calls a second from ``start`` to ``end``."""
@@ -61,11 +79,21 @@
         total = sum(self.calls[second] for second in seconds)
         return total / max(len(seconds), 1)
 
-    def publish(self, manifest: Manifest, sections: Iterable[bytes]) -> None:
-        """Publish a document and wake the waiting watches."""
-        self.manifest = manifest
+    def add(self, sections: Iterable[bytes]) -> None:
+        """Hold sections."""
         for raw in sections:
             self.sections[bytes.fromhex(hex_digest(raw))] = raw
+
+    def manifest_for(self, centre: str) -> Manifest:
+        """Return what the replica of a data centre's region serves."""
+        if self.other is not None and REGIONS[centre] == self.other[0]:
+            return self.other[1]
+        return self.manifest
+
+    def publish(self, manifest: Manifest, sections: Iterable[bytes]) -> None:
+        """Publish a document and wake the waiting watches."""
+        self._previous, self.manifest = self.manifest, manifest
+        self.add(sections)
         watchers, self.watchers = self.watchers, []
         for reader in watchers:
             reader.wake()
@@ -76,20 +104,22 @@
 
     def __init__(self, node: VirtualNode, platform: VirtualPlatform) -> None:
         """Read ``platform`` for ``node``."""
-        self._node = node
+        self.node = node
         self._platform = platform
         self._lists = ListReader(lambda: node.timers.now)
         self._watching = False
         self._list_due: float = 0
+        self._backoff = Backoff(node.rng)
+        self._retry_at: float = 0
         self._next_read: float = 0
         node.timers.every(_LOOK_SECONDS, self.look, jitter=0.2)
 
     def look(self) -> None:
         """Read if this process's rank asks for it."""
-        gossip = self._node.gossip
+        gossip = self.node.gossip
         identity = gossip.identity
         now = gossip.now
-        if not gossip.joined:
+        if not gossip.joined or now < self._retry_at:
             return
         rank = reader_rank(
             gossip.roster,
@@ -101,7 +131,7 @@
             rank,
             gossip.read_age,
             len(gossip.roster),
-            self._node.rng,
+            self.node.rng,
         )
         if interval is None:
             self._next_read = 0
@@ -119,16 +149,26 @@
     def wake(self) -> None:
         """A watch was answered."""
         self._watching = False
-        self._node.timers.after(_CALL_SECONDS, self._take_manifest)
+        self.node.timers.after(_CALL_SECONDS, self._take_manifest)
+
+    def _call(self) -> bool:
+        """Make a call; wait longer after each that fails."""
+        if self._platform.call(self.node.identity.data_centre):
+            self._backoff.reset()
+            return True
+        self._retry_at = self.node.gossip.now + self._backoff.next()
+        return False
 
     def _watch(self) -> None:
-        if self._watching or not self._platform.call():
+        if self._watching or not self._call():
             return
-        if self._platform.manifest.generation != self._node.generation:
-            self._node.timers.after(_CALL_SECONDS, self._take_manifest)
+        centre = self.node.identity.data_centre
+        manifest = self._platform.manifest_for(centre)
+        if manifest.key != self.node.gossip.store.in_force:
+            self.node.timers.after(_CALL_SECONDS, self._take_manifest)
         self._watching = True
         self._platform.watchers.append(self)
-        self._node.timers.after(_WATCH_SECONDS, self._end_watch)
+        self.node.timers.after(_WATCH_SECONDS, self._end_watch)
 
     def _end_watch(self) -> None:
         if self in self._platform.watchers:
@@ -136,16 +176,17 @@
         self._watching = False
 
     def _read_manifest(self) -> None:
-        if self._platform.call():
+        if self._call():
             self._take_manifest()
 
     def _take_manifest(self) -> None:
         platform = self._platform
-        gossip = self._node.gossip
-        if platform.down:
+        gossip = self.node.gossip
+        centre = self.node.identity.data_centre
+        if platform.down or not platform.reaches(centre):
             return
         gossip.note_read()
-        manifest = platform.manifest
+        manifest = platform.manifest_for(centre)
         if not gossip.store.wants(manifest.key):
             return
         gossip.store.put_raw(manifest.raw)
@@ -155,12 +196,12 @@
         gossip.offer(manifest.key)
 
     def _read_list(self, apart: float) -> None:
-        gossip = self._node.gossip
+        gossip = self.node.gossip
         if gossip.now < self._list_due:
             return
-        spread = self._node.rng.uniform(0.8, 1.2)
+        spread = self.node.rng.uniform(0.8, 1.2)
         self._list_due = gossip.now + apart * spread
-        if not self._platform.call():
+        if not self._call():
             return
         gossip.note_read()
         records = self._lists.read(self._platform.instances, gossip.roster)
@@ -220,15 +261,15 @@
     def publish(self, change: int = 0) -> None:
         """Publish the next generation with one service changed."""
         self.generation += 1
-        services: dict[str, Any] = self.document['services']
-        names = sorted(services)
-        service = services[names[change % len(names)]]
-        service['connections'] = 2000 + self.generation
-        model = DocumentModel.model_validate(self.document)
-        sections = split_sections(model)
-        digests = {name: hex_digest(raw) for name, raw in sections.items()}
-        manifest = Manifest(self.generation, digests)
-        self.platform.publish(manifest, sections.values())
+        self.platform.publish(*self._render(change, self.generation))
+
+    def publish_conflict(self) -> None:
+        """Publish two documents with one number, one in each region."""
+        self.generation += 1
+        south, sections = self._render(0, -1)
+        self.platform.add(sections)
+        self.platform.other = ('south', south)
+        self.platform.publish(*self._render(0, 1))
 
     def run(self, seconds: float) -> None:
         """Let virtual time pass."""
@@ -280,6 +321,22 @@
     def heal(self) -> None:
         """Let all reach each other again."""
         self.network.cut = lambda _sender, _receiver: False
+        self.platform.only_region = ''
+
+    def _render(
+        self,
+        change: int,
+        amount: int,
+    ) -> tuple[Manifest, list[bytes]]:
+        """Return the document with one service's limit changed."""
+        services: dict[str, Any] = self.document['services']
+        names = sorted(services)
+        service = services[names[change % len(names)]]
+        service['connections'] = 2000 + amount
+        model = DocumentModel.model_validate(self.document)
+        sections = split_sections(model)
+        digests = {name: hex_digest(raw) for name, raw in sections.items()}
+        return Manifest(self.generation, digests), list(sections.values())
 
     def _make(self, instance: Instance) -> VirtualNode:
         self._epoch += 1
--- a/siskinbank/peers/readers.py
+++ b/siskinbank/peers/readers.py
@@ -7,7 +7,7 @@
 from siskinbank.platform.words import WordBook
 from siskinbank.util import digest64
 
-__all__ = ('READERS', 'read_interval', 'reader_rank')
+__all__ = ('FALLBACK_CALLS', 'READERS', 'read_interval', 'reader_rank')
 
 #: How many processes of each data centre read.
 READERS = 3
@@ -18,7 +18,7 @@
 _MAX_STEPS = 20
 _MAX_RANK = READERS + _MAX_STEPS
 #: Calls a second that all processes that fall back may make together.
-_FALLBACK_CALLS = 100
+FALLBACK_CALLS = 100
 _CALLS_A_READ = 2
 
 
@@ -84,5 +84,5 @@
         steps = min(rank - READERS, _MAX_STEPS)
         if read_age <= FALLBACK_SECONDS + steps * _STEP_SECONDS:
             return None
-    interval = max(fleet * _CALLS_A_READ / _FALLBACK_CALLS, READ_SECONDS)
+    interval = max(fleet * _CALLS_A_READ / FALLBACK_CALLS, READ_SECONDS)
     return interval * rng.uniform(0.5, 1.5)
--- a/siskinbank/platform/follower.py
+++ b/siskinbank/platform/follower.py
@@ -14,13 +14,12 @@
     read_interval,
     reader_rank,
 )
+from siskinbank.platform.backoff import Backoff
 from siskinbank.platform.client import PlatformClient, PlatformError
 from siskinbank.platform.listing import ListReader
 
 __all__ = ('Follower',)
 
-_FIRST_BACKOFF_SECONDS = 0.2
-_MAX_BACKOFF_SECONDS = 10
 _LOOK_SECONDS = 0.5
 _JOIN_POLL_SECONDS = 0.1
 _LEAST_WAIT_SECONDS = 0.2
@@ -29,24 +28,6 @@
 _LIST_RATE = 20_000
 
 
-class Backoff:
-    """Waits longer after each failure, up to a bound, with jitter."""
-
-    def __init__(self) -> None:
-        """Start with the shortest wait."""
-        self._seconds = _FIRST_BACKOFF_SECONDS
-
-    def reset(self) -> None:
-        """Start again after a success."""
-        self._seconds = _FIRST_BACKOFF_SECONDS
-
-    def next(self) -> float:
-        """Return the seconds to wait after a failure."""
-        seconds = self._seconds * random.uniform(0.5, 1.5)
-        self._seconds = min(self._seconds * 2, _MAX_BACKOFF_SECONDS)
-        return seconds
-
-
 class Follower:
     """Reads changed sections and the live list and feeds the gossip."""
 
@@ -78,7 +59,7 @@
 
     async def _join(self) -> None:
         """Learn of peers, and ask them before the platform is believed."""
-        backoff = Backoff()
+        backoff = Backoff(self._rng)
         wait = self._rng.uniform(_LEAST_WAIT_SECONDS, _MOST_WAIT_SECONDS)
         await asyncio.sleep(wait)
         while not len(self._gossip.roster) and not self._has_configuration():
@@ -127,7 +108,7 @@
                 return interval
 
     async def _follow_configuration(self) -> None:
-        backoff = Backoff()
+        backoff = Backoff(self._rng)
         seen = 0
         while True:
             await self._turn()
@@ -158,7 +139,7 @@
         self._gossip.offer(key)
 
     async def _follow_instances(self) -> None:
-        backoff = Backoff()
+        backoff = Backoff(self._rng)
         while True:
             await self._turn()
             if await self._read_list():
--- a/siskinbank/platform/roster.py
+++ b/siskinbank/platform/roster.py
@@ -38,6 +38,7 @@
 _MAX_VERSION = 1 << 48
 _PACKED_ADDRESS_BYTES = 6
 _FIELDS = 6
+_ROLES = frozenset(Role)
 
 
 class Listing:
@@ -114,7 +115,9 @@
     version, listing, name, role, centre, packed = parts
     if not (is_number(version, _MAX_VERSION) and is_number(listing, 3)):
         return None
-    if not (is_name(name) and is_name(centre) and role in set(Role)):
+    if not (is_name(name) and is_name(centre) and is_name(role)):
+        return None
+    if role not in _ROLES:
         return None
     if not isinstance(packed, bytes) or len(packed) != _PACKED_ADDRESS_BYTES:
         return None
@@ -216,10 +219,15 @@
         self, offered: Iterable[Record]
     ) -> tuple['Roster', list[Record]]:
         """Return a roster with what is newer, and the records that were."""
-        news = [record for record in offered if self._is_newer(record)]
+        best: dict[str, Record] = {}
+        for record in offered:
+            rival = best.get(record.name) or self.get(record.name)
+            if rival is None or record > rival:
+                best[record.name] = record
+        news = list(best.values())
         if not news:
             return self, news
-        return self._replace({fresh.name: fresh for fresh in news}), news
+        return self._replace(best), news
 
     def without(self, names: Iterable[str]) -> 'Roster':
         """Return a roster that has forgotten instances."""
@@ -240,10 +248,6 @@
         )
         return RosterIndex(ordered, frozen, leaving)
 
-    def _is_newer(self, record: Record) -> bool:
-        known = self.get(record.name)
-        return known is None or record > known
-
     def _replace(self, records: Mapping[str, Record | None]) -> 'Roster':
         """Return a roster with other records; None forgets one."""
         changed: dict[int, dict[str, Record]] = {}
