--- a/siskinbank/lab/commands/callers.py
+++ b/siskinbank/lab/commands/callers.py
@@ -13,10 +13,8 @@
 from siskinbank.commands._options import ADDRESS
 from siskinbank.config.site import Address
 from siskinbank.lab.standins.packet_callers import PacketCallers
-from siskinbank.lab.standins.stream_callers import (
-    ConnectionCallers,
-    RequestCallers,
-)
+from siskinbank.lab.standins.request_callers import RequestCallers
+from siskinbank.lab.standins.stream_callers import ConnectionCallers
 from siskinbank.util import parse_address
 
 __all__ = ('command',)
--- a/siskinbank/peers/datagrams.py
+++ b/siskinbank/peers/datagrams.py
@@ -159,9 +159,9 @@
     """Drop what nobody handles."""
 
 
-def _take_nothing(_body: bytes) -> bool:
-    return False
-
-
 def _do_nothing() -> None:
     """Tell nobody."""
+
+
+def _take_nothing(_body: bytes) -> bool:
+    return False
