Measure the state of one process by fleet size

Change: lab control reports kilobytes of list, documents and site, and the milliseconds of a changed configuration and of a changed record.

--- a/siskinbank/lab/control.py
+++ b/siskinbank/lab/control.py
@@ -8,6 +8,7 @@
 
 from siskinbank.lab.experiment import ExperimentReport, at_most
 from siskinbank.lab.memory import bare_kilobytes, import_costs
+from siskinbank.lab.node_state import measure_state
 from siskinbank.lab.real_fleet import measure_real
 from siskinbank.lab.virtual_fleet import VirtualFleet
 from siskinbank.platform.live import InstanceState
@@ -25,6 +26,7 @@
 _APART_SECONDS = 2
 _WORST_SECONDS = 8
 _SIZES = (30, 60, 120)
+_STATE_SIZES = (100, 400, 1600, 3610)
 #: IP and UDP headers of one datagram.
 _HEADER_BYTES = 28
 
@@ -41,6 +43,9 @@
         for size in (*_SIZES, processes)
         if size <= processes
     }
+    figures['state_by_size'] = {
+        size: measure_state(size, seed) for size in _STATE_SIZES
+    }
     fleet = VirtualFleet(processes, seed)
     idle = _idle(fleet)
     change = _measure(fleet, _change_often)
--- /dev/null
+++ b/siskinbank/lab/node_state.py
@@ -0,0 +1,84 @@
+"""What one process holds for control, and what a change costs it, by size."""
+
+import gc
+import random
+import time
+import tracemalloc
+from typing import Any
+
+import msgpack
+
+from siskinbank.kernel.findings import Findings
+from siskinbank.kernel.metrics import Metrics
+from siskinbank.lab.virtual import QuietLog
+from siskinbank.lab.virtual_fleet import VirtualFleet
+from siskinbank.platform.roster import Roster, parse_record, record_of
+from siskinbank.platform.store import DocumentStore, judge_document
+
+__all__ = ('measure_state',)
+
+_KILOBYTE = 1024
+_MILLISECONDS = 1000
+
+
+def measure_state(size: int, seed: int) -> dict[str, float]:
+    """Return kilobytes held and milliseconds for each change.
+
+    ``roster_kilobytes`` is the list with its index, ``documents_kilobytes``
+    the compressed sections, ``site_kilobytes`` the configuration in force.
+    ``judge_ms`` is one whole check of a changed configuration, ``merge_ms``
+    one changed record with a new index.
+    """
+    fleet = VirtualFleet(size, seed)
+    fleet.publish()
+    manifest = fleet.platform.manifest
+    packed = [msgpack.packb(record_of(one, 1).parts) for one in fleet.instances]
+    held: list[Any] = []
+    figures: dict[str, float] = {}
+    tracemalloc.start()
+    roster = Roster().merged(
+        record
+        for raw in packed
+        if (record := parse_record(msgpack.unpackb(raw))) is not None
+    )[0]
+    roster.index()
+    figures['roster_kilobytes'] = _grown(0)
+    store = DocumentStore(QuietLog(), Metrics())
+    store.put_raw(manifest.raw)
+    for raw in fleet.platform.sections.values():
+        store.put_raw(raw)
+    before = figures['roster_kilobytes']
+    figures['documents_kilobytes'] = _grown(before)
+    before += figures['documents_kilobytes']
+    site = store.try_adopt(manifest.key)
+    held.append(site)
+    figures['site_kilobytes'] = _grown(before)
+    tracemalloc.stop()
+    figures['judge_ms'] = _time_judge(fleet)
+    figures['merge_ms'] = _time_merge(fleet, roster, seed)
+    return figures
+
+
+def _grown(before: float) -> float:
+    gc.collect()
+    return tracemalloc.get_traced_memory()[0] / _KILOBYTE - before
+
+
+def _time_judge(fleet: VirtualFleet) -> float:
+    manifest = fleet.platform.manifest
+    sections = fleet.platform.sections
+    started = time.process_time()
+    judge_document(
+        manifest,
+        lambda name: sections[bytes.fromhex(manifest.sections[name])],
+        Findings(),
+    )
+    return (time.process_time() - started) * _MILLISECONDS
+
+
+def _time_merge(fleet: VirtualFleet, roster: Roster, seed: int) -> float:
+    changed = random.Random(seed).choice(fleet.instances)
+    started = time.process_time()
+    merged = roster.merged([record_of(changed, 2)])[0]
+    merged.index()
+    return (time.process_time() - started) * _MILLISECONDS
