Keep a host that left without work while it is silent

Cause: a silent word replaced the leaving word, so a host that had left was offered new work between its silence (4 s) and the end of its lease (15 s); and a process that ended at once never sent its word. Change: the word book remembers that a silent host had left; the word is pushed at once. A test has the case. Conclusion: a planned stop is known before the process ends.

--- a/siskinbank/peers/gossip.py
+++ b/siskinbank/peers/gossip.py
@@ -198,6 +198,8 @@
         """Tell others that this process takes no new work."""
         self._leaving = True
         self._take_word(self._own_word())
+        # The process may end before the news would be due.
+        self._push_news()
 
     def offer(self, key: DocumentKey) -> bool:
         """Consider a document whose parts are in the store."""
--- a/siskinbank/platform/words.py
+++ b/siskinbank/platform/words.py
@@ -54,6 +54,7 @@
 class _Heard:
     word: Word
     at: float
+    left: bool
 
 
 class WordBook:
@@ -69,11 +70,9 @@
 
     @property
     def leaving(self) -> frozenset[str]:
-        """The instances that said that they are leaving."""
+        """The instances that said that they leave, silent since or not."""
         return frozenset(
-            name
-            for name, heard in self._heard.items()
-            if heard.word.state == WordState.leaving
+            name for name, heard in self._heard.items() if heard.left
         )
 
     def take(self, word: Word, now: float) -> bool:
@@ -83,7 +82,10 @@
             return False
         if heard is None and word.state == WordState.alive:
             return False
-        self._heard[word.name] = _Heard(word, now)
+        before = heard is not None and heard.left
+        left = word.state == WordState.leaving
+        left = left or (before and word.state == WordState.silent)
+        self._heard[word.name] = _Heard(word, now, left)
         return True
 
     def get(self, name: str) -> Word | None:
--- a/tests/platform/test_roster.py
+++ b/tests/platform/test_roster.py
@@ -85,6 +85,15 @@
         self.assertTrue(words.take(Word(6, WordState.alive, 'x'), 0))
         self.assertFalse(words.take(Word(5, WordState.silent, 'x'), 0))
 
+    def test_leaving_outlasts_silence(self) -> None:
+        """A host that left and fell silent gets no work; a new life does."""
+        words = WordBook()
+        words.take(Word(5, WordState.leaving, 'x'), 0)
+        words.take(Word(5, WordState.silent, 'x'), 4)
+        self.assertEqual(words.leaving, {'x'})
+        words.take(Word(6, WordState.alive, 'x'), 5)
+        self.assertEqual(words.leaving, frozenset())
+
 
 class TestGone(unittest.TestCase):
     """List and silence together."""
