Do not take others' word for one's own generation

Change: a process skips word of itself. Conclusion: the lowest generation in status is what others have.

--- a/siskinbank/peers/gossip.py
+++ b/siskinbank/peers/gossip.py
@@ -91,7 +91,7 @@
         self.roster = Roster()
         self.words = WordBook()
         self.ages = Ages()
-        self.laggards = Laggards()
+        self.laggards = Laggards(identity.name)
         self.seeds: tuple[Address, ...] = ()
         self.gone: frozenset[str] = frozenset()
         self.leaving: frozenset[str] = frozenset()
--- a/siskinbank/peers/laggards.py
+++ b/siskinbank/peers/laggards.py
@@ -28,14 +28,15 @@
 class Laggards:
     """The few processes with the lowest generations in force."""
 
-    def __init__(self) -> None:
-        """Start without any."""
+    def __init__(self, own_name: str) -> None:
+        """Start without any; of itself a process needs no word."""
+        self._own_name = own_name
         self._known: dict[str, Laggard] = {}
 
     def note(self, name: str, generation: int, own: int, at: float) -> None:
         """Note what a process has in force, beside one's own."""
         known = self._known.get(name)
-        if known is not None and known.at > at:
+        if name == self._own_name or (known is not None and known.at > at):
             return
         if generation >= own:
             self._known.pop(name, None)
