--- a/siskinbank/lab/experiment.py
+++ b/siskinbank/lab/experiment.py
@@ -7,7 +7,14 @@
 
 import click
 
-__all__ = ('Bound', 'ExperimentReport', 'at_least', 'at_most', 'make_command')
+__all__ = (
+    'Bound',
+    'ExperimentCommand',
+    'ExperimentReport',
+    'at_least',
+    'at_most',
+    'make_command',
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +68,30 @@
         return lines
 
 
+class ExperimentCommand(click.Command):
+    """A command that measures; others may call ``measure`` themselves."""
+
+    def __init__(
+        self,
+        *args: Any,
+        measure: Callable[..., ExperimentReport],
+        **options: Any,
+    ) -> None:
+        """Keep what the command runs."""
+        super().__init__(*args, **options)
+        self._measure = measure
+
+    def run_default(self, seed: int) -> ExperimentReport:
+        """Measure with the default of every other option."""
+        context = self.make_context(self.name, [])
+        given = {
+            name: chosen
+            for name, chosen in context.params.items()
+            if name not in {'seed', 'as_json'}
+        }
+        return self._measure(seed=seed, **given)
+
+
 def make_command(
     name: str,
     summary: str,
@@ -87,8 +118,9 @@
             click.echo('\n'.join(report.lines()))
         return 0 if report.holds else 1
 
-    return click.Command(
+    return ExperimentCommand(
         name,
+        measure=measure,
         callback=run,
         help=summary,
         params=[
--- /dev/null
+++ b/tests/lab/test_report.py
@@ -0,0 +1,48 @@
+"""Tests of the page with the experiments' figures."""
+
+import unittest
+
+from siskinbank.lab.commands.report import experiments
+from siskinbank.lab.experiment import Bound, ExperimentReport
+from siskinbank.lab.plots import draw, panels_of
+from siskinbank.lab.report import write_page
+
+REPORT = ExperimentReport(
+    'try',
+    3,
+    {'rate': 2.0, 'curve': [1, 2, 3], 'broken_by_death': 0, 'text': 'x'},
+    {'rate': 1.0, 'curve': [3, 2, 1], 'modulo_broken': 7, 'text': 'y'},
+    [Bound('rate <now>', 1, 2, True), Bound('broken', 0, 7, False)],
+)
+
+
+class TestReport(unittest.TestCase):
+    """What readers see."""
+
+    def test_panels(self) -> None:
+        """Namesakes, curves and related figures get a panel each."""
+        panels = {panel.title: panel for panel in panels_of(REPORT)}
+        self.assertEqual(set(panels), {'rate', 'curve', 'broken'})
+        self.assertTrue(panels['curve'].has_curves)
+        sizes = [figure.size for figure in panels['broken'].shown]
+        self.assertEqual(sizes, [0, 7])
+        picture = draw(list(panels.values()))
+        self.assertTrue(picture.startswith(b'\x89PNG'))
+
+    def test_page(self) -> None:
+        """Bounds that do not hold and experiments not run are said so."""
+        page = write_page([REPORT], {'absent': 'no <socket>'})
+        for part in (
+            'does not hold',
+            'rate &lt;now&gt;',
+            'not run: no &lt;socket&gt;',
+            'data:image/png;base64,',
+        ):
+            with self.subTest(part=part):
+                self.assertIn(part, page)
+
+    def test_finds_experiments(self) -> None:
+        """Every experiment is found, and no stand-in or trial is."""
+        found = experiments()
+        self.assertLessEqual({'flows', 'forwarding', 'key-cost'}, set(found))
+        self.assertFalse({'demo', 'soak', 'platform', 'report'} & set(found))
