--- a/siskinbank/kernel/reasons.py
+++ b/siskinbank/kernel/reasons.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ('Doubt', 'Drop', 'GivenUp', 'Refusal', 'Retry')
+__all__ = ('Doubt', 'Drop', 'GivenUp', 'Ignored', 'Refusal', 'Retry')
 
 
 class Refusal(enum.StrEnum):
@@ -80,3 +80,13 @@
     removed = 'host-removed'
     reassigned = 'address-reassigned'
     idle = 'idle'
+
+
+class Ignored(enum.StrEnum):
+    """Why something that was offered as configuration was not put in force."""
+
+    older = 'older'
+    conflict = 'same-generation'
+    invalid = 'invalid'
+    over_rate = 'over-rate'
+    list_held = 'list-held'
--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -36,7 +36,7 @@
 #: How long a flow that was passed on as new is sought where it went.
 _PASSED_SECONDS = 10
 #: Within this time of a start the pool has refilled the pointers.
-_REFILL_SECONDS = 8
+_REFILL_SECONDS = 2
 #: How long after a start an unknown flow may be one of an earlier life.
 _RECOVERY_SECONDS = 900
 #: How long the pointers to a host are kept after it has restarted.
@@ -170,19 +170,29 @@
         self._hand_over(packet.raw)
         if envelope.flags & UNCACHED and not packet.first:
             self._forwarder.tell_entry(envelope, packet)
+        prober = _prober(envelope)
+        if prober:
+            self._announcer.tell(prober, packet.flow)
         return True
 
     def _find_owner(self, envelope: Envelope, packet: InnerPacket) -> None:
         number = packet.key
         pointer = self.pointers.get(number, self._timers.now)
-        if pointer is not None and self._forwarder.follow(envelope, pointer):
-            return
-        if packet.may_open:
-            self._open(envelope, packet, number)
-        elif envelope.flags & ORPHAN and self._forwarder.is_last(envelope):
-            self._adopt(envelope, packet)
-        elif self._may_be_ours(envelope):
+        if pointer is not None:
+            prober = _prober(envelope)
+            if self._forwarder.follow(envelope, pointer):
+                if prober:
+                    self._announcer.tell(prober, packet.flow, pointer)
+                return
+        if envelope.flags & ORPHAN:
+            if self._forwarder.is_last(envelope):
+                self._adopt(envelope, packet)
+            else:
+                self._pass_on(envelope, packet, number)
+        elif self._may_be_ours(envelope, packet):
             self._search_then_adopt(envelope, packet, number)
+        elif packet.may_open:
+            self._open(envelope, packet, number)
         else:
             self._pass_on(envelope, packet, number)
 
@@ -229,8 +239,6 @@
         number: int,
     ) -> list[bytes]:
         hosts = self._history.suspects(number, self._name, first=packet.first)
-        if self.age < _REFILL_SECONDS:
-            hosts.extend(self._history.known(number)[:3])
         visited = envelope.candidates[: envelope.position]
         suspects = self._forwarder.addresses(hosts)
         return [address for address in suspects if address not in visited]
@@ -250,19 +258,23 @@
         self._announcer.announce_new(packet.flow)
         return True
 
-    def _may_be_ours(self, envelope: Envelope) -> bool:
+    def _may_be_ours(self, envelope: Envelope, packet: InnerPacket) -> bool:
         """Whether an unknown flow may have been owned here earlier.
 
         That is so when somebody remembers it, or when this process started
         lately and the entry offered the packet here first. A restart of the
         sidecar alone leaves the upstream's connections whole.
         """
-        if envelope.flags & ORPHAN:
+        if packet.first:
             return False
         if envelope.flags & NAMED:
-            return same_host(envelope.incarnation, self.incarnation)
-        recovering = _REFILL_SECONDS / 4 < self.age < _RECOVERY_SECONDS
-        return recovering and envelope.position == 0
+            remembered = envelope.incarnation
+            if packet.may_open and remembered == self.incarnation:
+                return False
+            return same_host(remembered, self.incarnation)
+        recovering = _REFILL_SECONDS < self.age < _RECOVERY_SECONDS
+        first = envelope.position == 0 and not packet.may_open
+        return recovering and first
 
     def _search_then_adopt(
         self,
@@ -300,7 +312,8 @@
     ) -> None:
         if envelope.flags & NAMED:
             self._forwarder.restart(envelope)
-        if packet.may_open and not envelope.flags & PROBE:
+        opens = packet.may_open and not envelope.flags & (PROBE | ORPHAN)
+        if opens:
             # Who is asked next need not ask again who owns the flow.
             envelope.flags |= PROBED
         receiver = self._forwarder.send_to_next(envelope)
@@ -313,7 +326,7 @@
             self._metrics.count(
                 Drop.at_limit if packet.may_open else Drop.unknown_flow,
             )
-        elif packet.may_open and not envelope.flags & PROBE:
+        elif opens:
             self._remember_passed(number, receiver)
 
     def _remember_passed(self, number: int, receiver: bytes) -> None:
@@ -402,6 +415,13 @@
                 limits.connections.give_back()
 
 
+def _prober(envelope: Envelope) -> bytes | None:
+    """Return the host that asks whether its candidates own a flow."""
+    if envelope.flags & PROBE and envelope.candidates:
+        return envelope.candidates[-1]
+    return None
+
+
 def _belongs(
     envelope: Envelope,
     packet: InnerPacket,
