--- a/siskinbank/lab/promises.py
+++ b/siskinbank/lab/promises.py
@@ -273,7 +273,7 @@
             entry
             for entry in faults.of(Fault.entry_stopped)
             if entry.overlaps(*span)
-            and _is_at(evidence.fleet, asked, entry.name)
+            and (not asked or _is_at(evidence.fleet, asked, entry.name))
         ]
         if not stops:
             continue
