--- a/siskinbank/lab/soak.py
+++ b/siskinbank/lab/soak.py
@@ -43,6 +43,7 @@
     seed: int
     tallies: list[PromiseTally]
     faults: dict[str, int]
+    started_at: float
 
     @property
     def holds(self) -> bool:
@@ -52,7 +53,7 @@
 
     def lines(self) -> list[str]:
         """Return the report for a terminal."""
-        lines = [f'soak, seed {self.seed}']
+        lines = [f'soak, seed {self.seed}, started at {self.started_at:.1f}']
         lines.extend(
             f'  {count} times {fault}' for fault, count in self.faults.items()
         )
@@ -76,7 +77,7 @@
     finally:
         await fleet.stop()
     faults = {fault.value: len(soak.script.done.of(fault)) for fault in Fault}
-    return SoakReport(seed, judge(soak.evidence), faults)
+    return SoakReport(seed, judge(soak.evidence), faults, soak.started_at)
 
 
 @dataclass(slots=True)
@@ -92,18 +93,18 @@
     def __init__(self, fleet: Fleet, seed: int, say: Say) -> None:
         self._fleet = fleet
         self._seed = seed
-        self._started = time.time()
+        self.started_at = time.time()
         self.script = FaultScript(
             fleet,
             seed,
-            lambda line: say(f'{time.time() - self._started:6.1f} s  {line}'),
+            lambda line: say(f'{time.time() - self.started_at:6.1f} s  {line}'),
             self._remember_upstream,
         )
         self.evidence = Evidence(fleet, self.script.done)
 
     async def run(self, seconds: float) -> None:
         """Run load, faults and watches, and collect what was seen."""
-        self._started = time.time()
+        self.started_at = time.time()
         watches = [
             asyncio.create_task(self._watch(name, port))
             for name, port in self._fleet.admin_ports().items()
