--- a/siskinbank/coordination/__init__.py
+++ b/siskinbank/coordination/__init__.py
@@ -1,7 +1,8 @@
 """Parts for coordination without shared state, for others to embed.
 
 Importing this package loads nothing else; each part is loaded when its name
-is first used. None of them needs the daemons, a web library or a socket.
+is first used. None of them needs the daemons, a web library or a socket. The
+client for requests, which needs aiohttp, is `siskinbank.coordination.client`.
 """
 
 import importlib
