Tell a restarted sidecar at once what it asks for and owned earlier

Change: such a pointer answers the question; a search asks no more hosts than the hops that are left; where a copy was passed on does not outweigh a memory.

--- a/siskinbank/sidecar/forwarder.py
+++ b/siskinbank/sidecar/forwarder.py
@@ -69,7 +69,8 @@
         """Send an envelope round ``others`` and back to this host."""
         envelope.flags = flags
         envelope.incarnation = 0
-        envelope.candidates = (*others[: MAX_HOPS - 2], self.own)
+        asked = max(MAX_HOPS - 1 - envelope.hops, 1)
+        envelope.candidates = (*others[:asked], self.own)
         envelope.position = 0
         self.send(envelope, others[0])
 
@@ -77,7 +78,10 @@
         """Send an envelope where a pointer says; return whether it may go."""
         going_round = envelope.flags & (ORPHAN | PROBE)
         if going_round and pointer.address in envelope.candidates:
-            return False
+            # One who asks for a flow of its own earlier life is told so.
+            asker = envelope.candidates[-1] == pointer.address
+            if envelope.flags & ORPHAN or not (asker and pointer.incarnation):
+                return False
         if not self._router.allows(pointer.address, pointer.generation):
             return False
         envelope.flags = NAMED | UNCACHED
--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -178,13 +178,8 @@
 
     def _find_owner(self, envelope: Envelope, packet: InnerPacket) -> None:
         number = packet.key
-        pointer = self.pointers.get(number, self._timers.now)
-        if pointer is not None:
-            prober = _prober(envelope)
-            if self._forwarder.follow(envelope, pointer):
-                if prober:
-                    self._announcer.tell(prober, packet.flow, pointer)
-                return
+        if self._follow_pointer(envelope, packet, number):
+            return
         if envelope.flags & ORPHAN:
             if self._forwarder.is_last(envelope):
                 self._adopt(envelope, packet)
@@ -197,6 +192,25 @@
         else:
             self._pass_on(envelope, packet, number)
 
+    def _follow_pointer(
+        self,
+        envelope: Envelope,
+        packet: InnerPacket,
+        number: int,
+    ) -> bool:
+        pointer = self.pointers.get(number, self._timers.now)
+        if pointer is None:
+            return False
+        # Where a copy was passed on says less than who remembers us.
+        if not pointer.incarnation and self._is_remembered(envelope):
+            return False
+        prober = _prober(envelope)
+        if not self._forwarder.follow(envelope, pointer):
+            return False
+        if prober:
+            self._announcer.tell(prober, packet.flow, pointer)
+        return True
+
     def _open(
         self,
         envelope: Envelope,
@@ -259,6 +273,11 @@
         self._announcer.announce_new(packet.flow)
         return True
 
+    def _is_remembered(self, envelope: Envelope) -> bool:
+        """Whether somebody remembers that this host owned the flow."""
+        named = bool(envelope.flags & NAMED)
+        return named and same_host(envelope.incarnation, self.incarnation)
+
     def _may_be_ours(self, envelope: Envelope, packet: InnerPacket) -> bool:
         """Whether an unknown flow may have been owned here earlier.
 
@@ -269,10 +288,9 @@
         if packet.first:
             return False
         if envelope.flags & NAMED:
-            remembered = envelope.incarnation
-            if packet.may_open and remembered == self.incarnation:
+            if packet.may_open and envelope.incarnation == self.incarnation:
                 return False
-            return same_host(remembered, self.incarnation)
+            return self._is_remembered(envelope)
         recovering = _REFILL_SECONDS < self.age < _RECOVERY_SECONDS
         first = envelope.position == 0 and not packet.may_open
         return recovering and first
--- a/tests/sidecar/test_packets.py
+++ b/tests/sidecar/test_packets.py
@@ -255,6 +255,36 @@
         self.pool.run(0.1)
         self._check_all(udp)
 
+    def test_udp_of_draining_host_known_by_pointers_only(self) -> None:
+        """The same when the entries have forgotten the flows as well.
+
+        Found by ``lab flows --seed 104``.
+        """
+        packets = self._open_and_move()
+        self.plan.states[0] = 'draining'
+        self.site = self.plan.next_site()
+        self.pool.publish(self.site)
+        self.pool.run(1)
+        udp = [raw for raw in packets if raw not in _only_tcp(packets)]
+        self.restart(f'{SERVICE}-0')
+        self.pool.run(0.1)
+        self.forget_routes()
+        pointed = [raw for raw in udp if self._is_pointed(raw)]
+        self.assertTrue(pointed)
+        self._check_all(pointed)
+
+    def _is_pointed(self, raw: bytes) -> bool:
+        """Whether a sidecar knows where a flow of the first host lived."""
+        packet = parse_inner(raw)
+        assert packet is not None
+        pointers = [
+            sidecar.handler.pointers.get(packet.key, self.pool.clock.now)
+            for sidecar in self.pool.sidecars.values()
+            if sidecar.alive
+        ]
+        first = pack_address(host_address(0))
+        return any(known and known.address == first for known in pointers)
+
     def _open_and_move(self, count: int = 60) -> list[bytes]:
         """Open TCP and UDP flows, then add two hosts and forget routes."""
         opened = []
