--- a/siskinbank/coordination/__init__.py
+++ b/siskinbank/coordination/__init__.py
@@ -1,13 +1,9 @@
 """Parts for coordination without shared state, for others to embed.
 
 Importing this package loads nothing else; each part is loaded when its name
-<<<<<<< HEAD
-is first used. None of them needs the daemons, a web library or a socket. The
-client for requests, which needs aiohttp, is `siskinbank.coordination.client`.
-=======
 is first used. None of them needs the daemons, a web library or a socket; only
-the parts of the dissemination load validation and metrics.
->>>>>>> trust
+the parts of the dissemination load validation and metrics. The client for
+requests, which needs aiohttp, is `siskinbank.coordination.client`.
 """
 
 import importlib
--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -233,6 +233,9 @@
         pointer = self.pointers.get(number, self._timers.now)
         if pointer is None or not _may_follow(envelope, pointer):
             return False
+        # Where a copy was passed on says less than who remembers us.
+        if not pointer.incarnation and self._is_remembered(envelope):
+            return False
         prober = _prober(envelope)
         if not self._forwarder.follow(envelope, pointer):
             return False
@@ -303,6 +306,11 @@
         self._announcer.announce_new(packet.flow)
         return True
 
+    def _is_remembered(self, envelope: Envelope) -> bool:
+        """Whether somebody remembers that this host owned the flow."""
+        named = bool(envelope.flags & NAMED)
+        return named and same_host(envelope.incarnation, self.incarnation)
+
     def _may_be_ours(self, envelope: Envelope, packet: InnerPacket) -> bool:
         """Whether an unknown flow may have been owned here earlier.
 
@@ -313,10 +321,9 @@
         if packet.first:
             return False
         if envelope.flags & NAMED:
-            remembered = envelope.incarnation
-            if packet.may_open and remembered == self.incarnation:
+            if packet.may_open and envelope.incarnation == self.incarnation:
                 return False
-            return same_host(remembered, self.incarnation)
+            return self._is_remembered(envelope)
         recovering = _REFILL_SECONDS < self.age < _RECOVERY_SECONDS
         first = envelope.position == 0 and not packet.may_open
         return recovering and first
