Close half-opened tunnels, and say how many connections a second signal cut

Cause: a sidecar that did not answer in time left its stream open; E103 did not count plain connections; a lost link was told as the upstream's failure.

--- a/siskinbank/ingress/tcp.py
+++ b/siskinbank/ingress/tcp.py
@@ -45,6 +45,9 @@
     bound = context.settings.listen if address == '0.0.0.0' else address
     server = await asyncio.start_server(accept, bound, port)
 
+    open_work = context.process.open_work
+    open_work[f'connections on port {port}'] = lambda: len(open_flows)
+
     async def drain() -> None:
         server.close()
         if open_flows:
@@ -120,9 +123,13 @@
 ) -> MessageStream | None:
     async with asyncio.timeout(_OPEN_SECONDS):
         stream = await context.links.streams.connect(host.address)
-        await stream.send(OpenTunnel(service.ident, caller))
-        answer = await stream.receive()
-    if isinstance(answer, TunnelOpened):
+        try:
+            await stream.send(OpenTunnel(service.ident, caller))
+            opened = isinstance(await stream.receive(), TunnelOpened)
+        except BaseException:
+            stream.writer.close()
+            raise
+    if opened:
         return stream
     await stream.close()
     return None
--- a/siskinbank/sidecar/requests.py
+++ b/siskinbank/sidecar/requests.py
@@ -341,8 +341,8 @@
             self._metrics.count(Doubt.expired)
             self._fail(request, Doubt.expired)
         except _FAILURES as error:
-            # A body that the caller cut says nothing of the upstream.
-            if not isinstance(error, BodyCutError):
+            # A cut body or a lost link says nothing of the upstream.
+            if isinstance(error, aiohttp.ClientError):
                 self.on_result(self._context.now - started, False)
             self._metrics.count(Doubt.failed)
             self._fail(request, Doubt.failed)
