--- a/siskinbank/coordination/__init__.py
+++ b/siskinbank/coordination/__init__.py
@@ -1,8 +1,13 @@
 """Parts for coordination without shared state, for others to embed.
 
 Importing this package loads nothing else; each part is loaded when its name
+<<<<<<< HEAD
 is first used. None of them needs the daemons, a web library or a socket. The
 client for requests, which needs aiohttp, is `siskinbank.coordination.client`.
+=======
+is first used. None of them needs the daemons, a web library or a socket; only
+the parts of the dissemination load validation and metrics.
+>>>>>>> trust
 """
 
 import importlib
@@ -12,10 +17,16 @@
     'Backoff': 'siskinbank.coordination.backoff',
     'ClimbingLimit': 'siskinbank.admission.limit',
     'Clock': 'siskinbank.kernel.clock',
+    'DocumentStore': 'siskinbank.platform.store',
+    'EventLog': 'siskinbank.kernel.events',
     'FakeClock': 'siskinbank.kernel.clock',
+    'Gossip': 'siskinbank.peers.gossip',
+    'Identity': 'siskinbank.peers.gossip',
     'Key': 'siskinbank.wire.keys',
     'KeyRing': 'siskinbank.wire.keys',
     'Leases': 'siskinbank.coordination.leases',
+    'Manifest': 'siskinbank.config.sections',
+    'Metrics': 'siskinbank.kernel.metrics',
     'OnceRegister': 'siskinbank.coordination.tickets',
     'ReplayGuard': 'siskinbank.wire.replay',
     'RetryBudget': 'siskinbank.coordination.budget',
@@ -23,6 +34,7 @@
     'TicketOffice': 'siskinbank.coordination.tickets',
     'TimerService': 'siskinbank.kernel.timers',
     'boot_seconds': 'siskinbank.kernel.clock',
+    'hex_digest': 'siskinbank.util',
     'prepare_ranking': 'siskinbank.coordination.ranking',
 }
 
