--- a/siskinbank/lab/request_stops.py
+++ b/siskinbank/lab/request_stops.py
@@ -74,7 +74,7 @@
     rig.hosts[second].state = 'draining'
     rig.publish()
     await asyncio.sleep(2 * _WORK_SECONDS)
-    await rig.hosts[second].upstream.stop()
+    await rig.hosts[second].upstream.drain()
     await entry
 
 
