--- a/siskinbank/kernel/events.py
+++ b/siskinbank/kernel/events.py
@@ -26,6 +26,8 @@
     meaning: str
 
 
+_WARNING = 'WARNING'
+
 _defined: dict[int, Event] = {}
 
 
@@ -46,7 +48,7 @@
 STOPPED = _define(102, 'INFO', 'stopped', 'The process ends; nothing was cut.')
 CUT = _define(
     103,
-    'WARNING',
+    _WARNING,
     'stopped at once',
     'A second signal ended the process; the fields say what was cut.',
 )
@@ -64,13 +66,13 @@
 )
 OLDER = _define(
     202,
-    'WARNING',
+    _WARNING,
     'older configuration ignored',
     'Someone offered a generation lower than the one in force.',
 )
 PLATFORM_LOST = _define(
     210,
-    'WARNING',
+    _WARNING,
     'platform unreachable',
     'The configuration service does not answer; all goes on as it is.',
 )
@@ -89,13 +91,13 @@
 )
 LIST_HELD = _define(
     220,
-    'WARNING',
+    _WARNING,
     'live list omits much of the fleet',
     'The list is believed only if it says the same for a while.',
 )
 ISOLATED = _define(
     221,
-    'WARNING',
+    _WARNING,
     'no peer answers',
     'The process goes on with what it has until a peer answers.',
 )
@@ -107,7 +109,7 @@
 )
 UNKEYED = _define(
     240,
-    'WARNING',
+    _WARNING,
     'no valid key: refused',
     'Something without a valid key sent datagrams or opened a stream. Nothing '
     'of it was taken. Written at most once a minute; the counters '
@@ -127,10 +129,34 @@
 )
 HOST_GONE = _define(
     300,
-    'WARNING',
+    _WARNING,
     'host unreachable',
     'A host did not answer; its flows are given up when its lease ends.',
 )
+UPSTREAM_COLD = _define(
+    400,
+    _WARNING,
+    'upstream turned cold',
+    'Its limits start again from cold; open flows are let back in as it warms.',
+)
+UPSTREAM_UNREACHABLE = _define(
+    401,
+    'ERROR',
+    'upstream unreachable',
+    'It refuses or resets connections; it gets no work until it answers.',
+)
+UPSTREAM_BACK = _define(
+    402,
+    'INFO',
+    'upstream answers again',
+    'It counts as cold and gets work as it warms up.',
+)
+REPORT_DISTRUSTED = _define(
+    403,
+    _WARNING,
+    'upstream report passed over',
+    'Its health endpoint claims trouble that its answers do not bear out.',
+)
 HANDLER_FAILED = _define(
     900,
     'ERROR',
--- a/siskinbank/kernel/reasons.py
+++ b/siskinbank/kernel/reasons.py
@@ -63,6 +63,8 @@
     at_limit = 'at-limit'
     centre_out = 'data-centre-out'
     too_large = 'too-large'
+    upstream_cold = 'upstream-cold'
+    other_pool = 'load-of-other-pool'
     owner_gone = 'owner-gone'
     stale_view = 'stale-view'
     stale_hint = 'stale-hint'
--- /dev/null
+++ b/siskinbank/lab/standins/health.py
@@ -0,0 +1,80 @@
+"""The health endpoint of an upstream stand-in: it can lie, lag and hang."""
+
+import asyncio
+import enum
+import secrets
+import time
+from typing import Any
+
+from aiohttp import web
+
+__all__ = ('HealthEndpoint', 'HealthMode')
+
+_INCARNATION_BYTES = 4
+_HANG_SECONDS = 3600
+_LAG_SECONDS = 10
+
+
+class HealthMode(enum.StrEnum):
+    """How the endpoint behaves."""
+
+    true = 'true'
+    says_cold = 'says-cold'
+    says_bad = 'says-bad'
+    lags = 'lags'
+    hangs = 'hangs'
+
+
+class HealthEndpoint:
+    """Reports state, incarnation and uptime at ``/health``.
+
+    ``PUT /health?mode=MODE`` changes how it behaves, and ``PUT
+    /health?restart=1`` starts a new incarnation.
+    """
+
+    def __init__(self) -> None:
+        """Start a first incarnation that tells the truth."""
+        self.mode = HealthMode.true
+        self._earlier: dict[str, Any] = {'status': 'ok'}
+        self.restart()
+
+    def add_to(self, app: web.Application) -> None:
+        """Serve on an application."""
+        app.router.add_get('/health', self._report)
+        app.router.add_put('/health', self._change)
+
+    def restart(self) -> None:
+        """Start a new incarnation."""
+        self._incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        self._started = time.monotonic()
+
+    async def _change(self, request: web.Request) -> web.Response:
+        mode = request.query.get('mode')
+        if mode is not None:
+            try:
+                self.mode = HealthMode(mode)
+            except ValueError as error:
+                raise web.HTTPBadRequest(text=str(error)) from error
+        if 'restart' in request.query:
+            self._earlier = self._state()
+            self.restart()
+        return web.json_response(self._state())
+
+    async def _report(self, _request: web.Request) -> web.Response:
+        state = self._state()
+        if self.mode is HealthMode.hangs:
+            await asyncio.sleep(_HANG_SECONDS)
+        if self.mode is HealthMode.lags and state['uptime'] < _LAG_SECONDS:
+            state = self._earlier
+        if self.mode is HealthMode.says_cold:
+            state['status'] = 'cold'
+        if self.mode is HealthMode.says_bad:
+            return web.json_response({'status': 'bad'}, status=503)
+        return web.json_response(state)
+
+    def _state(self) -> dict[str, Any]:
+        return {
+            'status': 'ok',
+            'incarnation': self._incarnation,
+            'uptime': time.monotonic() - self._started,
+        }
--- a/siskinbank/lab/standins/upstream.py
+++ b/siskinbank/lab/standins/upstream.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from siskinbank.config.site import Address
+from siskinbank.lab.standins.health import HealthEndpoint
 from siskinbank.lab.standins.packets import (
     ACK,
     FIN,
@@ -83,6 +84,7 @@
         """Answer requests; ``/stats`` tells what arrived when."""
         app = web.Application(client_max_size=1 << 30)
         app.router.add_get('/stats', self._stats)
+        HealthEndpoint().add_to(app)
         app.router.add_route('*', '/{path:.*}', self._answer)
         runner = web.AppRunner(
             app,
--- a/siskinbank/sidecar/context.py
+++ b/siskinbank/sidecar/context.py
@@ -1,10 +1,15 @@
 """What the parts of one sidecar share."""
 
-from dataclasses import dataclass
-
-from siskinbank.admission.limit import ClimbingLimit
+from siskinbank.admission.judge import Verdict
+from siskinbank.admission.upstream import (
+    Limits,
+    OwnedFlows,
+    UpstreamAdmission,
+    make_admission,
+)
 from siskinbank.choice.router import Router
 from siskinbank.config.site import Host, Service
+from siskinbank.kernel import events
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.datagrams import PeerSocket
@@ -14,12 +19,13 @@
 __all__ = ('Limits', 'SidecarContext')
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """The limits of one upstream."""
-
-    connections: ClimbingLimit
-    slots: ClimbingLimit
+_SWEEP_SECONDS = 1.0
+_EVENTS = {
+    Verdict.cold: events.UPSTREAM_COLD,
+    Verdict.unreachable: events.UPSTREAM_UNREACHABLE,
+    Verdict.back: events.UPSTREAM_BACK,
+    Verdict.distrusted: events.REPORT_DISTRUSTED,
+}
 
 
 class SidecarContext:
@@ -40,11 +46,18 @@
         self.peers = peers
         self.streams = streams
         self.router = Router(view)
-        self.limits: Limits | None = None
+        self.admission: UpstreamAdmission | None = None
+        self.owned_flows: OwnedFlows = tuple
+        self._was_out = False
         self.service: Service | None = None
         self.host: Host | None = None
         view.subscribe(self._refresh)
 
+    @property
+    def limits(self) -> Limits | None:
+        """The upstream's limits, once its service is known."""
+        return self.admission.limits if self.admission else None
+
     @property
     def now(self) -> float:
         """The process's clock in seconds."""
@@ -79,26 +92,25 @@
             self.host = None
             return
         self.service, self.host = found
-        if self.limits is None:
-            self.limits = self._make_limits(self.service)
+        if self.admission is None:
+            self.admission = make_admission(
+                self.service,
+                self.process.timers.clock,
+                self._note,
+                lambda: self.owned_flows(),
+            )
+            self.process.timers.every(
+                _SWEEP_SECONDS,
+                self.admission.places.sweep,
+            )
+        self.admission.limits.follow(self.service)
+        # A data centre that returns counts as cold.
+        if self._was_out and not self.is_out:
+            self.admission.judge.note_cold()
+            self.admission.turn_cold()
+        self._was_out = self.is_out
 
-    def _make_limits(self, service: Service) -> Limits:
-        cold = service.cold
-        clock = self._now
-        return Limits(
-            ClimbingLimit(
-                cold.connections,
-                service.connections,
-                cold.warm_up_seconds,
-                clock,
-            ),
-            ClimbingLimit(
-                cold.slots,
-                service.slots,
-                cold.warm_up_seconds,
-                clock,
-            ),
-        )
-
-    def _now(self) -> float:
-        return self.process.timers.now
+    def _note(self, verdict: Verdict) -> None:
+        self.process.metrics.count(verdict)
+        if verdict is not Verdict.trouble:
+            self.process.log.write(_EVENTS[verdict])
--- a/siskinbank/sidecar/daemon.py
+++ b/siskinbank/sidecar/daemon.py
@@ -10,6 +10,7 @@
 from siskinbank.sidecar.packets import PacketHandler
 from siskinbank.sidecar.requests import RequestServer
 from siskinbank.sidecar.streams import start_streams
+from siskinbank.sidecar.watch import start_watch
 
 __all__ = ('start_sidecar',)
 
@@ -32,6 +33,7 @@
         PeerStreams(process, settings.keys),
     )
     PacketHandler(context, await _open_upstream(settings))
+    start_watch(context)
     await start_streams(context, RequestServer(context))
 
 
--- a/siskinbank/sidecar/flows.py
+++ b/siskinbank/sidecar/flows.py
@@ -51,6 +51,10 @@
         """Return the number of open flows."""
         return len(self._flows)
 
+    def __contains__(self, flow: object) -> bool:
+        """Return whether a flow is owned."""
+        return flow in self._flows
+
     def __iter__(self) -> Iterator[bytes]:
         """Go through the flows."""
         return iter(self._flows)
--- a/siskinbank/sidecar/forwarder.py
+++ b/siskinbank/sidecar/forwarder.py
@@ -23,7 +23,7 @@
 
 __all__ = ('MAX_HOPS', 'Forwarder')
 
-MAX_HOPS = 8
+MAX_HOPS = 12
 
 
 class Forwarder:
@@ -69,7 +69,7 @@
         """Send an envelope round ``others`` and back to this host."""
         envelope.flags = flags
         envelope.incarnation = 0
-        envelope.candidates = (*others[: MAX_HOPS - 2], self.own)
+        envelope.candidates = (*others[: MAX_CANDIDATES - 2], self.own)
         envelope.position = 0
         self.send(envelope, others[0])
 
--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -1,6 +1,7 @@
 """Admit packets to the upstream, or pass them on to the flow's owner."""
 
 import asyncio
+import random
 import socket
 
 from siskinbank.config.site import Address, Service
@@ -9,10 +10,13 @@
 from siskinbank.kernel.suspension import SuspensionGuard
 from siskinbank.sidecar.announcer import Announcer, read_numbers
 from siskinbank.sidecar.context import SidecarContext
+from siskinbank.sidecar.deflection import bears, next_candidates
+from siskinbank.sidecar.exchange import LoadExchange
 from siskinbank.sidecar.forwarder import Forwarder
 from siskinbank.sidecar.flows import FlowTable, OwnedFlow, Pointer, Pointers
 from siskinbank.sidecar.pool_history import PoolHistory
 from siskinbank.sidecar.probes import Probes
+from siskinbank.wire.loads import PoolLoad
 from siskinbank.wire.messages import Message, Moved, Started
 from siskinbank.wire.packets import (
     InnerPacket,
@@ -25,6 +29,7 @@
     PROBE,
     PROBED,
     UNCACHED,
+    URGENT,
     Envelope,
     read_owned,
 )
@@ -35,6 +40,8 @@
 _MAX_POINTERS = 100_000
 #: How long a flow that was passed on as new is sought where it went.
 _PASSED_SECONDS = 10
+#: The hop from which such a flow is not sought any more.
+_PASSED_HOPS = 3
 #: Within this time of a start the pool has refilled the pointers.
 _REFILL_SECONDS = 2
 #: How long after a start an unknown flow may be one of an earlier life.
@@ -71,6 +78,9 @@
         self.pointers = Pointers(_MAX_POINTERS)
         self._forwarder = Forwarder(context, self.incarnation)
         self._own = self._forwarder.own
+        self._rng = random.Random(self._name)
+        self.exchange = LoadExchange(context, self._rng)
+        context.owned_flows = lambda: _charged(self.flows)
         self._probes = Probes()
         self._history = PoolHistory(self._clock)
         self._announcer = Announcer(
@@ -106,7 +116,8 @@
         if owned is None or now > self._guard.until:
             return False
         owned.seen = now
-        self._hand_over(plain[1])
+        if self._has_place(plain[0], owned, closing=False):
+            self._hand_over(plain[1])
         return True
 
     def receive(self, envelope: Envelope, _sender: Address) -> None:
@@ -127,8 +138,12 @@
 
     def learn(self, received: Message, _sender: Address) -> None:
         """Take word of flows that live elsewhere, and of restarts."""
-        if not isinstance(received, Moved | Started):
-            return
+        if isinstance(received, PoolLoad):
+            self.exchange.learn(received)
+        elif isinstance(received, Moved | Started):
+            self._learn_owners(received)
+
+    def _learn_owners(self, received: Moved | Started) -> None:
         if received.service != self._service:
             self._metrics.count(Drop.wrong_service)
         elif isinstance(received, Moved):
@@ -164,10 +179,11 @@
             self._give_back((owned,))
             return False
         owned.seen = self._timers.now
-        if packet.first:
-            owned.reopen()
-        elif packet.closing or packet.last:
-            owned.close()
+        _note_ends(owned, packet)
+        if packet.first and self._context.admission is not None:
+            self._context.admission.places.reopen(flow)
+        if not self._has_place(flow, owned, closing=owned.closing):
+            return True
         self._hand_over(packet.raw)
         if envelope.flags & UNCACHED and not packet.first:
             self._forwarder.tell_entry(envelope, packet)
@@ -176,15 +192,26 @@
             self._announcer.tell(prober, packet.flow)
         return True
 
+    def _has_place(
+        self,
+        flow: bytes,
+        owned: OwnedFlow,
+        *,
+        closing: bool,
+    ) -> bool:
+        """Whether the upstream bears a packet of an owned flow now."""
+        admission = self._context.admission
+        if admission is None or not owned.charged:
+            return True
+        if admission.places.admits(flow, closing=closing):
+            return True
+        self._metrics.count(Drop.upstream_cold)
+        return False
+
     def _find_owner(self, envelope: Envelope, packet: InnerPacket) -> None:
         number = packet.key
-        pointer = self.pointers.get(number, self._timers.now)
-        if pointer is not None:
-            prober = _prober(envelope)
-            if self._forwarder.follow(envelope, pointer):
-                if prober:
-                    self._announcer.tell(prober, packet.flow, pointer)
-                return
+        if self._follow_pointer(envelope, packet, number):
+            return
         if envelope.flags & ORPHAN:
             if self._forwarder.is_last(envelope):
                 self._adopt(envelope, packet)
@@ -197,6 +224,22 @@
         else:
             self._pass_on(envelope, packet, number)
 
+    def _follow_pointer(
+        self,
+        envelope: Envelope,
+        packet: InnerPacket,
+        number: int,
+    ) -> bool:
+        pointer = self.pointers.get(number, self._timers.now)
+        if pointer is None or not _may_follow(envelope, pointer):
+            return False
+        prober = _prober(envelope)
+        if not self._forwarder.follow(envelope, pointer):
+            return False
+        if prober:
+            self._announcer.tell(prober, packet.flow, pointer)
+        return True
+
     def _open(
         self,
         envelope: Envelope,
@@ -245,10 +288,11 @@
         return [address for address in suspects if address not in visited]
 
     def _admit(self, envelope: Envelope, packet: InnerPacket) -> bool:
-        limits = self._context.limits
-        if limits is None or not self._context.takes_work:
+        admission = self._context.admission
+        host = self._context.host
+        if admission is None or host is None or not self._context.takes_work:
             return False
-        if not limits.connections.take():
+        if not bears(envelope, admission, self.exchange.loads, host.weight):
             return False
         self.flows.add(packet.flow, self._timers.now)
         self._probes.end(packet.flow)
@@ -317,19 +361,53 @@
         if opens:
             # Who is asked next need not ask again who owns the flow.
             envelope.flags |= PROBED
+            self._choose_next(envelope)
         receiver = self._forwarder.send_to_next(envelope)
-        if receiver is None:
+        if receiver is None and not opens:
             history = self._history
             rank = history.fresh if packet.may_open else history.known
             self._forwarder.extend(envelope, rank(number))
             receiver = self._forwarder.send_to_next(envelope)
         if receiver is None:
-            self._metrics.count(
-                Drop.at_limit if packet.may_open else Drop.unknown_flow,
-            )
+            self._end_search(envelope, packet, number, opens=opens)
         elif opens:
             self._remember_passed(number, receiver)
 
+    def _end_search(
+        self,
+        envelope: Envelope,
+        packet: InnerPacket,
+        number: int,
+        *,
+        opens: bool,
+    ) -> None:
+        """Drop a packet that nobody can take.
+
+        If it came in a probe whose prober can't be asked any more, it is still
+        offered like that of any new flow.
+        """
+        if opens:
+            self._metrics.count(Drop.at_limit)
+        elif not packet.may_open:
+            self._metrics.count(Drop.unknown_flow)
+        else:
+            self._forwarder.restart(envelope)
+            envelope.flags |= PROBED
+            if not self._admit(envelope, packet):
+                self._pass_on(envelope, packet, number)
+
+    def _choose_next(self, envelope: Envelope) -> None:
+        limits = self._context.limits
+        if limits is None:
+            return
+        has_room = self._context.takes_work and limits.connections.room
+        next_candidates(
+            envelope,
+            self._own if has_room else None,
+            self.exchange.loads,
+            self._rng,
+        )
+
     def _remember_passed(self, number: int, receiver: bytes) -> None:
         """Send a copy of a new flow's packet the same way, for a while."""
         self.pointers.put(
@@ -357,6 +435,8 @@
         pointer = self.pointers.get(number, self._timers.now)
         if pointer is not None and self._forwarder.follow(envelope, pointer):
             return
+        if packet.first:
+            self._choose_next(envelope)
         if not self._forwarder.send_to_next(envelope):
             self._metrics.count(Drop.centre_out)
 
@@ -414,6 +494,32 @@
         for owned in gone:
             if owned.charged:
                 limits.connections.give_back()
+        if self._context.admission is not None:
+            self._context.admission.places.keep_only(self.flows)
+
+
+def _note_ends(owned: OwnedFlow, packet: InnerPacket) -> None:
+    """Note whether the packet opens the flow anew, or closes it."""
+    if packet.first:
+        owned.reopen()
+    elif packet.closing or packet.last:
+        owned.close()
+
+
+def _charged(flows: FlowTable) -> list[bytes]:
+    owned = ((flow, flows.get(flow)) for flow in flows)
+    return [flow for flow, known in owned if known and known.charged]
+
+
+def _may_follow(envelope: Envelope, pointer: Pointer) -> bool:
+    """Whether to go where a pointer says.
+
+    A flow that was only passed on may have been refused there. Its packet must
+    not go round in circles until its hops are used up.
+    """
+    if pointer.incarnation:
+        return True
+    return envelope.hops < _PASSED_HOPS and not envelope.flags & URGENT
 
 
 def _prober(envelope: Envelope) -> bytes | None:
--- a/siskinbank/wire/envelopes.py
+++ b/siskinbank/wire/envelopes.py
@@ -13,6 +13,7 @@
     'PROBE',
     'PROBED',
     'UNCACHED',
+    'URGENT',
     'Envelope',
     'read_owned',
 )
@@ -29,6 +30,8 @@
 PROBED = 0x08
 #: The last candidate, which restarted, takes the flow if none owns it.
 ORPHAN = 0x10
+#: The candidates are all loaded: hosts of the whole pool are asked.
+URGENT = 0x80
 
 MAX_CANDIDATES = 8
 _HOP_SHIFT = 4
