--- a/siskinbank/coordination/__init__.py
+++ b/siskinbank/coordination/__init__.py
@@ -2,7 +2,8 @@
 
 Importing this package loads nothing else; each part is loaded when its name
 is first used. None of them needs the daemons, a web library or a socket; only
-the parts of the dissemination load validation and metrics.
+the parts of the dissemination load validation and metrics. The client for
+requests, which needs aiohttp, is `siskinbank.coordination.client`.
 """
 
 import importlib
