--- a/siskinbank/lab/commands/callers.py
+++ b/siskinbank/lab/commands/callers.py
@@ -24,6 +24,7 @@
 _CONNECTIONS_AN_ENTRY = 3
 _SHORT_FLOW_SECONDS = 3
 _TICKS_A_FLOW = 2
+_TICKS_A_BURST = 40
 _DRAIN_SECONDS = 12
 
 
@@ -42,6 +43,13 @@
     show_default=True,
     help='Share of the requests with a key that are sent twice.',
 )
+@click.option(
+    '--burst',
+    type=int,
+    default=0,
+    show_default=True,
+    help='Requests that are sent at once, every two seconds.',
+)
 def command(
     bind: Address,
     fabric: Address,
@@ -51,6 +59,7 @@
     seconds: float,
     seed: int,
     resent: float,
+    burst: int,
 ) -> None:
     """Keep up a load for a while and print what the callers saw, as JSON."""
     load = _Load(
@@ -58,6 +67,7 @@
         ConnectionCallers(),
         RequestCallers(list(http), seed, resent),
         random.Random(seed),
+        burst,
     )
     services = [parse_address(text) for text in sprayed]
     entries = [parse_address(text) for text in tcp]
@@ -72,7 +82,9 @@
         connections: ConnectionCallers,
         requests: RequestCallers,
         rng: random.Random,
+        burst: int,
     ) -> None:
+        self._burst = burst
         self._packets = packets
         self._connections = connections
         self._requests = requests
@@ -111,7 +123,9 @@
         tick = 0
         while time.monotonic() < until:
             tick += 1
-            self._start(self._requests.run_request())
+            bursts = self._burst and tick % _TICKS_A_BURST == 0
+            for _ in range(self._burst if bursts else 1):
+                self._start(self._requests.run_request())
             if tick % _TICKS_A_FLOW == 0:
                 service = self._rng.choice(services)
                 length = self._rng.uniform(0, _SHORT_FLOW_SECONDS)
--- a/siskinbank/lab/fleet.py
+++ b/siskinbank/lab/fleet.py
@@ -229,6 +229,7 @@
         seconds: float,
         seed: int = 1,
         resent: float = 0,
+        burst: int = 0,
     ) -> None:
         """Start the callers; their report is the output of ``callers``."""
         arguments = [
@@ -237,6 +238,7 @@
             f'--seconds={seconds}',
             f'--seed={seed}',
             f'--resent={resent}',
+            f'--burst={burst}',
             *_ingress_arguments(self),
         ]
         command = ['lab', 'callers', *arguments]
--- a/siskinbank/lab/soak.py
+++ b/siskinbank/lab/soak.py
@@ -31,6 +31,8 @@
 _IN_FORCE_SECONDS = 11
 _MINUTE_SECONDS = 60
 _RESENT_SHARE = 0.2
+#: More at once than all upstreams have slots, so that some are refused.
+_BURST = 60
 _SEEDS_A_RUN = 1000
 
 Say = Callable[[str], None]
@@ -136,7 +138,7 @@
 
     async def _load_once(self, seed: int, seconds: float) -> None:
         fleet = self._fleet
-        await fleet.start_callers(seconds, seed, _RESENT_SHARE)
+        await fleet.start_callers(seconds, seed, _RESENT_SHARE, _BURST)
         raw = await fleet.processes.output('callers', _CALLERS_SECONDS)
         report = json.loads(raw)
         self.evidence.flows.extend(report['flows'])
