--- a/siskinbank/lab/standins/packet_callers.py
+++ b/siskinbank/lab/standins/packet_callers.py
@@ -79,6 +79,7 @@
         answer = await self._exchange(opened, SYN, b'')
         if answer is None or answer.flags & RST:
             return FlowResult.refused
+        report.host = payload_of(answer.raw).decode()
         number = 0
         until = time.time() + seconds
         while time.time() < until:
@@ -88,11 +89,12 @@
             if answer is None:
                 return FlowResult.silent
             if answer.flags & RST:
+                report.reset_by = payload_of(answer.raw).decode()
                 return FlowResult.reset
             host = payload_of(answer.raw).split(b' ')[0].decode()
-            if report.host and report.host != host:
+            if report.host != host:
+                report.reset_by = host
                 return FlowResult.moved
-            report.host = host
             await asyncio.sleep(_PACE_SECONDS)
         self._send(make_packet(opened.flow, FIN | ACK))
         return FlowResult.whole
--- a/siskinbank/lab/standins/report.py
+++ b/siskinbank/lab/standins/report.py
@@ -18,13 +18,17 @@
 
 @dataclass(slots=True)
 class FlowReport:
-    """One flow as its caller saw it; times are in seconds since 1970."""
+    """One flow as its caller saw it; times are in seconds since 1970.
+
+    ``host`` took the flow; ``reset_by`` is the one that ended it, if any.
+    """
 
     ingress: str
     opened_at: float
     ended_at: float = 0
     host: str = ''
     entry: str = ''
+    reset_by: str = ''
     result: FlowResult = FlowResult.silent
 
     @property
--- a/siskinbank/lab/standins/upstream.py
+++ b/siskinbank/lab/standins/upstream.py
@@ -109,12 +109,12 @@
             if flow not in self._flows:
                 self._starts[bucket] += 1
             self._flows.add(flow)
-            self._reply(packet, SYN | ACK, b'')
+            self._reply(packet, SYN | ACK, self._name.encode())
         elif flow in self._flows:
             name = self._name.encode()
             self._reply(packet, ACK, name + b' ' + payload_of(packet.raw))
         else:
-            self._reply(packet, RST, b'')
+            self._reply(packet, RST, self._name.encode())
 
     def _reply(self, packet: InnerPacket, flags: int, payload: bytes) -> None:
         if self._transport is None or self._callers is None:
--- a/tests/ingress/test_http.py
+++ b/tests/ingress/test_http.py
@@ -194,15 +194,22 @@
             url = rig.urls()[0]
             for host in rig.hosts.values():
                 host.upstream.work_seconds = 0.2
-            callers = [asyncio.create_task(self.post(url)) for _ in range(4)]
-            first = rig.hosts['matcher-1']
-            await wait_until(lambda: first.upstream.arrivals)
+            first = rig.hosts['matcher-1'].upstream
+            callers: list[asyncio.Task[tuple[str, str]]] = []
+            # Hosts are drawn at random, so send until the first one works.
+            while not first.arrivals:
+                callers.append(asyncio.create_task(self.post(url)))
+                await wait_until(lambda: _arrivals(rig) >= len(callers))
             await rig.drain_sidecar('matcher-1')
             outcomes = {(await caller)[0] for caller in callers}
             outcomes.add((await self.post(url))[0])
             self.assertEqual(outcomes, {'answered'})
 
 
+def _arrivals(rig: RequestRig) -> int:
+    return sum(host.upstream.arrivals for host in rig.hosts.values())
+
+
 class TestMalformed(RequestCase):
     """Bad input is refused and counted; others are unharmed."""
 
