--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import socket
 
 from siskinbank.config.site import Address, Service
 from siskinbank.kernel.incarnation import make_incarnation, same_host
@@ -13,7 +12,8 @@
 from siskinbank.sidecar.deflection import bears, next_candidates
 from siskinbank.sidecar.exchange import LoadExchange
 from siskinbank.sidecar.forwarder import Forwarder
-from siskinbank.sidecar.flows import FlowTable, OwnedFlow, Pointer, Pointers
+from siskinbank.sidecar.flows import OwnedFlow, Pointer, Pointers
+from siskinbank.sidecar.ledger import FlowLedger, service_ends
 from siskinbank.sidecar.pool_history import PoolHistory
 from siskinbank.sidecar.probes import Probes
 from siskinbank.wire.loads import PoolLoad
@@ -21,7 +21,6 @@
 from siskinbank.wire.packets import (
     InnerPacket,
     parse_inner,
-    read_ends,
 )
 from siskinbank.wire.envelopes import (
     NAMED,
@@ -74,13 +73,13 @@
         self._started: float | None = None
         self._service = 0
         self.incarnation = make_incarnation(self._name)
-        self.flows = FlowTable()
+        self._ledger = FlowLedger(context)
+        self.flows = self._ledger.flows
         self.pointers = Pointers(_MAX_POINTERS)
         self._forwarder = Forwarder(context, self.incarnation)
         self._own = self._forwarder.own
         self._rng = random.Random(self._name)
         self.exchange = LoadExchange(context, self._rng)
-        context.owned_flows = lambda: _charged(self.flows)
         self._probes = Probes()
         self._history = PoolHistory(self._clock)
         self._announcer = Announcer(
@@ -93,7 +92,8 @@
         context.peers.on_envelope = self.receive
         context.peers.on_message = self.learn
         context.view.subscribe(self._refresh)
-        self._timers.every(_EXPIRE_SECONDS, self._expire)
+        self._timers.every(_EXPIRE_SECONDS, self._ledger.expire)
+        self._timers.every(_EXPIRE_SECONDS, self._expire_pointers)
 
     @property
     def age(self) -> float:
@@ -116,7 +116,7 @@
         if owned is None or now > self._guard.until:
             return False
         owned.seen = now
-        if self._has_place(plain[0], owned, closing=False):
+        if self._ledger.has_place(plain[0], owned, closing=False):
             self._hand_over(plain[1])
         return True
 
@@ -176,13 +176,13 @@
             return False
         if packet.first and owned.closing and not self._context.takes_work:
             self.flows.remove(flow)
-            self._give_back((owned,))
+            self._ledger.give_back((owned,))
             return False
         owned.seen = self._timers.now
         _note_ends(owned, packet)
         if packet.first and self._context.admission is not None:
             self._context.admission.places.reopen(flow)
-        if not self._has_place(flow, owned, closing=owned.closing):
+        if not self._ledger.has_place(flow, owned, closing=owned.closing):
             return True
         self._hand_over(packet.raw)
         if envelope.flags & UNCACHED and not packet.first:
@@ -192,22 +192,6 @@
             self._announcer.tell(prober, packet.flow)
         return True
 
-    def _has_place(
-        self,
-        flow: bytes,
-        owned: OwnedFlow,
-        *,
-        closing: bool,
-    ) -> bool:
-        """Whether the upstream bears a packet of an owned flow now."""
-        admission = self._context.admission
-        if admission is None or not owned.charged:
-            return True
-        if admission.places.admits(flow, closing=closing):
-            return True
-        self._metrics.count(Drop.upstream_cold)
-        return False
-
     def _find_owner(self, envelope: Envelope, packet: InnerPacket) -> None:
         number = packet.key
         if self._follow_pointer(envelope, packet, number):
@@ -456,13 +440,13 @@
         service = self._context.service
         self._service = service.ident if service else 0
         if service is None:
-            self._give_up(self.flows.clear(), GivenUp.removed)
+            self._ledger.give_up_all(GivenUp.removed)
             return
         if self._context.is_out:
             self._service = 0
-            self._give_up(self.flows.clear(), GivenUp.centre_out)
+            self._ledger.give_up_all(GivenUp.centre_out)
             return
-        self._give_up_reassigned(service)
+        self._ledger.give_up_reassigned(service)
         changed = self._history.update(self._context.router.ranks(service))
         if self._started is None:
             self._started = self._timers.now
@@ -470,39 +454,8 @@
         if changed:
             self._announcer.pool_changed()
 
-    def _give_up_reassigned(self, service: Service) -> None:
-        """Give up the flows to addresses that the service has lost."""
-        ends = _service_ends(service)
-        gone = [flow for flow in self.flows if read_ends(flow) not in ends]
-        removed = [self.flows.remove(flow) for flow in gone]
-        self._give_up(
-            [owned for owned in removed if owned is not None],
-            GivenUp.reassigned,
-        )
-
-    def _expire(self) -> None:
-        now = self._timers.now
-        gone = self.flows.expire(now)
-        open_ones = [owned for owned in gone if not owned.closing]
-        closed = [owned for owned in gone if owned.closing]
-        self._give_up(open_ones, GivenUp.idle)
-        self._give_back(closed)
-        self.pointers.expire(now)
-
-    def _give_up(self, gone: list[OwnedFlow], reason: GivenUp) -> None:
-        if gone:
-            self._metrics.count(reason, len(gone))
-            self._give_back(gone)
-
-    def _give_back(self, gone: list[OwnedFlow] | tuple[OwnedFlow, ...]) -> None:
-        limits = self._context.limits
-        if limits is None:
-            return
-        for owned in gone:
-            if owned.charged:
-                limits.connections.give_back()
-        if self._context.admission is not None:
-            self._context.admission.places.keep_only(self.flows)
+    def _expire_pointers(self) -> None:
+        self.pointers.expire(self._timers.now)
 
 
 def _note_ends(owned: OwnedFlow, packet: InnerPacket) -> None:
@@ -513,11 +466,6 @@
         owned.close()
 
 
-def _charged(flows: FlowTable) -> list[bytes]:
-    owned = ((flow, flows.get(flow)) for flow in flows)
-    return [flow for flow, known in owned if known and known.charged]
-
-
 def _may_follow(envelope: Envelope, pointer: Pointer) -> bool:
     """Whether to go where a pointer says.
 
@@ -543,12 +491,4 @@
 ) -> bool:
     if service is None or envelope.service != service.ident:
         return False
-    return (packet.target, packet.target_port) in _service_ends(service)
-
-
-def _service_ends(service: Service) -> set[tuple[bytes, int]]:
-    return {
-        (socket.inet_aton(endpoint.address), endpoint.port)
-        for endpoint in service.endpoints
-        if endpoint.ingress == 'fou'
-    }
+    return (packet.target, packet.target_port) in service_ends(service)
--- a/tests/ingress/test_http.py
+++ b/tests/ingress/test_http.py
@@ -196,10 +196,14 @@
                 host.upstream.work_seconds = 0.2
             first = rig.hosts['matcher-1'].upstream
             callers: list[asyncio.Task[tuple[str, str]]] = []
+
+            def all_arrived() -> bool:
+                return _arrivals(rig) >= len(callers)
+
             # Hosts are drawn at random, so send until the first one works.
             while not first.arrivals:
                 callers.append(asyncio.create_task(self.post(url)))
-                await wait_until(lambda: _arrivals(rig) >= len(callers))
+                await wait_until(all_arrived)
             await rig.drain_sidecar('matcher-1')
             outcomes = {(await caller)[0] for caller in callers}
             outcomes.add((await self.post(url))[0])
