Let the sidecar judge its upstream by the answers to requests, and refuse with a true pause

Cause: only probes and reports reached the judge; a refusal at the limit told callers to come back after one second whatever the limit was.

--- a/siskinbank/admission/judge.py
+++ b/siskinbank/admission/judge.py
@@ -123,6 +123,15 @@
         self._judge_failed()
         self._judge_time(seconds)
 
+    def note_result(self, *, good: bool) -> None:
+        """Note how a request ended.
+
+        Its time says little, as that depends on what was asked for.
+        """
+        self._add(good)
+        if not self._unreachable:
+            self._judge_failed()
+
     def note_failure(self) -> None:
         """Note a refused or reset connection, or one that timed out."""
         self._failures += 1
--- a/siskinbank/lab/fleet.py
+++ b/siskinbank/lab/fleet.py
@@ -194,6 +194,8 @@
                 self._local(host.tcp),
                 '--upstream-http',
                 f'http://{self._local(host.http)}',
+                '--upstream-health',
+                f'http://{self._local(host.http)}/health',
             ],
         )
 
--- a/siskinbank/lab/requests.py
+++ b/siskinbank/lab/requests.py
@@ -14,6 +14,7 @@
 from siskinbank.lab.naive_requests import NaiveRig
 from siskinbank.lab.request_faults import Disturber
 from siskinbank.lab.request_log import (
+    LOST,
     Attempt,
     RequestLog,
     attempt,
@@ -120,8 +121,12 @@
     async def _take_ticket(self, key: str) -> str:
         url = self.rng.choice(self.urls)
         headers = {KEY_HEADER: key, TICKET_HEADER: 'new'}
-        async with self.session.post(url, headers=headers) as answer:
-            return answer.headers.get(TICKET_HEADER, '')
+        try:
+            async with self.session.post(url, headers=headers) as answer:
+                return answer.headers.get(TICKET_HEADER, '')
+        except (aiohttp.ClientError, OSError):
+            self.log.note(key, LOST, idempotent=False)
+            return ''
 
 
 def measure_requests(seed: int, keys: int) -> ExperimentReport:
--- a/siskinbank/sidecar/requests.py
+++ b/siskinbank/sidecar/requests.py
@@ -53,7 +53,8 @@
 _RETRY_AFTER_SECONDS = 1.0
 _LINGER_SECONDS = 3
 _MAX_RUNNING_A_LINK = 10_000
-_SERVER_ERROR = 500
+#: What an upstream answers that is overloaded, or that nobody is behind.
+_OVERLOADED = frozenset((502, 503, 504))
 _RUNS = 'requests_run'
 #: How a request fails of which the upstream may have read something.
 _FAILURES = (aiohttp.ClientError, BodyCutError, OSError, ValueError)
@@ -98,9 +99,6 @@
             context, Fencing(context.process, context.streams).ask
         )
         self._slots = SlotQueue(context)
-        #: Called with the seconds to an answer's start, or to a failure, and
-        #: whether the upstream answered without an error of its own.
-        self.on_result: Callable[[float, bool], None] = _ignore_result
         self._client: UpstreamClient | None = None
         self._links: set[_EntryLink] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -301,7 +299,20 @@
         reason: Refusal,
     ) -> None:
         self._metrics.count(reason)
-        link.post(Refused(head.number, reason.value, _RETRY_AFTER_SECONDS))
+        pause = self._retry_after(reason)
+        link.post(Refused(head.number, reason.value, pause))
+
+    def _retry_after(self, reason: Refusal) -> float:
+        """Return the seconds after which to come back."""
+        admission = self._context.admission
+        if reason is Refusal.at_limit and admission is not None:
+            return admission.limits.slots.retry_after
+        return _RETRY_AFTER_SECONDS
+
+    def _note_result(self, *, good: bool) -> None:
+        admission = self._context.admission
+        if admission is not None:
+            admission.judge.note_result(good=good)
 
     def _fail(
         self,
@@ -321,7 +332,6 @@
         head = request.head
         left = head.due - self._context.now
         self._metrics.tally(_RUNS)
-        started = self._context.now
         try:
             async with (
                 asyncio.timeout(left) as limit,
@@ -329,21 +339,20 @@
             ):
                 if not head.bounded:
                     limit.reschedule(None)
-                good = answer.status < _SERVER_ERROR
-                self.on_result(self._context.now - started, good)
+                self._note_result(good=answer.status not in _OVERLOADED)
                 await self._pass_on(request, answer)
         except _UNREACHED:
-            self.on_result(self._context.now - started, False)
+            self._note_result(good=False)
             self._guard.release(head)
             self._refuse(head, request.link, Refusal.unreachable)
         except TimeoutError:
-            self.on_result(self._context.now - started, False)
+            self._note_result(good=False)
             self._metrics.count(Doubt.expired)
             self._fail(request, Doubt.expired)
         except _FAILURES as error:
             # A cut body or a lost link says nothing of the upstream.
             if isinstance(error, aiohttp.ClientError):
-                self.on_result(self._context.now - started, False)
+                self._note_result(good=False)
             self._metrics.count(Doubt.failed)
             self._fail(request, Doubt.failed)
 
@@ -370,10 +379,6 @@
         await send_body(number, read, stream.send, request.window)
 
 
-def _ignore_result(_seconds: float, _good: bool) -> None:
-    """Do nothing where nobody judges the upstream."""
-
-
 def _length(answer: aiohttp.ClientResponse) -> int:
     declared = answer.content_length
     return -1 if declared is None else declared
--- a/tests/admission/test_judge.py
+++ b/tests/admission/test_judge.py
@@ -75,6 +75,23 @@
             self.judge.note_answer(0.005, good=False)
         self.assertIn(Verdict.cold, self.verdicts)
 
+    def test_failed_requests(self) -> None:
+        """Failing requests are a sign, beside probes that go well."""
+        for bad, wanted in ((2, Verdict.trouble), (20, Verdict.cold)):
+            with self.subTest(bad):
+                self.setUp()
+                for number in range(bad + 4):
+                    self.judge.note_result(good=number >= bad)
+                self.assertIn(wanted, self.verdicts)
+
+    def test_failed_requests_bring_nothing_back(self) -> None:
+        """A failed request does not make a dead upstream reachable."""
+        for _ in range(3):
+            self.judge.note_failure()
+        self.judge.note_result(good=False)
+        self.assertTrue(self.judge.unreachable)
+        self.assertNotIn(Verdict.back, self.verdicts)
+
     def test_lies_do_not_fool_for_long(self) -> None:
         """What good answers contradict is believed three times at most."""
         for name, said in (
