--- a/siskinbank/ingress/fou.py
+++ b/siskinbank/ingress/fou.py
@@ -149,10 +149,11 @@
         if packet.first:
             hosts = self._router.fresh(service, packet.key)
         else:
-            hosts = self._router.known(service, packet.key)
-            now = self._clock()
-            turn = self._searches.turn(packet.flow, now, len(hosts))
-            hosts = hosts[turn:] + hosts[:turn]
+            hosts = self._searches.order(
+                packet.flow,
+                self._clock(),
+                self._router.known(service, packet.key),
+            )
         return tuple(pack_address(host.address) for host in hosts)
 
     def _envelope(
