--- a/siskinbank/lab/standins/upstream.py
+++ b/siskinbank/lab/standins/upstream.py
@@ -134,9 +134,13 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         name = self._name.encode()
-        self._starts[int(time.time() * _BUCKETS_A_SECOND)] += 1
+        # A probe only connects; work starts with the first byte.
+        fresh = True
         try:
             while chunk := await reader.read(_CHUNK_BYTES):
+                if fresh:
+                    self._starts[int(time.time() * _BUCKETS_A_SECOND)] += 1
+                fresh = False
                 writer.write(name + b' ' + chunk)
                 await writer.drain()
         except OSError:
