Judge each packet of the flow experiment once

The bound of three losses in a row was in effect two. Change: a judged packet waits no more; a test at rest counts 0 (20 without it).

--- a/siskinbank/lab/flow_traffic.py
+++ b/siskinbank/lab/flow_traffic.py
@@ -180,6 +180,7 @@
             return
         arrived = self._arrived.pop(flow.waiting, None)
         hops = self._hops_of.pop(flow.waiting, 0)
+        flow.waiting = None
         if arrived is None:
             self._judge_lost(flow)
             return
--- a/tests/lab/test_flows.py
+++ b/tests/lab/test_flows.py
@@ -23,6 +23,20 @@
         self.assertTrue(run.traffic.naive_broken['modulo'])
 
 
+class TestAtRest(unittest.TestCase):
+    """A run without changes and without loss."""
+
+    def test_nothing_is_lost_twice(self) -> None:
+        """What was judged at the end of a part is not judged again."""
+        plan = FlowPlan(entries=2, hosts=3, flows=20, changes=0, loss=0)
+        run = FlowRun(209, plan)
+        run.start()
+        run.change_all()
+        run.change_all()
+        self.assertEqual(run.traffic.lost, 0)
+        self.assertGreater(run.traffic.packets, 0)
+
+
 class TestJudgement(unittest.TestCase):
     """The experiment sees flows that break."""
 
