Let a woken sidecar with an old view take no new work

Cause: the packet path honoured the view's freshness, requests and plain connections did not: a paused sidecar could run new work in a data centre that was taken out meanwhile.

--- a/siskinbank/coordination/client.py
+++ b/siskinbank/coordination/client.py
@@ -41,6 +41,7 @@
     (
         Refusal.at_limit,
         Refusal.draining,
+        Refusal.stale_view,
         Refusal.expired,
         Refusal.unreachable,
         Refusal.wrong_service,
--- a/siskinbank/kernel/reasons.py
+++ b/siskinbank/kernel/reasons.py
@@ -11,6 +11,7 @@
     no_host = 'no-host'
     at_limit = 'at-limit'
     draining = 'draining'
+    stale_view = 'stale-view'
     expired = 'deadline-expired'
     duplicate = 'duplicate-key'
     stopping = 'stopping'
--- a/siskinbank/sidecar/context.py
+++ b/siskinbank/sidecar/context.py
@@ -11,6 +11,7 @@
 from siskinbank.config.site import Host, Service
 from siskinbank.kernel import events
 from siskinbank.kernel.process import ProcessContext
+from siskinbank.kernel.reasons import Refusal
 from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.platform.view import FleetView
@@ -74,15 +75,24 @@
     @property
     def takes_work(self) -> bool:
         """Whether this upstream may get new work."""
+        return self.refusal is None
+
+    @property
+    def refusal(self) -> Refusal | None:
+        """Why this upstream may get no new work, if so.
+
+        A process that was paused may hold an old view, in which its data
+        centre is still in service; it takes nothing before it has asked.
+        """
         site = self.view.site
         if site is None or self.host is None:
-            return False
+            return Refusal.draining
+        leaving = self.host.name in self.view.leaving
+        if leaving or not site.takes_work(self.host):
+            return Refusal.draining
         if self.process.stopping.is_set():
-            return False
-        return (
-            site.takes_work(self.host)
-            and self.host.name not in self.view.leaving
-        )
+            return Refusal.draining
+        return None if self.view.fresh else Refusal.stale_view
 
     def _refresh(self) -> None:
         site = self.view.site
--- a/siskinbank/sidecar/requests.py
+++ b/siskinbank/sidecar/requests.py
@@ -288,9 +288,7 @@
             return Refusal.wrong_service
         if context.settings.upstream_http is None:
             return Refusal.unreachable
-        if not context.takes_work:
-            return Refusal.draining
-        return None
+        return context.refusal
 
     def _refuse(
         self,
--- a/siskinbank/sidecar/streams.py
+++ b/siskinbank/sidecar/streams.py
@@ -128,8 +128,8 @@
         return Refusal.wrong_service
     if context.settings.upstream_tcp is None:
         return Refusal.unreachable
-    if not context.takes_work:
-        return Refusal.draining
+    if context.refusal is not None:
+        return context.refusal
     if context.limits is None or not context.limits.connections.take():
         return Refusal.at_limit
     return None
--- /dev/null
+++ b/tests/sidecar/test_context.py
@@ -0,0 +1,42 @@
+"""Tests of why a sidecar takes no new work."""
+
+import unittest
+
+from siskinbank.kernel.reasons import Refusal
+from siskinbank.lab.pool import Pool
+from siskinbank.lab.sites import SERVICE, PoolPlan, host_address
+
+NAME = f'{SERVICE}-0'
+
+
+class TestRefusal(unittest.TestCase):
+    """Each state has its reason."""
+
+    def refusal(self, state: str = 'active', **given: bool) -> Refusal | None:
+        """Return the reason in one state of a sidecar."""
+        pool = Pool(1)
+        sidecar = pool.add_sidecar(NAME, host_address(0))
+        pool.publish(PoolPlan({0: state}).next_site())
+        context = sidecar.context
+        if given.get('leaving'):
+            context.view.take_beliefs(frozenset((NAME,)), frozenset())
+        if given.get('stale'):
+            context.view.follow_freshness(bool, lambda: None)
+        if given.get('stopping'):
+            context.process.stopping.set()
+        self.assertEqual(context.takes_work, context.refusal is None)
+        return context.refusal
+
+    def test_reasons(self) -> None:
+        """A woken process with an old view takes nothing new either."""
+        draining = Refusal.draining
+        self.assertIsNone(self.refusal())
+        self.assertEqual(self.refusal('draining'), draining)
+        self.assertEqual(self.refusal(leaving=True), draining)
+        self.assertEqual(self.refusal(stopping=True), draining)
+        self.assertEqual(self.refusal(stale=True), Refusal.stale_view)
+
+    def test_before_the_first_configuration(self) -> None:
+        """A sidecar that knows no configuration takes nothing."""
+        sidecar = Pool(1).add_sidecar(NAME, host_address(0))
+        self.assertEqual(sidecar.context.refusal, Refusal.draining)
