--- a/siskinbank/commands/__init__.py
+++ b/siskinbank/commands/__init__.py
@@ -72,13 +72,24 @@
     """
 
 
+def _command_path(error: click.ClickException) -> str:
+    """Return the command that an error belongs to."""
+    context = getattr(error, 'ctx', None)
+    return context.command_path if context else 'siskinbank'
+
+
 def main() -> None:
     """Run the command line and exit."""
     try:
         code = _cli.main(standalone_mode=False)
     except click.exceptions.Abort:
         sys.exit(1)
-    except click.ClickException as error:
+    except click.exceptions.NoArgsIsHelpError as error:
         error.show()
         sys.exit(error.exit_code)
+    except click.ClickException as error:
+        click.echo(
+            f'{_command_path(error)}: {error.format_message()}', err=True
+        )
+        sys.exit(error.exit_code)
     sys.exit(code if isinstance(code, int) else 0)
--- a/siskinbank/commands/_options.py
+++ b/siskinbank/commands/_options.py
@@ -5,12 +5,13 @@
 
 import click
 
-from siskinbank.util import parse_address
+from siskinbank.util import parse_address, parse_url
 from siskinbank.wire.keyfile import load_keys
 
 __all__ = (
     'ADDRESS',
     'KEYS',
+    'URL',
     'CheckedType',
     'logging_options',
     'process_options',
@@ -44,6 +45,8 @@
 
 #: An option written as ``IP:PORT``.
 ADDRESS = CheckedType('ip:port', parse_address)
+#: An option written as ``http://IP:PORT``.
+URL = CheckedType('url', parse_url)
 #: An option written as ``ID:HEX[,ID:HEX]``, or ``@FILE`` with that.
 KEYS = CheckedType('keys', load_keys)
 
@@ -90,6 +93,7 @@
         _option(
             '--platform',
             help_text="URL of the platform's configuration service.",
+            type=URL,
             required=True,
         ),
         _option(
--- a/siskinbank/commands/sidecar.py
+++ b/siskinbank/commands/sidecar.py
@@ -4,7 +4,12 @@
 
 import click
 
-from siskinbank.commands._options import ADDRESS, option, process_options
+from siskinbank.commands._options import (
+    ADDRESS,
+    URL,
+    option,
+    process_options,
+)
 from siskinbank.commands._run import run_command
 
 __all__ = ('command',)
@@ -25,10 +30,12 @@
 @option(
     '--upstream-http',
     help_text="The upstream's base URL for requests.",
+    type=URL,
 )
 @option(
     '--upstream-health',
     help_text="URL of the upstream's health or load report.",
+    type=URL,
 )
 def command(log_level: str, log_format: str, **given: Any) -> int:
     """Admit work to the upstream beside this process, and own it.
--- a/siskinbank/util.py
+++ b/siskinbank/util.py
@@ -3,8 +3,15 @@
 import hashlib
 import json
 from typing import Any
+from urllib.parse import urlsplit
 
-__all__ = ('canonical_json', 'digest64', 'hex_digest', 'parse_address')
+__all__ = (
+    'canonical_json',
+    'digest64',
+    'hex_digest',
+    'parse_address',
+    'parse_url',
+)
 
 _DIGEST_BYTES = 16
 _NUMBER_BYTES = 8
@@ -28,6 +35,18 @@
     return text.encode()
 
 
+def parse_url(text: str) -> str:
+    """Return an HTTP URL as it is.
+
+    Raises:
+        ValueError: the text is no such URL; the message says what is.
+    """
+    parts = urlsplit(text)
+    if parts.scheme not in {'http', 'https'} or not parts.hostname:
+        raise ValueError(f'{text!r} is no URL; write http://IP:PORT')
+    return text
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Split ``IP:PORT``.
 
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -26,6 +26,11 @@
     ((*ENTRY, '--bind=1.2.3.4', f'--keys={KEYS}'), 2, 'write IP:PORT'),
     ((*ENTRY, '--bind=1.2.3.4:1', '--keys=1:aa'), 2, 'key 1: 1 bytes'),
     ((*ENTRY, f'--keys={KEYS}'), 2, "Missing option '--bind'"),
+    (
+        (*ENTRY, '--bind=127.0.0.1:1', f'--keys={KEYS}', '--platform=x'),
+        2,
+        "siskinbank entry: Invalid value for '--platform'",
+    ),
     (
         (*ENTRY, '--bind=192.0.2.1:1', f'--keys={KEYS}'),
         4,
@@ -63,6 +68,13 @@
                 self.assertEqual(ended.returncode, code, ended.stderr)
                 self.assertIn(wanted, ended.stderr)
                 self.assertNotIn('Traceback', ended.stderr)
+                self.assertEqual(ended.stderr.count('\n'), 1)
+
+    def test_alone_teaches(self) -> None:
+        """Without a command the help is shown."""
+        ended = run()
+        self.assertEqual(ended.returncode, 2)
+        self.assertTrue(ended.stderr.startswith('Usage: '))
 
     def test_examples_are_right(self) -> None:
         """Both example sites pass the check."""
