--- a/siskinbank/entry/exchanges.py
+++ b/siskinbank/entry/exchanges.py
@@ -11,7 +11,12 @@
 from siskinbank.kernel.reasons import Doubt, Refusal
 from siskinbank.wire.bodies import BodyCutError, send_body
 from siskinbank.wire.headers import OUTCOME_HEADER, header_problem
-from siskinbank.wire.messages import AnswerHead, Failed, Refused, RequestHead
+from siskinbank.wire.request_messages import (
+    AnswerHead,
+    Failed,
+    Refused,
+    RequestHead,
+)
 
 __all__ = ('run_exchange',)
 
--- a/siskinbank/entry/links.py
+++ b/siskinbank/entry/links.py
@@ -12,7 +12,8 @@
 from siskinbank.kernel.reasons import Drop, Refusal
 from siskinbank.peers.connect import PeerStreams
 from siskinbank.wire.bodies import START_BYTES, BodyReader, SendWindow
-from siskinbank.wire.messages import (
+from siskinbank.wire.messages import Message, MessageError
+from siskinbank.wire.request_messages import (
     AnswerHead,
     BodyPart,
     Cancel,
@@ -21,8 +22,6 @@
     GoAway,
     KeyFenced,
     LinkOpened,
-    Message,
-    MessageError,
     OpenRequests,
     Ping,
     Refused,
--- a/siskinbank/entry/ticketing.py
+++ b/siskinbank/entry/ticketing.py
@@ -12,7 +12,7 @@
 from siskinbank.kernel.outcomes import NotRun
 from siskinbank.kernel.reasons import Refusal, Retry
 from siskinbank.wire.headers import TICKET_HEADER
-from siskinbank.wire.messages import IssueTicket, TicketIssued
+from siskinbank.wire.request_messages import IssueTicket, TicketIssued
 
 __all__ = ('issue_ticket',)
 
--- a/siskinbank/ingress/fou.py
+++ b/siskinbank/ingress/fou.py
@@ -16,7 +16,8 @@
 from siskinbank.kernel.suspension import SuspensionGuard
 from siskinbank.peers.datagrams import open_udp
 from siskinbank.wire.envelopes import NAMED, UNCACHED, Envelope
-from siskinbank.wire.messages import Message, Owner
+from siskinbank.wire.flow_messages import Owner
+from siskinbank.wire.messages import Message
 from siskinbank.wire.packets import (
     MAX_PACKET_BYTES,
     InnerPacket,
--- a/siskinbank/ingress/tcp.py
+++ b/siskinbank/ingress/tcp.py
@@ -12,7 +12,8 @@
 from siskinbank.kernel.reasons import Refusal, Retry
 from siskinbank.peers.pump import pump_both
 from siskinbank.util import digest64
-from siskinbank.wire.messages import MessageError, OpenTunnel, TunnelOpened
+from siskinbank.wire.messages import MessageError
+from siskinbank.wire.request_messages import OpenTunnel, TunnelOpened
 from siskinbank.wire.streams import MessageStream
 
 __all__ = ('start_tcp',)
--- a/siskinbank/lab/cost.py
+++ b/siskinbank/lab/cost.py
@@ -23,7 +23,7 @@
 from siskinbank.sidecar.flows import Pointer
 from siskinbank.util import digest64
 from siskinbank.wire.envelopes import NAMED, UNCACHED, Envelope
-from siskinbank.wire.messages import Owner
+from siskinbank.wire.flow_messages import Owner
 from siskinbank.wire.packets import flow_number, pack_address, parse_inner
 
 __all__ = ('measure_cost',)
--- a/siskinbank/sidecar/announcer.py
+++ b/siskinbank/sidecar/announcer.py
@@ -8,7 +8,7 @@
 from siskinbank.sidecar.context import SidecarContext
 from siskinbank.sidecar.flows import FlowTable, Pointer
 from siskinbank.sidecar.pool_history import PoolHistory
-from siskinbank.wire.messages import Moved, Started
+from siskinbank.wire.flow_messages import Moved, Started
 from siskinbank.wire.packets import (
     flow_number,
     pack_address,
--- a/siskinbank/sidecar/fencing.py
+++ b/siskinbank/sidecar/fencing.py
@@ -6,7 +6,7 @@
 from siskinbank.entry.links import LinkLostError, RequestLinks
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.peers.connect import PeerStreams
-from siskinbank.wire.messages import FenceKey, KeyFenced, RequestHead
+from siskinbank.wire.request_messages import FenceKey, KeyFenced, RequestHead
 
 __all__ = ('Fencing',)
 
--- a/siskinbank/sidecar/forwarder.py
+++ b/siskinbank/sidecar/forwarder.py
@@ -6,7 +6,7 @@
 from siskinbank.kernel.reasons import Drop
 from siskinbank.sidecar.context import SidecarContext
 from siskinbank.sidecar.flows import Pointer
-from siskinbank.wire.messages import Owner
+from siskinbank.wire.flow_messages import Owner
 from siskinbank.wire.packets import (
     InnerPacket,
     pack_address,
--- a/siskinbank/sidecar/once.py
+++ b/siskinbank/sidecar/once.py
@@ -7,7 +7,7 @@
 from siskinbank.kernel.reasons import Doubt, Refusal
 from siskinbank.sidecar.context import SidecarContext
 from siskinbank.sidecar.homes import KeyHome
-from siskinbank.wire.messages import RequestHead
+from siskinbank.wire.request_messages import RequestHead
 
 __all__ = ('OnceGuard',)
 
--- a/siskinbank/sidecar/requests.py
+++ b/siskinbank/sidecar/requests.py
@@ -28,7 +28,8 @@
     header_problem,
     target_problem,
 )
-from siskinbank.wire.messages import (
+from siskinbank.wire.messages import Message, MessageError
+from siskinbank.wire.request_messages import (
     AnswerHead,
     BodyPart,
     Cancel,
@@ -39,8 +40,6 @@
     IssueTicket,
     KeyFenced,
     LinkOpened,
-    Message,
-    MessageError,
     Ping,
     Refused,
     RequestHead,
--- a/siskinbank/sidecar/streams.py
+++ b/siskinbank/sidecar/streams.py
@@ -8,9 +8,8 @@
 from siskinbank.peers.pump import pump_both
 from siskinbank.sidecar.context import SidecarContext
 from siskinbank.sidecar.requests import RequestServer
-from siskinbank.wire.messages import (
-    Message,
-    MessageError,
+from siskinbank.wire.messages import Message, MessageError
+from siskinbank.wire.request_messages import (
     OpenRequests,
     OpenTunnel,
     Refused,
--- a/siskinbank/sidecar/upstream.py
+++ b/siskinbank/sidecar/upstream.py
@@ -8,7 +8,7 @@
 from yarl import URL
 
 from siskinbank.wire.headers import DEADLINE_HEADER
-from siskinbank.wire.messages import RequestHead
+from siskinbank.wire.request_messages import RequestHead
 
 __all__ = ('UpstreamClient',)
 
--- a/siskinbank/wire/bodies.py
+++ b/siskinbank/wire/bodies.py
@@ -10,7 +10,8 @@
 from collections.abc import Awaitable, Callable
 
 from siskinbank.kernel.reasons import Drop
-from siskinbank.wire.messages import BodyPart, Credit, Message
+from siskinbank.wire.messages import Message
+from siskinbank.wire.request_messages import BodyPart, Credit
 
 __all__ = (
     'CHUNK_BYTES',
--- a/tests/ingress/test_http.py
+++ b/tests/ingress/test_http.py
@@ -11,11 +11,11 @@
 from siskinbank.lab.request_upstream import Behaviour
 from siskinbank.util import digest64
 from siskinbank.wire.headers import TICKET_HEADER
-from siskinbank.wire.messages import (
+from siskinbank.wire.messages import Message
+from siskinbank.wire.request_messages import (
     AnswerHead,
     BodyPart,
     LinkOpened,
-    Message,
     OpenRequests,
     Refused,
     RequestHead,
--- a/tests/peers/test_connect.py
+++ b/tests/peers/test_connect.py
@@ -10,7 +10,7 @@
 from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.pump import pump_both
 from siskinbank.wire.keys import Key, KeyRing
-from siskinbank.wire.messages import OpenRequests, TunnelOpened
+from siskinbank.wire.request_messages import OpenRequests, TunnelOpened
 from siskinbank.wire.streams import MessageStream
 
 OLD = Key(1, bytes(32))
--- a/tests/peers/test_datagrams.py
+++ b/tests/peers/test_datagrams.py
@@ -9,7 +9,9 @@
 from siskinbank.lab.network import FakeNetwork
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.wire.keys import Key, KeyRing
-from siskinbank.wire.messages import Cancel, Message, Owner, encode
+from siskinbank.wire.flow_messages import Owner
+from siskinbank.wire.messages import Message, encode
+from siskinbank.wire.request_messages import Cancel
 
 KEYS = KeyRing([Key(1, bytes(32))])
 SENDER = ('10.0.0.1', 7100)
--- a/tests/sidecar/test_once.py
+++ b/tests/sidecar/test_once.py
@@ -8,12 +8,8 @@
 from siskinbank.lab.faulty_link import Fault, LinkFaults
 from siskinbank.lab.request_rig import RequestRig, RigHost, wait_until
 from siskinbank.sidecar.homes import SETTLE_SECONDS
-from siskinbank.wire.messages import (
-    AnswerHead,
-    BodyPart,
-    Message,
-    RequestHead,
-)
+from siskinbank.wire.messages import Message
+from siskinbank.wire.request_messages import AnswerHead, BodyPart, RequestHead
 from tests.request_case import RequestCase, running_rig
 
 #: A message of the exchange, and whether it goes from entry to sidecar.
--- a/tests/sidecar/test_packets.py
+++ b/tests/sidecar/test_packets.py
@@ -22,7 +22,7 @@
 )
 from siskinbank.util import digest64
 from siskinbank.wire.envelopes import NAMED, UNCACHED, Envelope
-from siskinbank.wire.messages import Moved, Owner
+from siskinbank.wire.flow_messages import Moved, Owner
 from siskinbank.wire.packets import flow_number, pack_address, parse_inner
 
 HOSTS = 5
--- a/tests/wire/test_bodies.py
+++ b/tests/wire/test_bodies.py
@@ -12,7 +12,8 @@
     SendWindow,
     send_body,
 )
-from siskinbank.wire.messages import BodyPart, Credit, Message
+from siskinbank.wire.messages import Message
+from siskinbank.wire.request_messages import BodyPart, Credit
 
 NUMBER = 3
 
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -6,16 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from siskinbank.wire.messages import (
-    BodyPart,
-    Message,
-    MessageError,
-    Moved,
-    Owner,
-    RequestHead,
-    decode,
-    encode,
-)
+from siskinbank.wire.flow_messages import Moved, Owner
+from siskinbank.wire.messages import Message, MessageError, decode, encode
+from siskinbank.wire.request_messages import BodyPart, RequestHead
 
 MESSAGES: tuple[Message, ...] = (
     Owner(b'f' * 13, b'abcdef', 2**64 - 1, 7),
--- a/tests/wire/test_replay.py
+++ b/tests/wire/test_replay.py
@@ -9,7 +9,8 @@
 from siskinbank.kernel.reasons import Drop
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.wire.keys import Key, KeyRing
-from siskinbank.wire.messages import Message, Owner
+from siskinbank.wire.flow_messages import Owner
+from siskinbank.wire.messages import Message
 from siskinbank.wire.replay import STAMP_BYTES, ReplayGuard
 
 RING = KeyRing([Key(1, bytes(32))])
--- a/tests/wire/test_streams.py
+++ b/tests/wire/test_streams.py
@@ -4,7 +4,8 @@
 import unittest
 from typing import Any, cast
 
-from siskinbank.wire.messages import Cancel, MessageError
+from siskinbank.wire.messages import MessageError
+from siskinbank.wire.request_messages import Cancel
 from siskinbank.wire.streams import MessageStream
 
 #: Which frames come, and which are handed on; None for an error at the end.
