Answer the entry for each new UDP flow

Cause: since a host that owes an answer is asked last, a UDP flow that its first host took at once left that host in debt, as only packets that were passed on were answered; the next UDP flow went to another host. The differential test against stateless hashing found it (matcher-0 for matcher-1). Change: the sidecar that takes a flow tells the entry, unless it is a first TCP packet that came straight from it.

--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -17,7 +17,8 @@
 from siskinbank.sidecar.pool_history import PoolHistory
 from siskinbank.sidecar.probes import Probes
 from siskinbank.wire.loads import PoolLoad
-from siskinbank.wire.messages import Message, Moved, Started
+from siskinbank.wire.flow_messages import Moved, Started
+from siskinbank.wire.messages import Message
 from siskinbank.wire.packets import (
     InnerPacket,
     parse_inner,
@@ -285,7 +286,8 @@
         self._probes.end(packet.flow)
         self._metrics.tally('flows_opened')
         self._hand_over(packet.raw)
-        if envelope.hops:
+        # An entry waits for an answer to anything but a first TCP packet.
+        if envelope.hops or not packet.first:
             self._forwarder.tell_entry(envelope, packet)
         self._announcer.announce_new(packet.flow)
         return True
