--- a/siskinbank/ingress/http.py
+++ b/siskinbank/ingress/http.py
@@ -59,7 +59,10 @@
             if isinstance(issued, web.Response):
                 return self._closed(issued)
             return self._tell(issued)
+        timers = self._context.process.timers
+        started = timers.now
         outcome = await self._attempts.run(call)
+        self._context.process.metrics.time('request', timers.now - started)
         if isinstance(outcome, NotRun | Unknown):
             return self._tell(outcome)
         assert call.response is not None
--- a/siskinbank/sidecar/requests.py
+++ b/siskinbank/sidecar/requests.py
@@ -329,6 +329,7 @@
         head = request.head
         left = head.due - self._context.now
         self._metrics.tally(_RUNS)
+        asked = self._context.now
         try:
             async with (
                 asyncio.timeout(left) as limit,
@@ -337,6 +338,7 @@
                 if not head.bounded:
                     limit.reschedule(None)
                 self._note_result(good=answer.status not in _OVERLOADED)
+                self._metrics.time('upstream_answer', self._context.now - asked)
                 await self._pass_on(request, answer)
         except _UNREACHED:
             self._note_result(good=False)
