Carry the packets of the users' platform with two lean programs

Cause: the product ran on its own stand-ins only; its daemons need 0.95 s and 56 MB to start, on instances with a fifth of a core. Change: siskinbank/platform holds the platform's names, formats and calls; siskinbank/relay the programs entry and sidecar on it, without asyncio; decisions stand in admission, beliefs, choice, entry and sidecar. What read the product's own published documents moves to siskinbank/directory.

--- /dev/null
+++ b/siskinbank/beliefs/__init__.py
@@ -0,0 +1,1 @@
+"""What a process believes about hosts and configuration, and for how long."""
--- /dev/null
+++ b/siskinbank/beliefs/configuration.py
@@ -0,0 +1,72 @@
+"""The configuration in force: the newest valid one heard of, from anyone."""
+
+from __future__ import annotations
+
+from zlib import compress, decompress
+from zlib import error as CompressionError
+
+from siskinbank.platform.documents import Unreadable
+from siskinbank.platform.records import Route, Warmth, decode_configuration
+
+__all__ = ('Configuration',)
+
+# Speed over size: a configuration is packed once by each who passes it on.
+_LEVEL = 1
+
+
+class Configuration:
+    """Takes newer versions only, whole or not at all.
+
+    Attributes:
+        version: 0 until one is known.
+        routes: by address and port, as in a flow's key.
+        warmths: how services bear cold starts, by name.
+    """
+
+    __slots__ = ('_packed', '_raw', 'routes', 'version', 'warmths')
+
+    def __init__(self) -> None:
+        """Know none."""
+        self.version = 0
+        self.routes: dict[bytes, Route] = {}
+        self.warmths: dict[str, Warmth] = {}
+        self._raw = b''
+        self._packed = b''
+
+    @property
+    def packed(self) -> bytes:
+        """The configuration as it is passed on to peers."""
+        if not self._packed:
+            self._packed = compress(self._raw, _LEVEL)
+        return self._packed
+
+    def offer(self, raw: bytes) -> bool:
+        """Take a configuration if it is newer.
+
+        Args:
+            raw: the operator's document.
+
+        Raises:
+            Unreadable: it is not whole; the one in force stays.
+        """
+        version, routes, warmths = decode_configuration(raw)
+        if version <= self.version:
+            return False
+        self.version = version
+        self.routes = routes
+        self.warmths = warmths
+        self._raw = raw
+        self._packed = b''
+        return True
+
+    def offer_packed(self, packed: bytes) -> bool:
+        """Take what a peer passed on, if it is newer.
+
+        Raises:
+            Unreadable: it is damaged; the one in force stays.
+        """
+        try:
+            raw = decompress(packed)
+        except CompressionError as error:
+            raise Unreadable(str(error)) from None
+        return self.offer(raw)
--- /dev/null
+++ b/siskinbank/beliefs/freshness.py
@@ -0,0 +1,64 @@
+"""Who reads the store, and when: one reader at a time, without an election.
+
+Load pattern: every call to the store has a price and a shared rate, while a
+change must be in force everywhere within about three seconds, also when the
+reader of a moment ago is dead, cut off, or refused by the store. Everyone
+hears how old the freshest knowledge is; whoever stands first in the order of
+addresses reads as soon as it is due, the next ones only when nobody did.
+"""
+
+from __future__ import annotations
+
+__all__ = (
+    'SIDECAR_PATIENCE_S',
+    'hosts_patience_s',
+    'operator_patience_s',
+    'pause_after_failures_s',
+    'rank_of',
+)
+
+# Ages at which knowledge is renewed, in seconds. Three seconds are allowed
+# from a host's word that it drains to its last new flow; the first reader
+# leaves two of them for the readers behind it.
+_HOSTS_FIRST_S = 0.7
+_HOSTS_NEXT_S = 1.2
+_OPERATOR_NEXT_S = 1.5
+_STEP_S = 0.25
+# Beyond this rank all wait the same, in places.
+_MOST_STEPS = 4
+# A sidecar reads for itself when no entry has told it anything for so long.
+SIDECAR_PATIENCE_S = 2.1
+
+# Pauses after failed calls, in seconds: doubling, as a store that is down
+# has a price too; short enough to be back within a second of its return.
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 0.8
+_LONGEST_PAUSE_BEHIND_S = 1.6
+
+
+def rank_of(own: bytes, others: list[bytes]) -> int:
+    """Return the place of an address among those that live, 0 for the first."""
+    return sum(1 for other in others if other < own)
+
+
+def hosts_patience_s(rank: int) -> float:
+    """Return the age at which a process reads the hosts' entries."""
+    if rank == 0:
+        return _HOSTS_FIRST_S
+    return _HOSTS_NEXT_S + _STEP_S * min(rank - 1, _MOST_STEPS)
+
+
+def operator_patience_s(rank: int) -> float:
+    """Return the age at which a process watches what the operator writes."""
+    if rank == 0:
+        return 0
+    return _OPERATOR_NEXT_S + _STEP_S * min(rank - 1, _MOST_STEPS)
+
+
+def pause_after_failures_s(failures: int, rank: int) -> float:
+    """Return how long to leave the store alone after failed calls in a row."""
+    if not failures:
+        return 0
+    longest = _LONGEST_PAUSE_S if rank == 0 else _LONGEST_PAUSE_BEHIND_S
+    doublings = min(failures - 1, _MOST_STEPS)
+    return min(longest, _FIRST_PAUSE_S * (1 << doublings))
--- /dev/null
+++ b/siskinbank/beliefs/own_host.py
@@ -0,0 +1,173 @@
+"""What a sidecar believes of its own host, and whether it takes a flow."""
+
+from __future__ import annotations
+
+from siskinbank.admission import reasons
+from siskinbank.admission.arrivals import ColdLimit, is_busy
+from siskinbank.relay import messages
+from siskinbank.relay.loop import NEVER
+
+__all__ = ('OwnHost',)
+
+# A host that could not be reached is tried again after this, in seconds.
+_UNREACHABLE_S = 1.0
+# After a start or a standstill, what the store says is waited for this long,
+# in seconds, before old beliefs serve again.
+_DOUBT_S = 0.5
+
+
+class OwnHost:
+    """The host beside a sidecar.
+
+    Attributes:
+        service: digest of the service that the sidecar was set up for.
+        record: what the store last said, None if nobody has told yet.
+        confirmed: when the store said so.
+        version: the newest configuration heard of.
+        stopping: the sidecar is about to stop.
+        busy: requests in progress.
+    """
+
+    __slots__ = (
+        '_cold',
+        '_cold_until',
+        '_doubt_until',
+        '_operator_revision',
+        '_unreachable_at',
+        'busy',
+        'confirmed',
+        'record',
+        'service',
+        'stopping',
+        'version',
+    )
+
+    def __init__(self, service: int, now: float) -> None:
+        """Know nothing but the service."""
+        self.service = service
+        self.record: messages.Record | None = None
+        self.confirmed = NEVER
+        self.version = 0
+        self.stopping = False
+        self.busy = 0
+        self._cold = ColdLimit()
+        self._cold_until = NEVER
+        self._unreachable_at = NEVER
+        self._doubt_until = now + _DOUBT_S
+        self._operator_revision = 0
+
+    @property
+    def slots(self) -> int:
+        """How many requests the host works on at a time."""
+        return self.record.slots if self.record else 1
+
+    @property
+    def revision(self) -> int:
+        """Store revision of what is known, 0 if nothing is."""
+        return self.record.revision if self.record else 0
+
+    def age_ms(self, now: float) -> int:
+        """Return the age of the record, -1 without one."""
+        return int((now - self.confirmed) * 1000) if self.record else -1
+
+    def in_doubt(self, now: float) -> bool:
+        """Say whether a word from the store is still to be waited for."""
+        return now < self._doubt_until
+
+    def doubt(self, now: float) -> None:
+        """Wait for fresh words: time has passed unnoticed."""
+        self._doubt_until = now + _DOUBT_S
+
+    def believe(self, record: messages.Record, now: float) -> bool:
+        """Take a record unless it is older; say whether it was taken.
+
+        What hosts wrote and what the operator wrote have revisions of their
+        own: a reader may know more of the one and less of the other.
+        """
+        before = self.record
+        self.version = max(self.version, record.version)
+        if before and record.revision < before.revision:
+            return False
+        if before and record.operator_revision < self._operator_revision:
+            out = before.flags & messages.OUT
+            record.flags = record.flags & ~messages.OUT | out
+            record.cold_per_s = before.cold_per_s
+            record.operator_revision = self._operator_revision
+        self._operator_revision = record.operator_revision
+        if before and before.born_ms != record.born_ms:
+            self._unreachable_at = NEVER
+        self.record = record
+        self.confirmed = now - record.age_s
+        self._cold_until = now + record.cold_s if record.cold_s else NEVER
+        self._doubt_until = NEVER
+        return True
+
+    def lose(self, now: float) -> bool:
+        """Note that nobody listens at the host; say whether that is new."""
+        fresh = now - self._unreachable_at > _UNREACHABLE_S
+        self._unreachable_at = now
+        return fresh
+
+    def state(self, now: float) -> int:
+        """Return the reason why no entry should name this host, or NONE."""
+        return self._lasting_reason(self.service, now)
+
+    def reason_against(
+        self,
+        service: int,
+        candidates_left: bool,
+        now: float,
+    ) -> int:
+        """Return why the host does not take a flow at this moment, or NONE.
+
+        Args:
+            service: digest of the service that the flow belongs to.
+            candidates_left: whether the flow can be passed on.
+            now: time on the clock that counts suspension.
+        """
+        lasting = self._lasting_reason(service, now)
+        if lasting:
+            return lasting
+        if self.spare(now) == 0:
+            return reasons.COLD
+        doubtful = candidates_left and self.in_doubt(now)
+        if doubtful or is_busy(self.busy, self.slots, candidates_left):
+            return reasons.BUSY
+        return reasons.NONE
+
+    def spare(self, now: float) -> int | None:
+        """Return the flows that a cold host may still take, None if warm.
+
+        A service that states no rate sets no limit.
+        """
+        record = self.record
+        if record is None or not record.cold_per_s or now >= self._cold_until:
+            return None
+        return self._cold.spare(now, record.cold_per_s)
+
+    def note_taken(self, now: float) -> None:
+        """Count a flow against the cold limit."""
+        self._cold.note(now)
+
+    def _lasting_reason(self, service: int, now: float) -> int:
+        if service != self.service:
+            return reasons.OTHER_SERVICE
+        if self.stopping:
+            return reasons.STOPPING
+        if now - self._unreachable_at < _UNREACHABLE_S:
+            return reasons.UNREACHABLE
+        return _recorded_reason(self.record, service)
+
+
+def _recorded_reason(record: messages.Record | None, service: int) -> int:
+    if record is None:
+        return reasons.NONE
+    if record.flags & messages.OUT:
+        return reasons.OUT
+    if not record.flags & messages.REGISTERED:
+        return reasons.UNREGISTERED
+    if record.service != service:
+        return reasons.OTHER_SERVICE
+    if record.flags & messages.DRAINING:
+        return reasons.DRAINING
+    return reasons.NONE
--- a/siskinbank/choice/__init__.py
+++ b/siskinbank/choice/__init__.py
@@ -1,5 +1,14 @@
-"""Which host gets a flow or request: ranking plug-ins."""
+"""Which host gets a flow or request: ranking plug-ins and placement."""
 
-from siskinbank.choice.registry import choices
+from __future__ import annotations
 
 __all__ = ('choices',)
+
+
+def __getattr__(name: str) -> object:
+    """Load the registry on first use: processes that carry packets need none."""
+    if name == 'choices':
+        from siskinbank.choice.registry import choices
+
+        return choices
+    raise AttributeError(name)
--- a/siskinbank/choice/homes.py
+++ b/siskinbank/choice/homes.py
@@ -8,7 +8,7 @@
 
 from siskinbank.choice.registry import Rank, choices
 from siskinbank.config.site import Host, Service
-from siskinbank.platform.view import FleetView
+from siskinbank.directory.view import FleetView
 
 __all__ = ('KeyHomes', 'home_hosts', 'home_rank')
 
--- /dev/null
+++ b/siskinbank/choice/placement.py
@@ -0,0 +1,63 @@
+"""Where a new flow goes.
+
+Load pattern: many entries place flows at the same moment on what they heard
+up to half a second ago, while each host works on a few requests at a time and
+long flows bring their requests for minutes. A host's queue of this moment is
+known to its sidecar alone, so an entry names several candidates and sidecars
+pass a flow on; the entry orders them by what changes slowly: open flows, load
+as last heard, its own placements since, and the way to go.
+"""
+
+from __future__ import annotations
+
+from siskinbank.beliefs.hosts import SILENT_S, HostBelief
+
+__all__ = ('MOST_CANDIDATES', 'order')
+
+# Candidates named with a first packet: with every second host busy, one in
+# thirty such flows still meets only busy ones.
+MOST_CANDIDATES = 5
+
+# A flow's part in a host's load next to one request in progress: a long flow
+# is at work about a tenth of the time.
+_FLOW_WEIGHT = 0.1
+# What the way to another data centre costs, in requests in progress: the way
+# takes a twentieth of a usual request's time.
+_AWAY_WEIGHT = 0.15
+# Spreads equal hosts, in requests in progress.
+_SPREAD_WEIGHT = 0.1
+_SPREAD_STEPS = 256
+
+
+def order(
+    hosts: list[HostBelief],
+    draw: int,
+    data_centre: int,
+    now: float,
+) -> list[HostBelief]:
+    """Return the candidates for a new flow, the best first.
+
+    Args:
+        hosts: the hosts of its service.
+        draw: a number drawn from the flow's key.
+        data_centre: digest of the entry's own.
+        now: time on the clock that counts suspension.
+    """
+    able = [host for host in hosts if not host.status.state]
+    heard = [host for host in able if now - host.heard < SILENT_S]
+    scored = [
+        (_score(host, draw, data_centre), index)
+        for index, host in enumerate(heard)
+    ]
+    scored.sort()
+    best = [heard[index] for _, index in scored[:MOST_CANDIDATES]]
+    # Sidecars that went silent may be restarting; they come last.
+    return best or able[:MOST_CANDIDATES]
+
+
+def _score(host: HostBelief, draw: int, data_centre: int) -> float:
+    status = host.status
+    load = status.busy + host.pending + status.flows * _FLOW_WEIGHT
+    spread = (draw ^ host.packed[3] * 0x9D) % _SPREAD_STEPS / _SPREAD_STEPS
+    away = _AWAY_WEIGHT if status.data_centre != data_centre else 0
+    return load / status.slots + away + spread * _SPREAD_WEIGHT
--- a/siskinbank/choice/router.py
+++ b/siskinbank/choice/router.py
@@ -4,7 +4,7 @@
 
 from siskinbank.choice.registry import Rank, choices
 from siskinbank.config.site import Host, Service, Site
-from siskinbank.platform.view import FleetView
+from siskinbank.directory.view import FleetView
 from siskinbank.wire.packets import pack_address
 
 __all__ = ('CANDIDATES', 'PoolRanks', 'Router')
--- a/siskinbank/coordination/__init__.py
+++ b/siskinbank/coordination/__init__.py
@@ -13,7 +13,7 @@
     'Backoff': 'siskinbank.coordination.backoff',
     'ClimbingLimit': 'siskinbank.admission.limit',
     'Clock': 'siskinbank.kernel.clock',
-    'DocumentStore': 'siskinbank.platform.store',
+    'DocumentStore': 'siskinbank.directory.store',
     'EventLog': 'siskinbank.kernel.events',
     'FakeClock': 'siskinbank.kernel.clock',
     'Gossip': 'siskinbank.peers.gossip',
--- /dev/null
+++ b/siskinbank/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Reading what the platform publishes: configuration and the live list."""
--- a/siskinbank/platform/beliefs.py
+++ b/siskinbank/directory/beliefs.py
@@ -1,8 +1,8 @@
 """Which hosts are gone: what list and silence say together."""
 
 from siskinbank.peers.ages import Ages
-from siskinbank.platform.roster import Listing, Record, Roster
-from siskinbank.platform.words import WordBook
+from siskinbank.directory.roster import Listing, Record, Roster
+from siskinbank.directory.words import WordBook
 
 __all__ = ('find_gone',)
 
--- a/siskinbank/platform/client.py
+++ b/siskinbank/directory/client.py
@@ -7,7 +7,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from siskinbank.config.sections import Manifest
-from siskinbank.platform.live import Instance, parse_instances
+from siskinbank.directory.live import Instance, parse_instances
 from siskinbank.util import hex_digest
 
 __all__ = ('PlatformClient', 'PlatformError')
--- a/siskinbank/platform/follower.py
+++ b/siskinbank/directory/follower.py
@@ -14,9 +14,9 @@
     read_interval,
     reader_rank,
 )
-from siskinbank.platform.backoff import Backoff
-from siskinbank.platform.client import PlatformClient, PlatformError
-from siskinbank.platform.listing import ListReader
+from siskinbank.directory.backoff import Backoff
+from siskinbank.directory.client import PlatformClient, PlatformError
+from siskinbank.directory.listing import ListReader
 
 __all__ = ('Follower',)
 
--- a/siskinbank/platform/listing.py
+++ b/siskinbank/directory/listing.py
@@ -11,8 +11,8 @@
 from dataclasses import replace
 
 from siskinbank.kernel.clock import Clock
-from siskinbank.platform.live import Instance
-from siskinbank.platform.roster import Listing, Record, Roster, record_of
+from siskinbank.directory.live import Instance
+from siskinbank.directory.roster import Listing, Record, Roster, record_of
 
 __all__ = ('ListReader',)
 
--- a/siskinbank/platform/roster.py
+++ b/siskinbank/directory/roster.py
@@ -15,7 +15,7 @@
 import msgpack
 
 from siskinbank.config.site import Address
-from siskinbank.platform.live import Instance, InstanceState, Role
+from siskinbank.directory.live import Instance, InstanceState, Role
 from siskinbank.util import digest64
 from siskinbank.wire.checks import is_name, is_number
 from siskinbank.wire.packets import pack_address, unpack_address
--- a/siskinbank/platform/view.py
+++ b/siskinbank/directory/view.py
@@ -6,7 +6,7 @@
 from siskinbank.config.site import Service, Site
 from siskinbank.kernel import events
 from siskinbank.kernel.clock import Clock
-from siskinbank.platform.live import Instance, InstanceState, Role
+from siskinbank.directory.live import Instance, InstanceState, Role
 
 __all__ = ('FleetView',)
 
--- a/siskinbank/entry/context.py
+++ b/siskinbank/entry/context.py
@@ -7,7 +7,7 @@
 from siskinbank.entry.links import RequestLinks
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.peers.datagrams import PeerSocket
-from siskinbank.platform.view import FleetView
+from siskinbank.directory.view import FleetView
 from siskinbank.settings import EntrySettings
 
 __all__ = ('EntryContext',)
--- a/siskinbank/lab/commands/fabric.py
+++ b/siskinbank/lab/commands/fabric.py
@@ -6,7 +6,7 @@
 
 from siskinbank.commands._options import ADDRESS
 from siskinbank.lab.standins.fabric import FabricStandIn
-from siskinbank.platform.client import PlatformClient
+from siskinbank.directory.client import PlatformClient
 from siskinbank.util import parse_address
 
 __all__ = ('command',)
--- a/siskinbank/lab/membership.py
+++ b/siskinbank/lab/membership.py
@@ -5,8 +5,8 @@
 from siskinbank.lab.experiment import ExperimentReport, at_least, at_most
 from siskinbank.lab.virtual import VirtualNode
 from siskinbank.lab.virtual_fleet import VirtualFleet
-from siskinbank.platform.beliefs import EVIDENCE_SECONDS
-from siskinbank.platform.live import InstanceState
+from siskinbank.directory.beliefs import EVIDENCE_SECONDS
+from siskinbank.directory.live import InstanceState
 
 __all__ = ('measure_membership',)
 
--- a/siskinbank/lab/node_state.py
+++ b/siskinbank/lab/node_state.py
@@ -12,8 +12,8 @@
 from siskinbank.kernel.metrics import Metrics
 from siskinbank.lab.virtual import QuietLog
 from siskinbank.lab.virtual_fleet import VirtualFleet
-from siskinbank.platform.roster import Roster, parse_record, record_of
-from siskinbank.platform.store import DocumentStore, judge_document
+from siskinbank.directory.roster import Roster, parse_record, record_of
+from siskinbank.directory.store import DocumentStore, judge_document
 
 __all__ = ('measure_state',)
 
--- a/siskinbank/lab/pool.py
+++ b/siskinbank/lab/pool.py
@@ -19,7 +19,7 @@
 from siskinbank.lab.network import FakeNetwork
 from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.datagrams import PeerSocket
-from siskinbank.platform.view import FleetView
+from siskinbank.directory.view import FleetView
 from siskinbank.settings import EntrySettings, SidecarSettings
 from siskinbank.sidecar.context import SidecarContext
 from siskinbank.sidecar.packets import PacketHandler
--- a/siskinbank/lab/request_rig.py
+++ b/siskinbank/lab/request_rig.py
@@ -27,7 +27,7 @@
 from siskinbank.lab.ports import free_ports
 from siskinbank.lab.request_upstream import RequestUpstream
 from siskinbank.peers.datagrams import PeerSocket
-from siskinbank.platform.view import FleetView
+from siskinbank.directory.view import FleetView
 from siskinbank.settings import EntrySettings, SidecarSettings
 from siskinbank.sidecar.context import SidecarContext
 from siskinbank.sidecar.requests import RequestServer
--- a/siskinbank/lab/standins/fabric.py
+++ b/siskinbank/lab/standins/fabric.py
@@ -6,8 +6,8 @@
 
 from siskinbank.config.site import Address
 from siskinbank.peers.datagrams import open_udp
-from siskinbank.platform.client import PlatformClient, PlatformError
-from siskinbank.platform.live import InstanceState, Role
+from siskinbank.directory.client import PlatformClient, PlatformError
+from siskinbank.directory.live import InstanceState, Role
 
 __all__ = ('FabricStandIn',)
 
--- a/siskinbank/lab/virtual.py
+++ b/siskinbank/lab/virtual.py
@@ -14,7 +14,7 @@
 from siskinbank.lab.network import FakeNetwork
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.peers.gossip import Gossip, Identity
-from siskinbank.platform.store import DocumentStore, judge_document
+from siskinbank.directory.store import DocumentStore, judge_document
 from siskinbank.wire.keys import KEY_BYTES, Key, KeyRing
 
 __all__ = ('QuietLog', 'VirtualNode', 'VirtualTimers')
--- a/siskinbank/lab/virtual_fleet.py
+++ b/siskinbank/lab/virtual_fleet.py
@@ -19,10 +19,10 @@
     read_interval,
     reader_rank,
 )
-from siskinbank.platform.backoff import Backoff
-from siskinbank.platform.listing import ListReader
-from siskinbank.platform.live import Instance, InstanceState, Role
-from siskinbank.platform.roster import Roster, record_of
+from siskinbank.directory.backoff import Backoff
+from siskinbank.directory.listing import ListReader
+from siskinbank.directory.live import Instance, InstanceState, Role
+from siskinbank.directory.roster import Roster, record_of
 from siskinbank.util import hex_digest
 
 __all__ = ('CENTRES', 'VirtualFleet', 'VirtualPlatform')
--- a/siskinbank/node.py
+++ b/siskinbank/node.py
@@ -9,10 +9,10 @@
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.peers.gossip import Gossip, Identity
 from siskinbank.peers.refusals import RefusalLog
-from siskinbank.platform.client import PlatformClient
-from siskinbank.platform.follower import Follower
-from siskinbank.platform.store import DocumentStore
-from siskinbank.platform.view import FleetView
+from siskinbank.directory.client import PlatformClient
+from siskinbank.directory.follower import Follower
+from siskinbank.directory.store import DocumentStore
+from siskinbank.directory.view import FleetView
 from siskinbank.settings import ProcessSettings
 from siskinbank.status import start_admin
 from siskinbank.wire.keyfile import follow_keys
--- a/siskinbank/peers/gossip.py
+++ b/siskinbank/peers/gossip.py
@@ -25,10 +25,10 @@
 from siskinbank.peers.ring import RingWatch
 from siskinbank.peers.rosters import RosterSync, parse_records
 from siskinbank.peers.timing import TimerSource
-from siskinbank.platform.beliefs import find_gone
-from siskinbank.platform.roster import Listing, Record, Roster
-from siskinbank.platform.store import DocumentStore
-from siskinbank.platform.words import Word, WordBook, WordState, parse_word
+from siskinbank.directory.beliefs import find_gone
+from siskinbank.directory.roster import Listing, Record, Roster
+from siskinbank.directory.store import DocumentStore
+from siskinbank.directory.words import Word, WordBook, WordState, parse_word
 from siskinbank.wire.gossip import (
     FRESH,
     REPLY_WANTED,
--- a/siskinbank/peers/news.py
+++ b/siskinbank/peers/news.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from siskinbank.platform.roster import Record
-from siskinbank.platform.words import Word
+from siskinbank.directory.roster import Record
+from siskinbank.directory.words import Word
 
 __all__ = ('News',)
 
--- a/siskinbank/peers/pursuit.py
+++ b/siskinbank/peers/pursuit.py
@@ -10,7 +10,7 @@
 from siskinbank.peers.rate import TokenBucket
 from siskinbank.peers.timing import TimerSource
 from siskinbank.peers.transfer import Fetcher, Send, serve_ask
-from siskinbank.platform.store import DocumentStore
+from siskinbank.directory.store import DocumentStore
 from siskinbank.wire.gossip import Ask, Piece
 
 __all__ = ('Pursuit',)
--- a/siskinbank/peers/readers.py
+++ b/siskinbank/peers/readers.py
@@ -3,8 +3,8 @@
 import functools
 import random
 
-from siskinbank.platform.roster import Listing, Record, Roster
-from siskinbank.platform.words import WordBook
+from siskinbank.directory.roster import Listing, Record, Roster
+from siskinbank.directory.words import WordBook
 from siskinbank.util import digest64
 
 __all__ = ('FALLBACK_CALLS', 'READERS', 'read_interval', 'reader_rank')
--- a/siskinbank/peers/ring.py
+++ b/siskinbank/peers/ring.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from siskinbank.platform.roster import Record, Roster, ring_key
-from siskinbank.platform.words import Word, WordBook, WordState
+from siskinbank.directory.roster import Record, Roster, ring_key
+from siskinbank.directory.words import Word, WordBook, WordState
 
 __all__ = ('RingWatch',)
 
--- a/siskinbank/peers/rosters.py
+++ b/siskinbank/peers/rosters.py
@@ -7,7 +7,7 @@
 from siskinbank.kernel.reasons import Drop, Ignored
 from siskinbank.peers.rate import TokenBucket
 from siskinbank.peers.transfer import Send
-from siskinbank.platform.roster import (
+from siskinbank.directory.roster import (
     BUCKET_DIGEST_BYTES,
     BUCKETS,
     Record,
--- a/siskinbank/peers/transfer.py
+++ b/siskinbank/peers/transfer.py
@@ -8,7 +8,7 @@
 from siskinbank.kernel.metrics import Metrics
 from siskinbank.kernel.reasons import Ignored
 from siskinbank.peers.rate import TokenBucket
-from siskinbank.platform.store import MAX_VALUE_BYTES, DocumentStore
+from siskinbank.directory.store import MAX_VALUE_BYTES, DocumentStore
 from siskinbank.wire.checks import is_number
 from siskinbank.wire.gossip import Ask, Piece
 from siskinbank.wire.messages import Message
--- a/siskinbank/platform/__init__.py
+++ b/siskinbank/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Reading what the platform publishes: configuration and the live list."""
+"""The users' platform: names, formats and calls, translated here only."""
--- /dev/null
+++ b/siskinbank/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The programs of the users' platform: lean processes that carry packets."""
--- /dev/null
+++ b/siskinbank/relay/catalogue.py
@@ -0,0 +1,44 @@
+"""Every event that the lean programs log, with its number.
+
+docs/OPERATIONS.md explains them; a number is never given to another event.
+"""
+
+from __future__ import annotations
+
+__all__ = ('EVENTS',)
+
+EVENTS = {
+    'process.start': 'R100',
+    'process.stopping': 'R101',
+    'process.stop': 'R102',
+    'process.stalled': 'R103',
+    'settings.reload': 'R110',
+    'settings.refused': 'R111',
+    'log.dropped': 'R120',
+    'store.lost': 'R200',
+    'store.regained': 'R201',
+    'store.compacted': 'R202',
+    'record.refused': 'R203',
+    'configuration.taken': 'R210',
+    'configuration.refused': 'R211',
+    'evacuation.changed': 'R212',
+    'host.changed': 'R220',
+    'host.silent': 'R221',
+    'host.heard': 'R222',
+    'host.unreachable': 'R223',
+    'host.reached': 'R224',
+    'host.restarted': 'R225',
+    'peer.heard': 'R230',
+    'peer.silent': 'R231',
+    'flow.placed': 'R300',
+    'flow.taken': 'R301',
+    'flow.passed': 'R302',
+    'flow.refused': 'R303',
+    'flow.reset': 'R304',
+    'flow.search': 'R305',
+    'flow.found': 'R306',
+    'flow.absent': 'R307',
+    'request.start': 'R310',
+    'request.end': 'R311',
+    'packet.refused': 'R320',
+}
--- /dev/null
+++ b/siskinbank/relay/log.py
@@ -0,0 +1,88 @@
+"""Structured logs on standard output: bounded, and never in anyone's way.
+
+A line is ``time event key=value ...``. Lines gather in memory and leave in one
+write; what standard output does not take at once, or what goes over the
+budget, is dropped and counted, and the next line that gets out says how many.
+"""
+
+from __future__ import annotations
+
+from posix import set_blocking
+from posix import write as write_bytes
+from time import time
+
+from siskinbank.relay.catalogue import EVENTS
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from siskinbank.relay.loop import Loop
+
+__all__ = ('Log',)
+
+_STDOUT = 1
+# Lines a second over a longer time, and how many may come at once. The budget
+# is twice the decisions of the busiest process in the users' sites.
+_LINES_PER_S = 60.0
+_BURST_LINES = 240.0
+# Lines wait this long for others, in seconds: one write serves them all.
+_GATHER_S = 0.25
+
+
+class Log:
+    """Writes the events of one process."""
+
+    __slots__ = ('_dropped', '_lines', '_loop', '_refilled', '_tokens')
+
+    def __init__(self, loop: Loop) -> None:
+        """Begin with a full budget."""
+        self._loop = loop
+        self._lines: list[str] = []
+        self._tokens = _BURST_LINES
+        self._refilled = loop.now
+        self._dropped = 0
+        set_blocking(_STDOUT, False)
+        loop.every(_GATHER_S, self.flush)
+
+    def __call__(self, event: str, **fields: object) -> None:
+        """Note one event with the values that decided it.
+
+        Args:
+            event: a name from the catalogue.
+            fields: the values, without spaces.
+        """
+        if not self._take():
+            self._dropped += 1
+            return
+        # No blank in the values: a line splits at blanks.
+        words = [f'{name}={fields[name]}' for name in fields]
+        self._lines.append(
+            f'{time():.3f} {EVENTS[event]} {event} {" ".join(words)}\n'
+        )
+
+    def flush(self) -> None:
+        """Write what has gathered."""
+        if not self._lines:
+            return
+        if self._dropped:
+            number = EVENTS['log.dropped']
+            line = f'{time():.3f} {number} log.dropped lines={self._dropped}\n'
+            self._lines.append(line)
+            self._dropped = 0
+        text = ''.join(self._lines)
+        lines = len(self._lines)
+        self._lines.clear()
+        try:
+            write_bytes(_STDOUT, text.encode())
+        except OSError:
+            # Nobody reads; say so as soon as somebody does.
+            self._dropped += lines
+
+    def _take(self) -> bool:
+        now = self._loop.now
+        refill = (now - self._refilled) * _LINES_PER_S
+        self._tokens = min(_BURST_LINES, self._tokens + refill)
+        self._refilled = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- /dev/null
+++ b/siskinbank/relay/sidecar.py
@@ -0,0 +1,454 @@
+"""The sidecar: guards one host, and knows every flow that the host holds."""
+
+from __future__ import annotations
+
+from _socket import (
+    AF_INET,
+    SOCK_CLOEXEC,
+    SOCK_DGRAM,
+    SOCK_NONBLOCK,
+    inet_aton,
+    inet_ntoa,
+    socket,
+)
+
+from siskinbank.admission import reasons
+from siskinbank.beliefs.freshness import SIDECAR_PATIENCE_S
+from siskinbank.beliefs.own_host import OwnHost
+from siskinbank.platform.packets import (
+    BOUNCED,
+    FIN,
+    FLOW_KEY,
+    HEAD_BYTES,
+    MAX_PACKET_BYTES,
+    RST,
+    SYN,
+    answer_key,
+    client_address,
+    describe,
+    flags_of,
+    not_bounced,
+    reset_for,
+    sequence_numbers,
+)
+from siskinbank.relay import messages
+from siskinbank.relay.follower import Follower
+from siskinbank.relay.node import Node, open_datagrams
+from siskinbank.relay.records import record_for
+from siskinbank.relay.reports import Reports
+from siskinbank.sidecar.held_flows import HeldFlow, Waiting
+
+__all__ = ('Sidecar',)
+
+# Datagrams read before other sockets get their turn.
+_READS_A_TURN = 64
+_SWEEP_S = 2.0
+# A flow that is over is remembered this long, in seconds, for the last
+# packets that its client repeats.
+_ENDED_S = 5.0
+# Hosts discard flows that are idle for 15 s.
+_IDLE_S = 20.0
+# A packet without an answer is forgotten, in seconds: clients give up a first
+# packet after 1.4 s.
+_WAITING_S = 1.5
+# A flow is passed on at most this often.
+_MOST_HOPS = 8
+# A planned stop waits for requests in progress this long, in seconds; the
+# platform kills after six.
+_STOP_S = 4.0
+_STOP_CHECK_S = 0.05
+# New flows stay away before a planned stop for this long, in seconds.
+_STOP_LEAD_S = 0.15
+
+
+class Sidecar:
+    """One sidecar process."""
+
+    def __init__(self, node: Node) -> None:
+        """Open the port for the host's packets, and a way to the host.
+
+        Raises:
+            OSError: a port cannot be had, or the settings name no host.
+        """
+        self._node = node
+        settings = node.settings
+        if settings.host_address is None or settings.host_output is None:
+            raise OSError('the settings name no host')
+        self._flows: dict[bytes, HeldFlow] = {}
+        self._waiting: dict[bytes, Waiting] = {}
+        self._stop_at: float = 0
+        service = messages.digest(settings.service or '')
+        self._host = OwnHost(service, node.loop.now)
+        self._follower = Follower(node, self._store_read, self._store_read)
+        self._follower.hosts_due = self._record_due
+        self._follower.operator_due = self._record_due
+        self._outbound = open_datagrams(settings.host_output)
+        self._packets = open_datagrams((settings.ip, settings.packet_port))
+        self._inbound = _connect(settings.host_address)
+        self._reports = Reports(node, self._host, self._flows.__len__)
+        node.ready = self._is_ready
+        node.stopping = self._begin_stop
+        node.handlers[messages.OPEN] = self._hear_open
+        node.handlers[messages.CARRY] = self._hear_carry
+        node.handlers[messages.SEARCH] = self._hear_search
+        node.handlers[messages.RECORD] = self._hear_record
+        node.loop.watch(self._outbound.fileno(), self._receive)
+        node.loop.watch(self._inbound.fileno(), self._hear_error)
+        node.loop.every(_SWEEP_S, self._sweep)
+        node.loop.on_stall(self._note_stall)
+
+    # Packets of the host.
+
+    def _receive(self, events: int) -> None:
+        receive = self._outbound.recv
+        for _ in range(_READS_A_TURN):
+            try:
+                packet = receive(MAX_PACKET_BYTES + 1)
+            except OSError:
+                # Nothing left, or an error report for an earlier datagram.
+                return
+            if len(packet) < HEAD_BYTES:
+                self._node.meters.count('packets_refused_short_total')
+            elif flags_of(packet) & BOUNCED:
+                self._take_back(not_bounced(packet))
+            else:
+                self._send_out(packet)
+
+    def _send_out(self, packet: bytes) -> None:
+        key = answer_key(packet)
+        flags = flags_of(packet)
+        waiting = self._waiting.pop(key, None)
+        flow = self._flows.get(key)
+        if flow is None:
+            if waiting and waiting.searching and flags & RST:
+                # Not this host's flow; another one is asked as well.
+                self._note_absent(key, waiting.entry, waiting.packet)
+                return
+            flow = self._learn(key, waiting)
+        if flags & SYN:
+            flow.number = sequence_numbers(packet)[0]
+        else:
+            flow.established = True
+            self._follow_answer(key, flow, packet)
+        if waiting or flags & SYN:
+            self._note_held(key, flow)
+        try:
+            self._packets.sendto(packet, flow.client)
+        except OSError:
+            self._node.meters.count('send_errors_total')
+
+    def _learn(self, key: bytes, waiting: Waiting | None) -> HeldFlow:
+        """Begin to know a flow from the host's first packet in it."""
+        client = (client_address(key), self._node.settings.packet_port)
+        entry = waiting.entry if waiting else ''
+        flow = HeldFlow(entry, client, self._node.loop.now)
+        self._flows[key] = flow
+        if waiting and not flags_of(waiting.packet) & SYN:
+            self._follow_request(key, flow, waiting.packet)
+        return flow
+
+    def _follow_answer(self, key: bytes, flow: HeldFlow, packet: bytes) -> None:
+        answer = flow.take_answer(packet, self._node.loop.now)
+        if answer:
+            self._end_request(key, flow, answer.status)
+        if flags_of(packet) & (FIN | RST) and not flow.ended:
+            flow.ended = self._node.loop.now
+
+    def _end_request(self, key: bytes, flow: HeldFlow, outcome: str) -> None:
+        request = flow.request
+        if request is None:
+            return
+        flow.request = None
+        self._host.busy -= 1
+        took = self._node.loop.now - request.began
+        self._node.meters.count('requests_ended_total')
+        self._node.meters.time('request_seconds', took)
+        self._node.log(
+            'request.end',
+            id=request.name,
+            flow=describe(key),
+            outcome=outcome,
+            ms=int(took * 1000),
+            busy=self._host.busy,
+        )
+
+    # Packets that the host does not take.
+
+    def _take_back(self, packet: bytes) -> None:
+        key = packet[FLOW_KEY]
+        waiting = self._waiting.pop(key, None)
+        if flags_of(packet) & SYN:
+            if waiting:
+                self._pass_on(key, waiting, reasons.HOST_REFUSED)
+            return
+        flow = self._flows.pop(key, None)
+        if flow is None:
+            if waiting:
+                self._note_absent(key, waiting.entry, packet)
+            return
+        self._end_request(key, flow, 'lost')
+        if flow.ended:
+            return
+        if flow.established:
+            # The host worked on it and knows nothing of it any more.
+            self._reset(packet, 'host-forgot')
+        elif flow.entry:
+            self._note_absent(key, flow.entry, packet)
+
+    def _reset(self, packet: bytes, reason: str) -> None:
+        key = packet[FLOW_KEY]
+        self._node.meters.count('resets_total')
+        self._node.log('flow.reset', flow=describe(key), reason=reason)
+        address = (client_address(key), self._node.settings.packet_port)
+        try:
+            self._packets.sendto(reset_for(packet), address)
+        except OSError:
+            self._node.meters.count('send_errors_total')
+
+    def _note_held(self, key: bytes, flow: HeldFlow) -> None:
+        if flow.entry:
+            note = messages.flow_note(messages.HELD, key, flow.number)
+            self._node.send(flow.entry, note)
+
+    def _note_absent(self, key: bytes, entry: str, packet: bytes) -> None:
+        note = messages.flow_note(messages.ABSENT, key, 0)
+        self._node.send(entry, note + packet)
+
+    # First packets.
+
+    def _hear_open(self, raw: bytes, ip: str) -> None:
+        opening = messages.Opening.read(raw)
+        packet = _whole(opening.packet)
+        key = packet[FLOW_KEY]
+        now = self._node.loop.now
+        host = self._host
+        waiting = Waiting(inet_ntoa(opening.entry), now, packet)
+        waiting.candidates = opening.candidates
+        waiting.service = opening.service
+        waiting.version = opening.version
+        waiting.hops = opening.hops
+        host.version = max(host.version, opening.version)
+        self._reports.note_entry(waiting.entry)
+        flow = self._flows.get(key)
+        if flow:
+            flow.entry = waiting.entry
+        if flow or key in self._waiting:
+            # A copy of what the host has already.
+            self._deliver(packet)
+            return
+        left = bool(opening.candidates) and opening.hops < _MOST_HOPS
+        reason = host.reason_against(opening.service, left, now)
+        if reason:
+            self._pass_on(key, waiting, reason)
+        else:
+            self._admit(key, waiting)
+
+    def _admit(self, key: bytes, waiting: Waiting) -> None:
+        now = self._node.loop.now
+        host = self._host
+        host.note_taken(now)
+        self._waiting[key] = waiting
+        self._node.log(
+            'flow.taken',
+            flow=describe(key),
+            busy=host.busy,
+            flows=len(self._flows),
+            hops=waiting.hops,
+            version=waiting.version,
+            revision=host.revision,
+            age_ms=host.age_ms(now),
+        )
+        self._deliver(waiting.packet)
+
+    def _pass_on(self, key: bytes, waiting: Waiting, reason: int) -> None:
+        host = self._host
+        name = reasons.name_of(reason)
+        passing = bool(waiting.candidates) and waiting.hops < _MOST_HOPS
+        self._node.meters.count(f'flows_not_taken_{name}_total')
+        self._node.log(
+            'flow.passed' if passing else 'flow.refused',
+            flow=describe(key),
+            reason=name,
+            busy=host.busy,
+            hops=waiting.hops,
+            revision=host.revision,
+            age_ms=host.age_ms(self._node.loop.now),
+        )
+        if not passing:
+            note = messages.flow_note(messages.REFUSED, key, 0, reason)
+            self._node.send(waiting.entry, note + waiting.packet)
+            return
+        opening = messages.Opening(
+            waiting.service,
+            waiting.version,
+            inet_aton(waiting.entry),
+            waiting.candidates,
+            waiting.packet,
+            waiting.hops + 1,
+        )
+        self._node.send(opening.pop_next(), opening.pack())
+
+    # Other packets of clients.
+
+    def _hear_carry(self, raw: bytes, ip: str) -> None:
+        self._take(_whole(raw[1:]), ip, searching=False)
+
+    def _hear_search(self, raw: bytes, ip: str) -> None:
+        self._take(_whole(raw[1:]), ip, searching=True)
+
+    def _take(self, packet: bytes, entry: str, searching: bool) -> None:
+        key = packet[FLOW_KEY]
+        flow = self._flows.get(key)
+        if flow is None:
+            waiting = Waiting(entry, self._node.loop.now, packet)
+            waiting.searching = searching
+            self._waiting[key] = waiting
+        else:
+            flow.entry = entry
+            if searching:
+                self._note_held(key, flow)
+            self._follow_request(key, flow, packet)
+        self._deliver(packet)
+
+    def _follow_request(
+        self,
+        key: bytes,
+        flow: HeldFlow,
+        packet: bytes,
+    ) -> None:
+        before = flow.request
+        request = flow.take_packet(packet, self._node.loop.now)
+        if request is None:
+            return
+        if before is None:
+            self._host.busy += 1
+        self._node.meters.count('requests_total')
+        self._node.log(
+            'request.start',
+            id=request.name,
+            flow=describe(key),
+            entry=flow.entry or '-',
+            busy=self._host.busy,
+        )
+
+    def _deliver(self, packet: bytes) -> None:
+        try:
+            self._inbound.send(packet)
+        except ConnectionRefusedError:
+            self._lose_host()
+        except OSError:
+            self._node.meters.count('send_errors_total')
+
+    def _hear_error(self, events: int) -> None:
+        try:
+            self._inbound.recv(1)
+        except ConnectionRefusedError:
+            self._lose_host()
+        except OSError:
+            # Nothing to report.
+            return
+
+    def _lose_host(self) -> None:
+        """Nobody listens at the host: its flows are gone with it."""
+        self._node.meters.count('host_unreachable_total')
+        if self._host.lose(self._node.loop.now):
+            self._node.log('host.unreachable', flows=len(self._flows))
+        flows = list(self._flows.items())
+        self._flows.clear()
+        for key, flow in flows:
+            self._end_request(key, flow, 'host-gone')
+            if flow.established and flow.head and not flow.ended:
+                self._reset(flow.head, 'host-gone')
+        self._reports.tell()
+
+    # What is known of the host.
+
+    def _hear_record(self, raw: bytes, ip: str) -> None:
+        self._reports.note_entry(ip)
+        self._believe(messages.Record.read(raw), ip)
+
+    def _believe(self, record: messages.Record, source: str) -> None:
+        host = self._host
+        before = host.record
+        if not host.believe(record, self._node.loop.now):
+            return
+        if before and (before.flags, before.born_ms) == (
+            record.flags,
+            record.born_ms,
+        ):
+            return
+        self._node.log(
+            'host.changed',
+            flags=record.flags,
+            born_ms=record.born_ms,
+            source=source,
+            revision=record.revision,
+            age_ms=int(record.age_s * 1000),
+            cold_ms=int(record.cold_s * 1000),
+            cold_per_s=record.cold_per_s,
+        )
+        self._reports.tell()
+
+    def _record_due(self) -> bool:
+        now = self._node.loop.now
+        stale = now - self._host.confirmed > SIDECAR_PATIENCE_S
+        return stale and not self._host.in_doubt(now)
+
+    def _store_read(self) -> None:
+        follower = self._follower
+        if not follower.hosts_revision or not follower.operator_revision:
+            return
+        ip = self._node.settings.ip
+        record = record_for(follower, ip, self._node.loop.now)
+        if record:
+            self._believe(record, 'store')
+
+    # Life of the process.
+
+    def _is_ready(self) -> bool:
+        return not self._host.stopping
+
+    def _note_stall(self, lost: float) -> None:
+        self._host.doubt(self._node.loop.now)
+
+    def _begin_stop(self) -> None:
+        self._host.stopping = True
+        self._stop_at = self._node.loop.now + _STOP_S
+        self._reports.tell()
+        self._node.loop.after(_STOP_LEAD_S, self._stop_when_idle)
+
+    def _stop_when_idle(self) -> None:
+        if self._host.busy <= 0 or self._node.loop.now >= self._stop_at:
+            self._node.stop()
+        else:
+            self._node.loop.after(_STOP_CHECK_S, self._stop_when_idle)
+
+    def _sweep(self) -> None:
+        now = self._node.loop.now
+        for key, flow in list(self._flows.items()):
+            ended = flow.ended and now - flow.ended > _ENDED_S
+            if ended or now - flow.seen > _IDLE_S:
+                self._flows.pop(key)
+                self._end_request(key, flow, 'idle')
+        edge = now - _WAITING_S
+        for key, waiting in list(self._waiting.items()):
+            if waiting.seen < edge:
+                self._waiting.pop(key)
+
+
+def _connect(address: tuple[str, int]) -> socket:
+    """Open a UDP socket to the host, which reports when nobody listens."""
+    inbound = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC)
+    inbound.connect(address)
+    return inbound
+
+
+def _whole(packet: bytes) -> bytes:
+    """Return a packet that has at least a head.
+
+    Raises:
+        Malformed: it has not.
+    """
+    if len(packet) < HEAD_BYTES:
+        raise messages.Malformed('no packet')
+    return packet
--- a/siskinbank/sidecar/context.py
+++ b/siskinbank/sidecar/context.py
@@ -14,7 +14,7 @@
 from siskinbank.kernel.reasons import Refusal
 from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.datagrams import PeerSocket
-from siskinbank.platform.view import FleetView
+from siskinbank.directory.view import FleetView
 from siskinbank.settings import SidecarSettings
 
 __all__ = ('Limits', 'SidecarContext')
--- a/siskinbank/status.py
+++ b/siskinbank/status.py
@@ -8,7 +8,7 @@
 from siskinbank.kernel.process import ProcessContext
 from siskinbank.peers.gossip import Gossip
 from siskinbank.peers.readers import READERS, reader_rank
-from siskinbank.platform.view import FleetView
+from siskinbank.directory.view import FleetView
 from siskinbank.settings import ProcessSettings
 
 __all__ = ('describe', 'start_admin')
--- a/tests/platform/test_client.py
+++ b/tests/directory/test_client.py
@@ -6,7 +6,7 @@
 
 from siskinbank.lab.ports import free_ports
 from siskinbank.lab.standins.platform import PlatformStandIn
-from siskinbank.platform.client import PlatformClient, PlatformError
+from siskinbank.directory.client import PlatformClient, PlatformError
 from siskinbank.util import hex_digest
 
 LINE = {
--- a/tests/platform/test_roster.py
+++ b/tests/directory/test_roster.py
@@ -9,17 +9,17 @@
 
 from siskinbank.kernel.clock import FakeClock
 from siskinbank.peers.ages import Ages
-from siskinbank.platform.beliefs import find_gone
-from siskinbank.platform.listing import ListReader
-from siskinbank.platform.live import Instance, InstanceState, Role
-from siskinbank.platform.roster import (
+from siskinbank.directory.beliefs import find_gone
+from siskinbank.directory.listing import ListReader
+from siskinbank.directory.live import Instance, InstanceState, Role
+from siskinbank.directory.roster import (
     Listing,
     Record,
     Roster,
     parse_record,
     record_of,
 )
-from siskinbank.platform.words import Word, WordBook, WordState, parse_word
+from siskinbank.directory.words import Word, WordBook, WordState, parse_word
 
 INSTANCES = [
     Instance(f'host-{number}', Role.sidecar, 'a', (f'10.0.0.{number}', 7100))
--- a/tests/lab/test_dissemination.py
+++ b/tests/lab/test_dissemination.py
@@ -8,7 +8,7 @@
 from siskinbank.lab.membership import measure_membership
 from siskinbank.lab.virtual_fleet import CENTRES, VirtualFleet
 from siskinbank.peers.readers import FALLBACK_CALLS, READERS
-from siskinbank.platform.live import Role
+from siskinbank.directory.live import Role
 
 SIZE = 24
 SEED = 7
--- a/tests/peers/test_freshness.py
+++ b/tests/peers/test_freshness.py
@@ -11,7 +11,7 @@
 from siskinbank.peers.rate import TokenBucket
 from siskinbank.peers.readers import FALLBACK_CALLS, READERS, read_interval
 from siskinbank.peers.transfer import PIECE_BYTES, Fetcher, serve_ask
-from siskinbank.platform.store import DocumentStore
+from siskinbank.directory.store import DocumentStore
 from siskinbank.util import hex_digest
 from siskinbank.wire.gossip import Ask, Piece
 
