Let a first packet wait at the host with the shortest wait

Cause: after a total loss of power the backlog met hosts with five rounds of work, was reset, and used up its callers' tries within milliseconds. Change: each sidecar that passes a flow on states its wait; the last one sends it to the shortest; only beyond half of the route's time limit is it refused. Ruled out: a longer queue of fixed length, which ignores the work's length.

--- a/siskinbank/admission/arrivals.py
+++ b/siskinbank/admission/arrivals.py
@@ -12,7 +12,7 @@
 
 from siskinbank.admission import reasons
 
-__all__ = ('ColdLimit', 'is_busy', 'refusal_is_final')
+__all__ = ('ColdLimit', 'WorkTime', 'refusal_is_final', 'where_to_wait')
 
 # A cold host's second, with room for the jitter between the sidecar's clock
 # and the host's socket.
@@ -21,9 +21,13 @@
 # half as many again; the rest is left for copies that were under way.
 _COLD_EXTRA = 3
 
-# Rounds of work that may wait at a host where no other has room: about the
-# latency that users expect, next to the usual time of a request.
-_MOST_ROUNDS = 5
+# The usual time of a request before any was seen, in seconds.
+_FIRST_WORK_S = 0.04
+# Part of a new measurement in the usual time: about the last ten count.
+_WORK_SHARE = 0.1
+# Part of a request's time limit that it may wait before it is worked on; the
+# rest is for the work, the way, and for the client's next try elsewhere.
+_WAIT_SHARE = 0.5
 
 # Clients send a first packet three times.
 _LAST_COPY = 2
@@ -49,20 +53,60 @@
         self._times.append(now)
 
 
-def is_busy(busy: int, slots: int, candidates_left: bool) -> bool:
-    """Say whether a flow should go elsewhere because of waiting work.
+class WorkTime:
+    """How long a host works on a request, from requests that did not wait."""
+
+    __slots__ = ('seconds',)
+
+    def __init__(self) -> None:
+        """Begin with what requests usually take."""
+        self.seconds = _FIRST_WORK_S
+
+    def note(self, took: float) -> None:
+        """Take in one request."""
+        self.seconds += (took - self.seconds) * _WORK_SHARE
+
+    def wait_s(self, busy: int, slots: int) -> float:
+        """Return how long a new request would wait for a slot.
+
+        Args:
+            busy: requests in progress at the host.
+            slots: requests that it works on at a time.
+        """
+        return max(0, busy - slots + 1) * self.seconds / slots
+
+
+def where_to_wait(
+    wait_s: float,
+    limit_s: float,
+    best_wait_s: float | None,
+    candidates_left: bool,
+) -> str:
+    """Say what becomes of a flow at a host that is at work.
 
     With other candidates left, a flow goes on as soon as it would wait here.
-    The last candidate lets it wait for a few rounds of work; beyond that a
-    caller is better off at once with a refusal.
+    The last candidate sends it to the host with the shortest wait of all that
+    it met. Where even that is too long for the request's time limit, a caller
+    is better off at once with a refusal.
 
     Args:
-        busy: requests in progress at the host.
-        slots: requests that it works on at a time.
-        candidates_left: whether the flow can be passed on.
+        wait_s: how long it would wait here.
+        limit_s: the time limit of the route's requests.
+        best_wait_s: the shortest wait that it met before, None at the first.
+        candidates_left: whether it can be passed on.
+
+    Returns:
+        ``here``, ``on``, ``back`` (to the host with the shortest wait) or
+        ``nowhere``.
     """
-    rounds = 1 if candidates_left else _MOST_ROUNDS
-    return busy >= slots * rounds
+    if wait_s <= 0:
+        return 'here'
+    if candidates_left:
+        return 'on'
+    shortest = wait_s if best_wait_s is None else min(wait_s, best_wait_s)
+    if shortest > limit_s * _WAIT_SHARE:
+        return 'nowhere'
+    return 'back' if shortest < wait_s else 'here'
 
 
 def refusal_is_final(reason: int, copy: int) -> bool:
--- a/siskinbank/beliefs/own_host.py
+++ b/siskinbank/beliefs/own_host.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from siskinbank.admission import reasons
-from siskinbank.admission.arrivals import ColdLimit, is_busy
+from siskinbank.admission.arrivals import ColdLimit, WorkTime
 from siskinbank.relay import messages
 from siskinbank.relay.loop import NEVER
 
@@ -26,6 +26,7 @@
         version: the newest configuration heard of.
         stopping: the sidecar is about to stop.
         busy: requests in progress.
+        work: how long the host works on a request.
     """
 
     __slots__ = (
@@ -40,6 +41,7 @@
         'service',
         'stopping',
         'version',
+        'work',
     )
 
     def __init__(self, service: int, now: float) -> None:
@@ -50,6 +52,7 @@
         self.version = 0
         self.stopping = False
         self.busy = 0
+        self.work = WorkTime()
         self._cold = ColdLimit()
         self._cold_until = NEVER
         self._unreachable_at = NEVER
@@ -112,28 +115,23 @@
         """Return the reason why no entry should name this host, or NONE."""
         return self._lasting_reason(self.service, now)
 
-    def reason_against(
-        self,
-        service: int,
-        candidates_left: bool,
-        now: float,
-    ) -> int:
-        """Return why the host does not take a flow at this moment, or NONE.
+    def wait_s(self) -> float:
+        """Return how long a new request would wait for a slot."""
+        return self.work.wait_s(self.busy, self.slots)
+
+    def reason_against(self, service: int, now: float) -> int:
+        """Return why the host takes no flow at this moment, or NONE.
+
+        Waiting work is no such reason; see ``wait_s``.
 
         Args:
             service: digest of the service that the flow belongs to.
-            candidates_left: whether the flow can be passed on.
             now: time on the clock that counts suspension.
         """
         lasting = self._lasting_reason(service, now)
         if lasting:
             return lasting
-        if self.spare(now) == 0:
-            return reasons.COLD
-        doubtful = candidates_left and self.in_doubt(now)
-        if doubtful or is_busy(self.busy, self.slots, candidates_left):
-            return reasons.BUSY
-        return reasons.NONE
+        return reasons.COLD if self.spare(now) == 0 else reasons.NONE
 
     def spare(self, now: float) -> int | None:
         """Return the flows that a cold host may still take, None if warm.
--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -24,6 +24,8 @@
 # Steps in which the share of a weighted service is drawn.
 _DRAWS = 1 << 16
 _MAX_PORT = 65535
+# For a route that states no time limit: the shortest of the users' requests.
+_DEFAULT_LIMIT_MS = 1500
 
 
 class HostRecord:
@@ -75,24 +77,24 @@
     Attributes:
         shares: the services that take new flows, each with its weight above 0.
         repeatable: whether a request may run more than once.
-        aim_s: the latency that users expect.
+        limit_s: time after which a request's answer is of no use.
     """
 
-    __slots__ = ('aim_s', 'repeatable', 'shares')
+    __slots__ = ('limit_s', 'repeatable', 'shares')
 
     def __init__(
         self,
         shares: tuple[tuple[str, float], ...],
         repeatable: bool,
-        aim_s: float,
+        limit_s: float,
     ) -> None:
         """Name the services and describe the requests inside."""
         self.shares = shares
         self.repeatable = repeatable
-        self.aim_s = aim_s
+        self.limit_s = limit_s
 
-    def service_for(self, draw: int) -> str | None:
-        """Return the service of a new flow.
+    def service_for(self, draw: int) -> str:
+        """Return the service of a new flow; there must be shares.
 
         Args:
             draw: a number drawn from the flow's key, so that all copies of a
@@ -104,7 +106,7 @@
             point -= weight
             if point < 0:
                 return service
-        return None
+        return self.shares[-1][0]
 
 
 class Warmth:
@@ -170,7 +172,7 @@
     route = Route(
         _shares(document),
         document.get('Kind') == 'safe',
-        number_in(document, 'TargetLatencyMs', 0) / _MS,
+        number_in(document, 'TimeoutMs', _DEFAULT_LIMIT_MS) / _MS,
     )
     return address + int(port).to_bytes(2, 'big'), route
 
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -53,6 +53,7 @@
 # A planned stop: routers leave a node out after two failed probes, half a
 # second apart; in seconds.
 _LINGER_S = 1.5
+_MS = 1000
 
 
 class Entry:
@@ -139,29 +140,31 @@
         flow = self._flows.get(key)
         if flow and flow.held:
             # Our answer was lost or is under way: the same host repeats it.
-            self._send_opening(packet, [inet_aton(flow.ip)], 0)
+            opening = messages.Opening(self._node.packed_ip, packet)
+            self._node.send(flow.ip, opening.pack())
             return
         if not self._knows():
             self._keep_early(packet)
             return
         route = self._route(key)
-        service = route.service_for(crc32(key)) if route else None
-        if service is None:
+        if route is None or not route.shares:
             self._reset(packet, 'no-route')
             return
-        self._place(packet, messages.digest(service), flow)
+        self._place(packet, route, flow)
 
     def _place(
         self,
         packet: bytes,
-        service: int,
+        route: Route,
         flow: CachedFlow | None,
     ) -> None:
         key = packet[FLOW_KEY]
         now = self._node.loop.now
+        draw = crc32(key)
+        service = route.service_for(draw)
         ordered = order(
-            self._hosts.of_service(service),
-            crc32(key),
+            self._hosts.of_service(messages.digest(service)),
+            draw,
             self._data_centre,
             now,
         )
@@ -188,7 +191,12 @@
             version=self._follower.configuration.version,
             tries=len(tried),
         )
-        self._send_opening(packet, [host.packed for host in chosen], service)
+        opening = messages.Opening(self._node.packed_ip, packet)
+        opening.service = messages.digest(service)
+        opening.version = self._follower.configuration.version
+        opening.limit_ms = min(int(route.limit_s * _MS), messages.MOST_WAIT_MS)
+        opening.candidates = [host.packed for host in chosen]
+        self._node.send(opening.pop_next(), opening.pack())
 
     def _refuse_unplaced(self, packet: bytes) -> None:
         """No host takes new flows; a young process may not know them yet."""
@@ -197,21 +205,6 @@
         else:
             self._reset(packet, 'no-host')
 
-    def _send_opening(
-        self,
-        packet: bytes,
-        candidates: list[bytes],
-        service: int,
-    ) -> None:
-        opening = messages.Opening(
-            service,
-            self._follower.configuration.version,
-            self._node.packed_ip,
-            candidates,
-            packet,
-        )
-        self._node.send(opening.pop_next(), opening.pack())
-
     def _knows(self) -> bool:
         """Say whether routes and a host are known."""
         return bool(self._follower.configuration.version and self._hosts)
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -25,6 +25,7 @@
     'FLOW_NOTE_BYTES',
     'HELD',
     'HELLO',
+    'MOST_WAIT_MS',
     'Malformed',
     'NEWS',
     'News',
@@ -80,12 +81,15 @@
 OUT = 4
 OPERATOR = 8
 
+# The longest wait that a message can state, in milliseconds.
+MOST_WAIT_MS = 0xFFFF
+
 _ADDRESS_BYTES = 4
 _KEY_BYTES = 12
 _MS = 1000
 _MAX_AGE_MS = 0xFFFFFFFF
 
-_OPENING = Struct('!BBIQ4sB')
+_OPENING = Struct('!BBIQ4sH4sHB')
 _FLOW_NOTE = Struct('!B12sIB')
 _STATUS = Struct('!BIIBHHHQQII')
 _NEWS = Struct('!BBQQIQI')
@@ -125,28 +129,36 @@
         service: digest of the service that may take it.
         version: the configuration that the entry read this from.
         entry: address of the entry that wants to know who took it.
+        limit_ms: the time limit of the route's requests.
+        best: address of the host with the shortest wait met so far.
+        best_wait_ms: that wait, MOST_WAIT_MS while none was met.
         candidates: addresses to pass it on to, the best first.
         packet: the client's packet.
     """
 
-    __slots__ = ('candidates', 'entry', 'hops', 'packet', 'service', 'version')
-
-    def __init__(
-        self,
-        service: int,
-        version: int,
-        entry: bytes,
-        candidates: list[bytes],
-        packet: bytes,
-        hops: int = 0,
-    ) -> None:
-        """Fill in all fields."""
-        self.service = service
-        self.version = version
+    __slots__ = (
+        'best',
+        'best_wait_ms',
+        'candidates',
+        'entry',
+        'hops',
+        'limit_ms',
+        'packet',
+        'service',
+        'version',
+    )
+
+    def __init__(self, entry: bytes, packet: bytes) -> None:
+        """Begin with a packet that has met no host yet."""
         self.entry = entry
-        self.candidates = candidates
         self.packet = packet
-        self.hops = hops
+        self.hops = 0
+        self.service = 0
+        self.version = 0
+        self.limit_ms = 0
+        self.best = entry
+        self.best_wait_ms = MOST_WAIT_MS
+        self.candidates: list[bytes] = []
 
     @classmethod
     def read(cls, raw: bytes) -> Opening:
@@ -155,11 +167,14 @@
         Raises:
             Malformed: it is cut short.
         """
-        _, hops, service, version, entry, count = _unpack(_OPENING, raw)
+        fields = _unpack(_OPENING, raw)
         start = _OPENING.size
-        end = start + count * _ADDRESS_BYTES
-        candidates = unpack_addresses(raw[start:end])
-        return cls(service, version, entry, candidates, raw[end:], hops)
+        end = start + fields[-1] * _ADDRESS_BYTES
+        opening = cls(fields[4], raw[end:])
+        opening.hops, opening.service, opening.version = fields[1:4]
+        opening.limit_ms, opening.best, opening.best_wait_ms = fields[5:8]
+        opening.candidates = unpack_addresses(raw[start:end])
+        return opening
 
     def pop_next(self) -> str:
         """Take out the next candidate and return its address as text."""
@@ -173,6 +188,9 @@
             self.service,
             self.version,
             self.entry,
+            self.limit_ms,
+            self.best,
+            self.best_wait_ms,
             len(self.candidates),
         )
         return head + b''.join(self.candidates) + self.packet
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -7,12 +7,12 @@
     SOCK_CLOEXEC,
     SOCK_DGRAM,
     SOCK_NONBLOCK,
-    inet_aton,
     inet_ntoa,
     socket,
 )
 
 from siskinbank.admission import reasons
+from siskinbank.admission.arrivals import where_to_wait
 from siskinbank.beliefs.freshness import SIDECAR_PATIENCE_S
 from siskinbank.beliefs.own_host import OwnHost
 from siskinbank.platform.packets import (
@@ -53,6 +53,9 @@
 _WAITING_S = 1.5
 # A flow is passed on at most this often.
 _MOST_HOPS = 8
+# A wait that is stated at all is shorter than this, in milliseconds.
+_LONGEST_WAIT_MS = messages.MOST_WAIT_MS - 1
+_MS = 1000
 # A planned stop waits for requests in progress this long, in seconds; the
 # platform kills after six.
 _STOP_S = 4.0
@@ -161,6 +164,8 @@
         flow.request = None
         self._host.busy -= 1
         took = self._node.loop.now - request.began
+        if not request.waited and outcome.isdigit():
+            self._host.work.note(took)
         self._node.meters.count('requests_ended_total')
         self._node.meters.time('request_seconds', took)
         self._node.log(
@@ -178,8 +183,8 @@
         key = packet[FLOW_KEY]
         waiting = self._waiting.pop(key, None)
         if flags_of(packet) & SYN:
-            if waiting:
-                self._pass_on(key, waiting, reasons.HOST_REFUSED)
+            if waiting and waiting.opening:
+                self._pass_on(key, waiting.opening, reasons.HOST_REFUSED)
             return
         flow = self._flows.pop(key, None)
         if flow is None:
@@ -220,73 +225,96 @@
         opening = messages.Opening.read(raw)
         packet = _whole(opening.packet)
         key = packet[FLOW_KEY]
-        now = self._node.loop.now
-        host = self._host
-        waiting = Waiting(inet_ntoa(opening.entry), now, packet)
-        waiting.candidates = opening.candidates
-        waiting.service = opening.service
-        waiting.version = opening.version
-        waiting.hops = opening.hops
-        host.version = max(host.version, opening.version)
-        self._reports.note_entry(waiting.entry)
+        entry = inet_ntoa(opening.entry)
+        self._host.version = max(self._host.version, opening.version)
+        self._reports.note_entry(entry)
         flow = self._flows.get(key)
         if flow:
-            flow.entry = waiting.entry
+            flow.entry = entry
         if flow or key in self._waiting:
             # A copy of what the host has already.
             self._deliver(packet)
             return
-        left = bool(opening.candidates) and opening.hops < _MOST_HOPS
-        reason = host.reason_against(opening.service, left, now)
+        now = self._node.loop.now
+        reason = self._host.reason_against(opening.service, now)
         if reason:
-            self._pass_on(key, waiting, reason)
+            self._pass_on(key, opening, reason)
         else:
-            self._admit(key, waiting)
+            self._place(key, opening)
 
-    def _admit(self, key: bytes, waiting: Waiting) -> None:
+    def _place(self, key: bytes, opening: messages.Opening) -> None:
+        host = self._host
+        wait = host.wait_s()
+        left = bool(opening.candidates) and opening.hops < _MOST_HOPS
+        if left and host.in_doubt(self._node.loop.now):
+            self._pass_on(key, opening, reasons.BUSY)
+            return
+        best = opening.best_wait_ms / _MS
+        met = opening.best_wait_ms < messages.MOST_WAIT_MS
+        where = where_to_wait(
+            wait,
+            opening.limit_ms / _MS,
+            best if met else None,
+            left,
+        )
+        if where == 'here':
+            self._admit(key, opening)
+            return
+        if where == 'back':
+            # There it stays.
+            opening.candidates = [opening.best]
+            opening.best_wait_ms = messages.MOST_WAIT_MS
+        elif where == 'on' and (not met or wait < best):
+            opening.best = self._node.packed_ip
+            opening.best_wait_ms = min(int(wait * _MS), _LONGEST_WAIT_MS)
+        self._pass_on(key, opening, reasons.BUSY)
+
+    def _admit(self, key: bytes, opening: messages.Opening) -> None:
         now = self._node.loop.now
         host = self._host
         host.note_taken(now)
+        waiting = Waiting(inet_ntoa(opening.entry), now, opening.packet)
+        waiting.opening = opening
         self._waiting[key] = waiting
         self._node.log(
             'flow.taken',
             flow=describe(key),
             busy=host.busy,
+            wait_ms=int(host.wait_s() * _MS),
             flows=len(self._flows),
-            hops=waiting.hops,
-            version=waiting.version,
+            hops=opening.hops,
+            version=opening.version,
             revision=host.revision,
             age_ms=host.age_ms(now),
         )
-        self._deliver(waiting.packet)
+        self._deliver(opening.packet)
 
-    def _pass_on(self, key: bytes, waiting: Waiting, reason: int) -> None:
+    def _pass_on(
+        self,
+        key: bytes,
+        opening: messages.Opening,
+        reason: int,
+    ) -> None:
         host = self._host
         name = reasons.name_of(reason)
-        passing = bool(waiting.candidates) and waiting.hops < _MOST_HOPS
+        passing = bool(opening.candidates) and opening.hops <= _MOST_HOPS
         self._node.meters.count(f'flows_not_taken_{name}_total')
         self._node.log(
             'flow.passed' if passing else 'flow.refused',
             flow=describe(key),
             reason=name,
             busy=host.busy,
-            hops=waiting.hops,
+            wait_ms=int(host.wait_s() * _MS),
+            hops=opening.hops,
             revision=host.revision,
             age_ms=host.age_ms(self._node.loop.now),
         )
-        if not passing:
-            note = messages.flow_note(messages.REFUSED, key, 0, reason)
-            self._node.send(waiting.entry, note + waiting.packet)
+        if passing:
+            opening.hops += 1
+            self._node.send(opening.pop_next(), opening.pack())
             return
-        opening = messages.Opening(
-            waiting.service,
-            waiting.version,
-            inet_aton(waiting.entry),
-            waiting.candidates,
-            waiting.packet,
-            waiting.hops + 1,
-        )
-        self._node.send(opening.pop_next(), opening.pack())
+        note = messages.flow_note(messages.REFUSED, key, 0, reason)
+        self._node.send(inet_ntoa(opening.entry), note + opening.packet)
 
     # Other packets of clients.
 
@@ -321,6 +349,7 @@
         if request is None:
             return
         if before is None:
+            request.waited = self._host.wait_s() > 0
             self._host.busy += 1
         self._node.meters.count('requests_total')
         self._node.log(
--- a/siskinbank/sidecar/held_flows.py
+++ b/siskinbank/sidecar/held_flows.py
@@ -15,6 +15,10 @@
     sequence_numbers,
 )
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from siskinbank.relay.messages import Opening
+
 __all__ = ('HeldFlow', 'Request', 'Waiting')
 
 _NONE = -1
@@ -26,14 +30,16 @@
     Attributes:
         began: when its first packet came.
         name: the id that its client gave it, for the logs.
+        waited: whether all slots of the host were in use.
     """
 
-    __slots__ = ('began', 'name')
+    __slots__ = ('began', 'name', 'waited')
 
     def __init__(self, began: float, name: str) -> None:
         """Note its begin."""
         self.began = began
         self.name = name
+        self.waited = False
 
 
 class HeldFlow:
@@ -102,21 +108,15 @@
         seen: when the packet went to the host.
         searching: other hosts are asked at the same time.
         packet: the packet.
-        candidates: where a first packet may go next.
-        service: digest of the service of a first packet.
-        version: the configuration behind a first packet.
-        hops: how many sidecars passed a first packet on.
+        opening: what came with a first packet.
     """
 
     __slots__ = (
-        'candidates',
         'entry',
-        'hops',
+        'opening',
         'packet',
         'searching',
         'seen',
-        'service',
-        'version',
     )
 
     def __init__(self, entry: str, seen: float, packet: bytes) -> None:
@@ -125,7 +125,4 @@
         self.seen = seen
         self.packet = packet
         self.searching = False
-        self.candidates: list[bytes] = []
-        self.service = 0
-        self.version = 0
-        self.hops = 0
+        self.opening: Opening | None = None
