--- /dev/null
+++ b/siskinbank/lab/rig/client.py
@@ -0,0 +1,165 @@
+"""A stand-in of a client machine: flows through any entry."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from siskinbank.platform.encoding import Packet, request_bytes
+from siskinbank.platform.packets import ACK, FIN, RST, SYN
+
+__all__ = ('ClientFlow', 'ClientStandIn', 'Refused')
+
+# When a client sends copies of its first packet, and when it gives up, in
+# seconds.
+_COPIES_S = (0.2, 0.4, 0.8)
+# When it sends other packets again, in seconds.
+_AGAIN_S = (0.2, 0.4, 0.8, 1.6)
+_FIRST_PORT = 20000
+
+
+class Refused(Exception):
+    """A flow was reset, or never answered."""
+
+
+@dataclass
+class ClientFlow:
+    """A flow, open or about to be."""
+
+    port: int
+    target: tuple[str, int]
+    number: int = 0
+    acknowledged: int = 0
+    answers: asyncio.Queue[Packet] = field(default_factory=asyncio.Queue)
+
+
+class ClientStandIn(asyncio.DatagramProtocol):
+    """One client machine.
+
+    Attributes:
+        entry: address of the entry that its router picks now.
+        broken: packets that nobody wrote so.
+        resets: how many flows were reset.
+    """
+
+    def __init__(self, ip: str, port: int, entry: str) -> None:
+        """Prepare a machine without flows."""
+        self.entry = entry
+        self.broken = 0
+        self.resets = 0
+        self._ip = ip
+        self._port = port
+        self._flows: dict[int, ClientFlow] = {}
+        self._next_port = _FIRST_PORT
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def open(self) -> None:
+        """Listen for packets."""
+        loop = asyncio.get_running_loop()
+        endpoint = await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(self._ip, self._port),
+        )
+        self._transport = endpoint[0]
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._transport:
+            self._transport.close()
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take one packet."""
+        packet = Packet.read(data)
+        if not packet.whole and not packet.flags & RST:
+            self.broken += 1
+            return
+        flow = self._flows.get(packet.target[1])
+        if flow and packet.source == flow.target:
+            flow.answers.put_nowait(packet)
+
+    async def connect(self, target: tuple[str, int]) -> ClientFlow:
+        """Open a flow.
+
+        Raises:
+            Refused: it was reset, or nobody answered.
+        """
+        self._next_port += 1
+        flow = ClientFlow(self._next_port, target, random.randrange(1 << 31))
+        self._flows[flow.port] = flow
+        for copy, wait in enumerate(_COPIES_S):
+            self._send(flow, SYN, acknowledged=copy)
+            answer = await _next(flow, wait)
+            if answer:
+                flow.number += 1
+                flow.acknowledged = answer.number + 1
+                self._send(flow, ACK)
+                return flow
+        raise Refused('no answer')
+
+    async def ask(self, flow: ClientFlow, name: str, length: int = 0) -> str:
+        """Send a request and return the body of its answer.
+
+        Raises:
+            Refused: the flow was reset, or no answer came.
+        """
+        content = request_bytes(name, length)
+        for wait in _AGAIN_S:
+            self._send(flow, ACK, content)
+            body = await self._body(flow, wait)
+            if body is not None:
+                flow.number += len(content)
+                return body
+        raise Refused('no answer')
+
+    async def request(self, target: tuple[str, int], name: str) -> str:
+        """Open a flow for one request and close it."""
+        flow = await self.connect(target)
+        body = await self.ask(flow, name)
+        self._send(flow, FIN | ACK)
+        return body
+
+    def send_raw(self, datagram: bytes) -> None:
+        """Send whatever it is to the entry."""
+        if self._transport:
+            self._transport.sendto(datagram, (self.entry, self._port))
+
+    async def _body(self, flow: ClientFlow, wait: float) -> str | None:
+        while True:
+            answer = await _next(flow, wait)
+            if answer is None:
+                return None
+            if answer.flags & SYN or not answer.content:
+                continue
+            flow.acknowledged = answer.number + len(answer.content)
+            self._send(flow, ACK)
+            return answer.content.partition(b'\r\n\r\n')[2].decode()
+
+    def _send(
+        self,
+        flow: ClientFlow,
+        flags: int,
+        content: bytes = b'',
+        acknowledged: int | None = None,
+    ) -> None:
+        if acknowledged is None:
+            acknowledged = flow.acknowledged
+        packet = Packet(
+            (self._ip, flow.port),
+            flow.target,
+            flags,
+            flow.number,
+            acknowledged,
+            content,
+        )
+        self.send_raw(packet.write())
+
+
+async def _next(flow: ClientFlow, wait: float) -> Packet | None:
+    try:
+        async with asyncio.timeout(wait):
+            packet = await flow.answers.get()
+    except TimeoutError:
+        # The caller sends again.
+        return None
+    if packet.flags & RST:
+        raise Refused('reset')
+    return packet
--- /dev/null
+++ b/siskinbank/lab/rig/store.py
@@ -0,0 +1,142 @@
+"""A stand-in of the platform's store, with its troubles."""
+
+import asyncio
+from collections.abc import Callable
+
+from siskinbank.platform.encoding import Call, Item, encode_page, read_call
+
+__all__ = ('StoreStandIn',)
+
+_PAGE = 50
+_OK = 200
+_GONE = 410
+_MISSING = 404
+_BUSY = 503
+
+
+class StoreStandIn:
+    """Holds items by key, and the history of their changes.
+
+    Attributes:
+        silent: it takes calls and never answers.
+        busy: it refuses callers for whom this is true, by address.
+        delay_s: how long an answer takes.
+        calls: how many calls came.
+    """
+
+    def __init__(self) -> None:
+        """Start empty, at a revision above 0."""
+        self.silent = False
+        self.busy: Callable[[str], bool] = lambda ip: False
+        self.delay_s: float = 0
+        self.calls = 0
+        self._revision = 1
+        self._items: dict[str, Item] = {}
+        self._history: list[Item] = []
+        self._oldest = 0
+        self._changed = asyncio.Condition()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self, address: tuple[str, int]) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, *address)
+
+    async def close(self) -> None:
+        """Stop listening and cut all connections."""
+        if self._server:
+            self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def put(self, key: str, content: bytes | None) -> None:
+        """Write an item, or remove it."""
+        self._revision += 1
+        item = Item(key, content, self._revision)
+        if content is None:
+            self._items.pop(key, None)
+        else:
+            self._items[key] = item
+        self._history.append(item)
+        async with self._changed:
+            self._changed.notify_all()
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self._history.clear()
+        self._oldest = self._revision
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._writers.add(writer)
+        ip = writer.get_extra_info('peername')[0]
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                await self._answer(head.split(b' ')[1].decode(), ip, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            # The caller has gone.
+            return
+        except asyncio.CancelledError:
+            # The event loop ends; nobody waits for this task.
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self,
+        path: str,
+        ip: str,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.calls += 1
+        await asyncio.sleep(self.delay_s)
+        if self.silent:
+            return
+        status, body = _BUSY, b'{}'
+        if not self.busy(ip):
+            status, body = await self._result(read_call(path))
+        head = f'HTTP/1.1 {status} -\r\nContent-Length: {len(body)}\r\n\r\n'
+        writer.write(head.encode() + body)
+        await writer.drain()
+
+    async def _result(self, call: Call) -> tuple[int, bytes]:
+        if call.kind == 'list':
+            return _OK, self._page(call)
+        if call.kind == 'watch':
+            return await self._watch(call)
+        return _MISSING, b'{}'
+
+    def _page(self, call: Call) -> bytes:
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(call.prefix) and key > call.after
+        )
+        items = [self._items[key] for key in keys[:_PAGE]]
+        more = len(keys) > _PAGE
+        return encode_page(items, self._revision, more=more)
+
+    async def _watch(self, call: Call) -> tuple[int, bytes]:
+        after = int(call.after)
+        if after < self._oldest:
+            return _GONE, b'{}'
+        try:
+            async with asyncio.timeout(call.wait_s), self._changed:
+                await self._changed.wait_for(lambda: self._since(call, after))
+        except TimeoutError:
+            # Nothing has changed.
+            return _OK, encode_page([], self._revision, watch=True)
+        found = self._since(call, after)
+        return _OK, encode_page(found, self._revision, watch=True)
+
+    def _since(self, call: Call, after: int) -> list[Item]:
+        return [
+            item
+            for item in self._history
+            if item.revision > after and item.key.startswith(call.prefix)
+        ]
--- /dev/null
+++ b/siskinbank/platform/encoding.py
@@ -0,0 +1,283 @@
+"""The platform's side of its formats, for stand-ins; no process loads this."""
+
+from __future__ import annotations
+
+import json
+from binascii import b2a_base64
+from dataclasses import dataclass, replace
+from socket import inet_aton, inet_ntoa
+from struct import Struct
+from urllib.parse import parse_qs, urlsplit
+from zlib import crc32
+
+from siskinbank.platform.packets import BOUNCED, HEAD_BYTES
+
+__all__ = (
+    'Call',
+    'HostEntry',
+    'Item',
+    'Packet',
+    'ProcessSettings',
+    'RouteEntry',
+    'answer_bytes',
+    'encode_configuration',
+    'encode_page',
+    'read_call',
+    'request_bytes',
+)
+
+_HEAD = Struct('!IIIB4s4sHHIH')
+_MS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Packet:
+    """A packet with all its fields."""
+
+    source: tuple[str, int]
+    target: tuple[str, int]
+    flags: int = 0
+    number: int = 0
+    acknowledged: int = 0
+    content: bytes = b''
+    echo: int = 0
+    checksum: int = 0
+
+    @classmethod
+    def read(cls, raw: bytes) -> 'Packet':
+        """Read a datagram."""
+        fields = _HEAD.unpack_from(raw)
+        return cls(
+            (inet_ntoa(fields[4]), fields[6]),
+            (inet_ntoa(fields[5]), fields[7]),
+            fields[3],
+            fields[1],
+            fields[2],
+            raw[HEAD_BYTES:],
+            fields[8],
+            fields[0],
+        )
+
+    @property
+    def whole(self) -> bool:
+        """Whether its sender wrote it so."""
+        return self.checksum == self._sum()
+
+    def write(self) -> bytes:
+        """Return the datagram, with its checksum."""
+        return replace(self, checksum=self._sum()).bare()
+
+    def bare(self) -> bytes:
+        """Return the datagram with the checksum as it is."""
+        head = _HEAD.pack(
+            self.checksum,
+            self.number,
+            self.acknowledged,
+            self.flags,
+            inet_aton(self.source[0]),
+            inet_aton(self.target[0]),
+            self.source[1],
+            self.target[1],
+            self.echo,
+            len(self.content),
+        )
+        return head + self.content
+
+    def _sum(self) -> int:
+        bare = replace(self, checksum=0, echo=0, flags=self.flags & ~BOUNCED)
+        return crc32(bare.bare())
+
+
+@dataclass(frozen=True, slots=True)
+class HostEntry:
+    """A host's entry in the store."""
+
+    service: str
+    address: tuple[str, int]
+    data_centre: str
+    slots: int = 3
+    draining: bool = False
+    cold_s: float = 0
+    born_ms: int = 1
+
+    def encode(self) -> bytes:
+        """Return the entry's bytes."""
+        ip, port = self.address
+        return _json(
+            {
+                'Service': self.service,
+                'Address': f'{ip}:{port}',
+                'Zone': self.data_centre,
+                'Version': 'v1',
+                'Slots': self.slots,
+                'State': 'draining' if self.draining else 'ready',
+                'WarmupLeftMs': int(self.cold_s * _MS),
+                'Sequence': 1,
+                'born': self.born_ms,
+            },
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class RouteEntry:
+    """A route of the operator's configuration."""
+
+    service: str
+    address: tuple[str, int]
+    limit_s: float = 2
+    repeatable: bool = True
+
+
+def encode_configuration(
+    version: int,
+    routes: list[RouteEntry],
+    cold_per_s: float = 0,
+) -> bytes:
+    """Return the operator's configuration."""
+    services = sorted({route.service for route in routes})
+    return _json(
+        {
+            'Version': version,
+            'Routes': [_route(route) for route in routes],
+            'Services': [
+                {
+                    'Name': service,
+                    'HealthPath': '/health',
+                    'WarmupS': 2,
+                    'WarmupPerS': cold_per_s,
+                }
+                for service in services
+            ],
+            'Limits': {'IdleTimeoutMs': 15000},
+        },
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessSettings:
+    """The settings file of one process."""
+
+    name: str
+    ip: str
+    data_centre: str
+    ports: tuple[int, int, int, int]
+    seeds: tuple[str, ...]
+    store: tuple[str, int]
+    service: str = ''
+    host: tuple[str, int] | None = None
+
+    def encode(self) -> bytes:
+        """Return the file's bytes."""
+        packets, ready, peers, output = self.ports
+        listen = {
+            'DatagramAddr': f'{self.ip}:{packets}',
+            'ReadyAddr': f'{self.ip}:{ready}',
+        }
+        document: dict[str, object] = {
+            'NodeName': self.name,
+            'Ip': self.ip,
+            'Zone': self.data_centre,
+            'InternalPortRange': [peers, peers],
+            'Seeds': [f'{seed}:{peers}' for seed in self.seeds],
+            'HeartbeatMs': 800,
+            'Listen': listen,
+            'platform': {'Address': f'{self.store[0]}:{self.store[1]}'},
+            'unknown': {'is': ['ignored']},
+        }
+        if self.host:
+            listen['outbound'] = f'{self.ip}:{output}'
+            document['app'] = f'{self.host[0]}:{self.host[1]}'
+            document['Service'] = self.service
+        return _json(document)
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """An item of the store; without content it was removed."""
+
+    key: str
+    content: bytes | None
+    revision: int
+
+    def document(self) -> dict[str, object]:
+        """Return it as the store writes it."""
+        if self.content is None:
+            return {'Key': self.key, 'Rev': self.revision, 'Removed': True}
+        text = b2a_base64(self.content, newline=False).decode()
+        return {'Key': self.key, 'Value': text, 'Rev': self.revision}
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A call to the store: ``list``, ``watch`` or ``read``."""
+
+    kind: str
+    prefix: str
+    after: str
+    wait_s: float
+    stale: bool
+
+
+def read_call(path: str) -> Call:
+    """Decode the path of a call."""
+    parts = urlsplit(path)
+    query = {name: words[0] for name, words in parse_qs(parts.query).items()}
+    kinds = {
+        '/api/kv-range': 'list',
+        '/api/kv-watch': 'watch',
+        '/api/kv-key': 'read',
+    }
+    return Call(
+        kinds.get(parts.path, ''),
+        query.get('Prefix', query.get('Key', '')),
+        query.get('after', ''),
+        int(query.get('WaitMs', '0')) / _MS,
+        query.get('StaleOk') == '1',
+    )
+
+
+def encode_page(
+    items: list[Item],
+    revision: int,
+    *,
+    more: bool = False,
+    watch: bool = False,
+) -> bytes:
+    """Return a page of a listing, or the changes of a watch."""
+    rows = [item.document() for item in items]
+    if watch:
+        return _json({'events': rows, 'At': revision})
+    return _json({'items': rows, 'HasMore': more, 'At': revision})
+
+
+def request_bytes(name: str, length: int = 0) -> bytes:
+    """Return an HTTP request with an id of its own."""
+    head = (
+        f'POST / HTTP/1.1\r\nHost: a\r\nSiskinbank-Attempt-Id: {name}\r\n'
+        f'Content-Length: {length}\r\n\r\n'
+    )
+    return head.encode() + b'x' * length
+
+
+def answer_bytes(name: str, host: str) -> bytes:
+    """Return a host's answer to a request; it names both."""
+    body = f'{name} {host}'
+    return (
+        f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}'.encode()
+    )
+
+
+def _route(route: RouteEntry) -> dict[str, object]:
+    ip, port = route.address
+    return {
+        'Name': f'r-{port}',
+        'Host': ip,
+        'Prefix': f'/{port}/',
+        'Kind': 'safe' if route.repeatable else 'unsafe',
+        'TimeoutMs': int(route.limit_s * _MS),
+        'Service': route.service,
+    }
+
+
+def _json(document: object) -> bytes:
+    return json.dumps(document).encode()
--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from _socket import inet_aton
+from _socket import AF_INET, inet_pton
 
 from siskinbank.platform.documents import (
     Unreadable,
@@ -205,6 +205,6 @@
 
 def _packed(ip: str) -> bytes:
     try:
-        return inet_aton(ip)
+        return inet_pton(AF_INET, ip)
     except OSError:
         raise Unreadable(f'{ip!r} is no address') from None
--- a/siskinbank/platform/store.py
+++ b/siskinbank/platform/store.py
@@ -147,7 +147,7 @@
     if row.get('Removed'):
         return Change(key, None, revision)
     try:
-        content = a2b_base64(text_in(row, 'Value'))
+        content = a2b_base64(text_in(row, 'Value'), strict_mode=True)
     except Base64Error as error:
         raise Unreadable(f'{key} holds no base64: {error}') from None
     return Change(key, content, revision)
--- /dev/null
+++ b/tests/admission/test_arrivals.py
@@ -0,0 +1,113 @@
+"""Tests of the decision on a new flow, with the loads that it answers."""
+
+import unittest
+
+from siskinbank.admission import reasons
+from siskinbank.admission.arrivals import (
+    ColdLimit,
+    WorkTime,
+    refusal_is_final,
+    where_to_wait,
+)
+
+LIMIT_S = 2
+
+
+def _host_of(busy: list[int], first: int) -> int:
+    """Send one flow along all hosts; return the one that takes it."""
+    work = WorkTime()
+    best: float | None = None
+    best_host = first % len(busy)
+    for step in range(len(busy)):
+        host = (first + step) % len(busy)
+        wait = work.wait_s(busy[host], 2)
+        left = step < len(busy) - 1
+        where = where_to_wait(wait, LIMIT_S, best, left)
+        if where != 'on':
+            return host if where == 'here' else best_host
+        if best is None or wait < best:
+            best, best_host = wait, host
+    raise AssertionError('no host took it')
+
+
+class TestWhereToWait(unittest.TestCase):
+    """Load pattern: a backlog after a loss of power meets busy hosts."""
+
+    def test_a_free_slot_is_taken(self) -> None:
+        """Whatever else there is."""
+        self.assertEqual(where_to_wait(0, LIMIT_S, 0, True), 'here')
+        self.assertEqual(where_to_wait(0, LIMIT_S, None, False), 'here')
+
+    def test_it_goes_on_while_others_may_have_room(self) -> None:
+        """A short wait here is longer than the way."""
+        self.assertEqual(where_to_wait(0.01, LIMIT_S, None, True), 'on')
+
+    def test_the_last_one_sends_it_to_the_shortest_wait(self) -> None:
+        """Its own, or that of one before."""
+        self.assertEqual(where_to_wait(0.3, LIMIT_S, 0.1, False), 'back')
+        self.assertEqual(where_to_wait(0.1, LIMIT_S, 0.3, False), 'here')
+        self.assertEqual(where_to_wait(0.1, LIMIT_S, None, False), 'here')
+
+    def test_what_cannot_be_served_in_time_is_refused(self) -> None:
+        """Only when the shortest wait is too long."""
+        self.assertEqual(where_to_wait(1.2, LIMIT_S, None, False), 'nowhere')
+        self.assertEqual(where_to_wait(1.2, LIMIT_S, 1.1, False), 'nowhere')
+        self.assertEqual(where_to_wait(1.2, LIMIT_S, 0.9, False), 'back')
+
+    def test_a_burst_fills_hosts_evenly(self) -> None:
+        """Replay: 60 first packets in one moment, 5 hosts of 2 slots."""
+        busy = [0, 0, 0, 6, 12]
+        for first in range(60):
+            busy[_host_of(busy, first)] += 1
+        self.assertEqual(sum(busy), 78)
+        self.assertLessEqual(max(busy) - min(busy), 1)
+
+
+class TestWorkTime(unittest.TestCase):
+    """The expected wait."""
+
+    def test_rounds_of_work(self) -> None:
+        """None while a slot is free, then one share of work each."""
+        work = WorkTime()
+        for _ in range(100):
+            work.note(0.1)
+        self.assertEqual(work.wait_s(1, 2), 0)
+        self.assertAlmostEqual(work.wait_s(2, 2), 0.05, places=3)
+        self.assertAlmostEqual(work.wait_s(21, 2), 1, places=3)
+
+
+class TestColdLimit(unittest.TestCase):
+    """Load pattern: hosts that come back cold, all at once."""
+
+    def test_every_second_holds(self) -> None:
+        """Replay: a flow each millisecond for five seconds."""
+        for per_s in (0.5, 4, 20):
+            limit = ColdLimit()
+            taken: list[float] = []
+            for step in range(5000):
+                now = step / 1000
+                if limit.spare(now, per_s):
+                    limit.note(now)
+                    taken.append(now)
+            most = max(
+                sum(1 for other in taken if at <= other < at + 1)
+                for at in taken
+            )
+            self.assertLessEqual(most, per_s * 1.5 + 5)
+            self.assertGreaterEqual(len(taken), int(per_s) * 4)
+
+
+class TestRefusal(unittest.TestCase):
+    """What a caller hears, and when."""
+
+    def test_only_the_cold_are_waited_for(self) -> None:
+        """Up to the last copy of the first packet."""
+        self.assertTrue(refusal_is_final(reasons.BUSY, 0))
+        self.assertTrue(refusal_is_final(reasons.DRAINING, 0))
+        self.assertFalse(refusal_is_final(reasons.COLD, 1))
+        self.assertTrue(refusal_is_final(reasons.COLD, 2))
+
+    def test_names(self) -> None:
+        """Also of reasons that a newer version sends."""
+        self.assertEqual(reasons.name_of(reasons.OUT), 'data-centre-out')
+        self.assertEqual(reasons.name_of(200), 'unknown')
--- /dev/null
+++ b/tests/beliefs/test_configuration.py
@@ -0,0 +1,36 @@
+"""Tests of the configuration in force."""
+
+import unittest
+
+from siskinbank.beliefs.configuration import Configuration
+from siskinbank.platform.documents import Unreadable
+from siskinbank.platform.encoding import RouteEntry, encode_configuration
+
+
+def raw(version: int) -> bytes:
+    """Return a configuration with one route."""
+    return encode_configuration(version, [RouteEntry('a', ('1.2.3.4', 80))])
+
+
+class TestConfiguration(unittest.TestCase):
+    """Never an older one, never half of one."""
+
+    def test_newer_versions_only(self) -> None:
+        """In any order, from the store or from peers."""
+        configuration = Configuration()
+        for version, taken in ((5, True), (5, False), (3, False), (9, True)):
+            self.assertEqual(configuration.offer(raw(version)), taken)
+        other = Configuration()
+        self.assertTrue(other.offer_packed(configuration.packed))
+        self.assertEqual((other.version, len(other.routes)), (9, 1))
+
+    def test_damage_changes_nothing(self) -> None:
+        """The one in force stays."""
+        configuration = Configuration()
+        configuration.offer(raw(5))
+        for damaged in (b'', b'x', configuration.packed[:-4]):
+            with self.subTest(damaged=damaged), self.assertRaises(Unreadable):
+                configuration.offer_packed(damaged)
+        with self.assertRaises(Unreadable):
+            configuration.offer(raw(6)[:-1])
+        self.assertEqual(configuration.version, 5)
--- /dev/null
+++ b/tests/beliefs/test_freshness.py
@@ -0,0 +1,42 @@
+"""Tests of who reads the store."""
+
+import unittest
+
+from siskinbank.beliefs.freshness import (
+    hosts_patience_s,
+    operator_patience_s,
+    pause_after_failures_s,
+    rank_of,
+)
+
+# From a host's word to its effect everywhere.
+_ALLOWED_S = 3
+
+
+class TestPatience(unittest.TestCase):
+    """One reader at a time, and the next in time."""
+
+    def test_ranks(self) -> None:
+        """By address among those that live."""
+        self.assertEqual(rank_of(b'b', [b'a', b'c']), 1)
+        self.assertEqual(rank_of(b'a', []), 0)
+
+    def test_the_next_reader_waits_for_the_first(self) -> None:
+        """Word of a read takes a quarter second to go round."""
+        for rank in range(1, 30):
+            longer = hosts_patience_s(rank) - hosts_patience_s(0)
+            self.assertGreaterEqual(longer, 0.25)
+            self.assertGreaterEqual(operator_patience_s(rank), 1.25)
+
+    def test_two_dead_readers_are_replaced_in_time(self) -> None:
+        """The third reads before what it knows is too old."""
+        for patience in (hosts_patience_s, operator_patience_s):
+            self.assertLessEqual(patience(2) + 0.25, _ALLOWED_S - 1)
+
+    def test_a_store_that_is_down_is_asked_less_and_less(self) -> None:
+        """But at least once a second by the first reader."""
+        pauses = [pause_after_failures_s(count, 0) for count in range(9)]
+        self.assertEqual(pauses[0], 0)
+        self.assertEqual(pauses, sorted(pauses))
+        self.assertLessEqual(pauses[-1], 1)
+        self.assertGreaterEqual(pause_after_failures_s(9, 3), pauses[-1])
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,130 @@
+"""Tests of what hosts and operators write."""
+
+import json
+import unittest
+from contextlib import suppress
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskinbank.platform.documents import Unreadable, decode
+from siskinbank.platform.encoding import (
+    HostEntry,
+    RouteEntry,
+    encode_configuration,
+)
+from siskinbank.platform.records import decode_configuration, decode_host
+
+ENTRY = HostEntry('matcher', ('10.0.0.9', 8080), 'a', 3, cold_s=1.5, born_ms=7)
+PLAIN = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.floats(),
+    st.text(),
+)
+JSON = st.recursive(
+    PLAIN,
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+def changed(**fields: Any) -> bytes:
+    """Return the entry with fields of its document changed."""
+    return json.dumps({**json.loads(ENTRY.encode()), **fields}).encode()
+
+
+class TestHost(unittest.TestCase):
+    """Entries of hosts, and of other writers."""
+
+    def test_all_fields(self) -> None:
+        """Each says what it holds."""
+        record = decode_host(ENTRY.encode())
+        self.assertEqual(record.service, 'matcher')
+        self.assertEqual(record.ip, '10.0.0.9')
+        self.assertEqual(record.data_centre, 'a')
+        self.assertEqual((record.slots, record.born_ms), (3, 7))
+        self.assertEqual((record.draining, record.cold_s), (False, 1.5))
+
+    def test_what_names_no_host(self) -> None:
+        """Fields of another type, unknown states, no document at all."""
+        for raw in (
+            b'',
+            b'\xff',
+            b'{',
+            b'7',
+            changed(Service=None),
+            changed(Slots='3'),
+            changed(Slots=True),
+            changed(State='asleep'),
+            changed(Address='here'),
+            changed(Address='10.0.0:80'),
+            changed(Address='x:80'),
+            changed(WarmupLeftMs='soon'),
+            changed(born=1.5),
+            changed(Zone=[]),
+        ):
+            with self.subTest(raw=raw), self.assertRaises(Unreadable):
+                decode_host(raw)
+
+    @given(st.binary() | JSON.map(lambda value: json.dumps(value).encode()))
+    def test_anything_else(self, raw: bytes) -> None:
+        """It is read or refused, never more."""
+        for read in (decode, decode_host, decode_configuration):
+            with suppress(Unreadable):
+                read(raw)
+
+
+class TestConfiguration(unittest.TestCase):
+    """The operator's document."""
+
+    def test_routes_by_address_and_port(self) -> None:
+        """As they lie in a flow's key."""
+        raw = encode_configuration(
+            9,
+            [RouteEntry('matcher', ('198.18.0.1', 443), 1.5, repeatable=False)],
+            cold_per_s=4,
+        )
+        version, routes, warmths = decode_configuration(raw)
+        self.assertEqual(version, 9)
+        route = routes[bytes((198, 18, 0, 1, 443 >> 8, 443 & 255))]
+        self.assertEqual(route.service_for(5), 'matcher')
+        self.assertEqual((route.limit_s, route.repeatable), (1.5, False))
+        self.assertEqual(warmths['matcher'].per_s, 4)
+
+    def test_shares_follow_their_weights(self) -> None:
+        """Over all draws; a share of no weight gets nothing."""
+        document = json.loads(
+            encode_configuration(1, [RouteEntry('a', ('1.2.3.4', 80))]),
+        )
+        route = document['Routes'][0]
+        route.pop('Service')
+        route['WeightedBackends'] = [
+            {'Service': 'a', 'Weight': 90},
+            {'Service': 'b', 'Weight': 10},
+            {'Service': 'c', 'Weight': 0},
+        ]
+        _, routes, _ = decode_configuration(json.dumps(document).encode())
+        found = next(iter(routes.values()))
+        draws = [found.service_for(draw) for draw in range(1 << 16)]
+        self.assertAlmostEqual(draws.count('a') / len(draws), 0.9, places=3)
+        self.assertAlmostEqual(draws.count('b') / len(draws), 0.1, places=3)
+
+    def test_what_is_not_whole(self) -> None:
+        """None of it holds."""
+        good = json.loads(
+            encode_configuration(1, [RouteEntry('a', ('1.2.3.4', 80))]),
+        )
+        for change in (
+            {'Version': '1'},
+            {'Routes': {}},
+            {'Routes': [3]},
+            {'Routes': [{**good['Routes'][0], 'Host': 'nowhere'}]},
+            {'Routes': [{**good['Routes'][0], 'Prefix': '/x/'}]},
+            {'Services': None},
+        ):
+            raw = json.dumps({**good, **change}).encode()
+            with self.subTest(change=change), self.assertRaises(Unreadable):
+                decode_configuration(raw)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,69 @@
+"""Tests of the settings file."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from siskinbank.platform.documents import Unreadable
+from siskinbank.platform.encoding import ProcessSettings
+from siskinbank.platform.settings import read_settings
+
+SETTINGS = ProcessSettings(
+    'side-1',
+    '10.0.0.2',
+    'a',
+    (8172, 8167, 7720, 8162),
+    ('10.0.0.1',),
+    ('10.9.9.9', 8169),
+    'matcher',
+    ('10.0.0.2', 8165),
+)
+
+
+class TestSettings(unittest.TestCase):
+    """From the file to fields."""
+
+    def setUp(self) -> None:
+        """Have a place for the file."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name, 'boot.json')
+
+    def test_a_sidecar_s(self) -> None:
+        """All that it needs; unknown fields are ignored."""
+        self.path.write_bytes(SETTINGS.encode())
+        settings = read_settings(str(self.path))
+        self.assertEqual(settings.instance, 'side-1')
+        self.assertEqual(settings.packet_port, 8172)
+        self.assertEqual(settings.peer_port, 7720)
+        self.assertEqual(settings.ready_address, ('10.0.0.2', 8167))
+        self.assertEqual(settings.host_output, ('10.0.0.2', 8162))
+        self.assertEqual(settings.host_address, ('10.0.0.2', 8165))
+        self.assertEqual(settings.seeds, ('10.0.0.1',))
+        self.assertEqual(settings.store, ('10.9.9.9', 8169))
+        self.assertEqual(settings.heartbeat_s, 0.8)
+
+    def test_seeds_may_come_late(self) -> None:
+        """None is no mistake."""
+        document = json.loads(SETTINGS.encode())
+        for seeds in (None, [], 'later'):
+            document['Seeds'] = seeds
+            self.path.write_text(json.dumps(document))
+            self.assertEqual(read_settings(str(self.path)).seeds, ())
+
+    def test_what_makes_no_sense(self) -> None:
+        """The message says which field."""
+        document = json.loads(SETTINGS.encode())
+        for field, content in (
+            ('Ip', 7),
+            ('Listen', []),
+            ('InternalPortRange', ['x']),
+            ('platform', {'Address': 'nowhere'}),
+            ('app', '10.0.0.2'),
+        ):
+            with self.subTest(field=field):
+                changed = {**document, field: content}
+                self.path.write_text(json.dumps(changed))
+                with self.assertRaises(Unreadable):
+                    read_settings(str(self.path))
--- /dev/null
+++ b/tests/relay/test_end_to_end.py
@@ -0,0 +1,228 @@
+"""Both real programs among stand-ins of the platform, on loopback."""
+
+import asyncio
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from signal import SIGHUP, SIGTERM
+
+from siskinbank.lab.rig.client import ClientStandIn, Refused
+from siskinbank.lab.rig.fleet import TARGET, Fleet
+from siskinbank.platform.encoding import Packet, RouteEntry
+from siskinbank.platform.packets import ACK, BOUNCED, SYN
+from siskinbank.platform.store import HOSTS
+
+# What the platform allows from an operator's or a host's word to its effect.
+_APPLY_S = 3
+
+
+class TestFleet(unittest.IsolatedAsyncioTestCase):
+    """Two entries and three hosts, each with its sidecar."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the fleet."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = Fleet(Path(folder.name))
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.open()
+        await self.fleet.settle()
+
+    def runs(self, name: str) -> int:
+        """Count the runs of a request over all hosts."""
+        return sum(host.runs.count(name) for host in self.fleet.hosts)
+
+    async def eventually(
+        self,
+        check: Callable[[], Awaitable[bool]],
+        seconds: float = _APPLY_S,
+    ) -> None:
+        """Wait until the check holds, or fail."""
+        async with asyncio.timeout(seconds):
+            while not await check():
+                await asyncio.sleep(0.05)
+
+    async def test_each_request_runs_once_and_nothing_is_altered(self) -> None:
+        """On a calm day, through each entry."""
+        for number in range(30):
+            client = self.fleet.clients[number % 2]
+            body = await client.request(TARGET, f'calm-{number}')
+            self.assertTrue(body.startswith(f'calm-{number} '), body)
+            self.assertEqual(self.runs(f'calm-{number}'), 1)
+        hosts, clients = self.fleet.hosts, self.fleet.clients
+        self.assertEqual([host.broken for host in hosts], [0, 0, 0])
+        self.assertEqual([client.broken for client in clients], [0, 0])
+
+    async def test_a_flow_survives_its_entry(self) -> None:
+        """Its packets find the host through another entry."""
+        client = self.fleet.clients[0]
+        flow = await client.connect(TARGET)
+        before = await client.ask(flow, 'before')
+        self.fleet.entries[0].end()
+        client.entry = self.fleet.entries[1].settings.ip
+        after = await client.ask(flow, 'after')
+        self.assertEqual(before.split()[1], after.split()[1])
+
+    async def test_a_flow_survives_all_processes(self) -> None:
+        """Entries and sidecars are killed at once; hosts still know it."""
+        client = self.fleet.clients[0]
+        flow = await client.connect(TARGET)
+        before = await client.ask(flow, 'before')
+        programs = [*self.fleet.entries, *self.fleet.sidecars]
+        for program in programs:
+            program.end()
+        for program in programs:
+            program.start()
+        await self.fleet.settle()
+        after = await client.ask(flow, 'after')
+        self.assertEqual(before.split()[1], after.split()[1])
+
+    async def test_a_flow_of_a_host_that_restarted_is_reset(self) -> None:
+        """The host forgot it; its client need not wait for the deadline."""
+        client = self.fleet.clients[0]
+        flow = await client.connect(TARGET)
+        body = await client.ask(flow, 'before')
+        host = next(
+            host for host in self.fleet.hosts if host.name == body.split()[1]
+        )
+        host.close()
+        await asyncio.sleep(0.05)
+        await host.open()
+        with self.assertRaisesRegex(Refused, 'reset'):
+            await client.ask(flow, 'after')
+
+    async def test_a_draining_host_gets_no_new_flows(self) -> None:
+        """Soon after the store says so; its open flows go on."""
+        client = self.fleet.clients[0]
+        flow = await client.connect(TARGET)
+        first = await client.ask(flow, 'first')
+        index = int(first.split()[1].removeprefix('i-'))
+        await self.fleet.register(index, draining=True)
+        await asyncio.sleep(_APPLY_S)
+        taken = len(self.fleet.hosts[index].taken)
+        for number in range(20):
+            await self.fleet.clients[number % 2].request(TARGET, f'd-{number}')
+        self.assertEqual(len(self.fleet.hosts[index].taken), taken)
+        self.assertEqual(await client.ask(flow, 'last'), f'last i-{index}')
+
+    async def test_a_data_centre_out_gets_no_new_flows(self) -> None:
+        """Hosts 0 and 2 stand in data centre a."""
+        await self.fleet.take_out('a')
+        await asyncio.sleep(_APPLY_S)
+        before = [len(host.taken) for host in self.fleet.hosts]
+        for number in range(20):
+            await self.fleet.clients[number % 2].request(TARGET, f'o-{number}')
+        after = [len(host.taken) for host in self.fleet.hosts]
+        self.assertEqual((after[0], after[2]), (before[0], before[2]))
+
+    async def test_an_entry_that_cannot_be_read_hides_no_other(self) -> None:
+        """Another writer's entries lie beside the hosts' own."""
+        broken = (b'\xff\x00', b'[]', b'{"Service": 7}', b'{"Service": "x"}')
+        for number, content in enumerate(broken):
+            await self.fleet.store.put(f'{HOSTS}0-{number}', content)
+        await self.fleet.register(2, draining=True)
+        await asyncio.sleep(_APPLY_S)
+        taken = len(self.fleet.hosts[2].taken)
+        for number in range(10):
+            await self.fleet.clients[0].request(TARGET, f'b-{number}')
+        self.assertEqual(len(self.fleet.hosts[2].taken), taken)
+
+    async def test_a_change_after_lost_history_is_in_force(self) -> None:
+        """The watch gets 410 and lists again."""
+        new = (TARGET[0], 8443)
+        await asyncio.sleep(0.2)
+        self.fleet.store.compact()
+        await self.fleet.publish(
+            [RouteEntry('matcher', TARGET), RouteEntry('matcher', new)],
+        )
+        self.fleet.store.compact()
+        await self.eventually(lambda: _serves(self.fleet.clients[1], new))
+
+    async def test_a_dropped_route_is_refused_and_stays_so(self) -> None:
+        """At both entries; nobody goes back to the older version."""
+        other = (TARGET[0], 8443)
+        await self.fleet.publish([RouteEntry('matcher', other)])
+        await asyncio.sleep(_APPLY_S)
+        for client in self.fleet.clients:
+            self.assertFalse(await _serves(client, TARGET))
+            self.assertTrue(await _serves(client, other))
+
+    async def test_it_serves_while_the_store_is_silent(self) -> None:
+        """Also from an entry that starts meanwhile: its peers know."""
+        self.fleet.store.silent = True
+        await asyncio.sleep(_APPLY_S)
+        entry = self.fleet.entries[1]
+        entry.end()
+        entry.start()
+        await self.eventually(
+            lambda: _serves(self.fleet.clients[1], TARGET),
+            10,
+        )
+        self.assertTrue(await _serves(self.fleet.clients[0], TARGET))
+        self.assertIn('store.lost', self.fleet.entries[0].log)
+
+    async def test_an_entry_that_the_store_refuses_learns_from_peers(
+        self,
+    ) -> None:
+        """A new route reaches it within the time for changes."""
+        refused = self.fleet.entries[0].settings.ip
+        self.fleet.store.busy = refused.__eq__
+        new = (TARGET[0], 8080)
+        await self.fleet.publish(
+            [RouteEntry('matcher', TARGET), RouteEntry('matcher', new)],
+        )
+        await self.eventually(lambda: _serves(self.fleet.clients[0], new))
+
+    async def test_bad_packets_end_nothing(self) -> None:
+        """Too short, false lengths, flags that make no sense."""
+        client = self.fleet.clients[0]
+        good = Packet(('127.0.0.9', 9), TARGET, SYN).write()
+        bad = [b'', b'x', good[:30], good + b'more', bytes(31), bytes(2000)]
+        flags = (SYN | ACK, BOUNCED, 0x48)
+        bad.extend(
+            Packet(('127.0.0.9', 9), TARGET, flag).write() for flag in flags
+        )
+        for datagram in bad:
+            client.send_raw(datagram)
+        self.assertTrue(await _serves(client, TARGET))
+
+    async def test_a_planned_stop_cuts_no_request(self) -> None:
+        """A sidecar is told to stop while its host works."""
+        for host in self.fleet.hosts:
+            host.work_s = 0.5
+        client = self.fleet.clients[0]
+        flow = await client.connect(TARGET)
+        asking = asyncio.create_task(client.ask(flow, 'long'))
+        await asyncio.sleep(0.2)
+        for sidecar in self.fleet.sidecars:
+            sidecar.signal(SIGTERM)
+        self.assertTrue((await asking).startswith('long '))
+        codes = [
+            await asyncio.to_thread(_wait, stopped.process)
+            for stopped in self.fleet.sidecars
+        ]
+        self.assertEqual(codes, [0, 0, 0])
+
+    async def test_sighup_ends_nothing(self) -> None:
+        """Settings are read again."""
+        for program in (*self.fleet.entries, *self.fleet.sidecars):
+            program.signal(SIGHUP)
+        await asyncio.sleep(0.3)
+        for client in self.fleet.clients:
+            self.assertTrue(await _serves(client, TARGET))
+        for living in (*self.fleet.entries, *self.fleet.sidecars):
+            self.assertIsNotNone(living.process)
+            self.assertIsNone(living.process and living.process.poll())
+
+
+async def _serves(client: ClientStandIn, target: tuple[str, int]) -> bool:
+    try:
+        await client.request(target, 'probe')
+    except Refused:
+        return False
+    return True
+
+
+def _wait(process: object) -> int:
+    return process.wait(6)  # type: ignore[attr-defined, no-any-return]
