Wait within the aim; search with a few bytes; end searches that hang on leftovers

(3) Waiting up to half of the time limit made vml's answers late. Change: hosts without a word from the store come last; silent hosts without an entry end no search; expected requests count as load; room of a host's queue is learnt from sheds; a first packet waits within the aim, its last copy up to half the limit; searches go on while sidecars come back, by key first. Ruled out: a fixed queue; reset at once when all hosts are at work, which used up callers' tries.

--- a/siskinbank/admission/arrivals.py
+++ b/siskinbank/admission/arrivals.py
@@ -12,7 +12,16 @@
 
 from siskinbank.admission import reasons
 
-__all__ = ('ColdLimit', 'WorkTime', 'refusal_is_final', 'where_to_wait')
+__all__ = (
+    'Arriving',
+    'ColdLimit',
+    'QueueRoom',
+    'WorkTime',
+    'longest_wait_s',
+    'patience_s',
+    'refusal_is_final',
+    'where_to_wait',
+)
 
 # A cold host's second, with room for the jitter between the sidecar's clock
 # and the host's socket.
@@ -23,6 +32,11 @@
 
 # The usual time of a request before any was seen, in seconds.
 _FIRST_WORK_S = 0.04
+# A request follows its flow's first packet within this, in seconds: several
+# ways to the client and back, with one packet lost.
+_ARRIVES_S = 0.3
+# Requests by which the room of a queue is tried anew, a second.
+_ROOM_GROWS_PER_S = 0.5
 # Part of a new measurement in the usual time: about the last ten count.
 _WORK_SHARE = 0.1
 # Part of a request's time limit that it may wait before it is worked on; the
@@ -53,6 +67,37 @@
         self._times.append(now)
 
 
+class Arriving:
+    """Flows that were taken and whose first request is still on its way.
+
+    Load pattern: many first packets reach a host within the time that a
+    client takes to send its request; none of them shows among the requests in
+    progress yet, and all of them will.
+    """
+
+    __slots__ = ('_taken',)
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._taken: dict[bytes, float] = {}
+
+    def add(self, key: bytes, now: float) -> None:
+        """Expect the request of a flow."""
+        self._taken[key] = now
+
+    def end(self, key: bytes) -> None:
+        """Note that the request came, or that the flow did not open."""
+        self._taken.pop(key, None)
+
+    def count(self, now: float) -> int:
+        """Return how many requests are expected; some never come."""
+        edge = now - _ARRIVES_S
+        late = [key for key, taken in self._taken.items() if taken < edge]
+        for key in late:
+            self._taken.pop(key)
+        return len(self._taken)
+
+
 class WorkTime:
     """How long a host works on a request, from requests that did not wait."""
 
@@ -76,9 +121,58 @@
         return max(0, busy - slots + 1) * self.seconds / slots
 
 
+class QueueRoom:
+    """How many requests a host keeps before it sheds, learnt from sheds.
+
+    Load pattern: a backlog fills the queue of every host; one request more is
+    answered with a refusal and uses up one of its caller's tries, while a
+    first packet that waits for its next copy costs nothing.
+    """
+
+    __slots__ = ('_most', '_shed_at')
+
+    def __init__(self) -> None:
+        """Know of no bound."""
+        self._most: float = 0
+        self._shed_at: float = 0
+
+    def note_shed(self, kept: int, now: float) -> None:
+        """Learn that a host with so many requests kept no more."""
+        self._most = max(1, kept)
+        self._shed_at = now
+
+    def is_full(self, requests: int, now: float) -> bool:
+        """Say whether a host with so many requests would shed another."""
+        if not self._shed_at:
+            return False
+        # Room may grow again, with the work; it is tried step by step.
+        most = self._most + (now - self._shed_at) * _ROOM_GROWS_PER_S
+        return requests >= int(most)
+
+
+def patience_s(aim_s: float, limit_s: float, copy: int) -> float:
+    """Return how long a flow may wait at a host before it is worked on.
+
+    A flow that would miss the latency that users expect leaves its place to
+    one that would not, and comes again with the client's next copy; the last
+    copy waits as long as an answer is of use.
+
+    Args:
+        aim_s: the latency that users expect of the route.
+        limit_s: the time limit of the route's requests.
+        copy: how many copies of the first packet came before.
+    """
+    return longest_wait_s(limit_s) if copy >= _LAST_COPY else aim_s
+
+
+def longest_wait_s(limit_s: float) -> float:
+    """Return the wait beyond which a request cannot be served in time."""
+    return limit_s * _WAIT_SHARE
+
+
 def where_to_wait(
-    wait_s: float,
-    limit_s: float,
+    wait_s: float | None,
+    patience: float,
     best_wait_s: float | None,
     candidates_left: bool,
 ) -> str:
@@ -86,37 +180,38 @@
 
     With other candidates left, a flow goes on as soon as it would wait here.
     The last candidate sends it to the host with the shortest wait of all that
-    it met. Where even that is too long for the request's time limit, a caller
-    is better off at once with a refusal.
+    it met, unless even that is too long.
 
     Args:
-        wait_s: how long it would wait here.
-        limit_s: the time limit of the route's requests.
-        best_wait_s: the shortest wait that it met before, None at the first.
+        wait_s: how long it would wait here, None if the host keeps no more.
+        patience: how long it may wait, in seconds.
+        best_wait_s: the shortest wait that it met before, None without one.
         candidates_left: whether it can be passed on.
 
     Returns:
         ``here``, ``on``, ``back`` (to the host with the shortest wait) or
-        ``nowhere``.
+        ``nowhere`` at this moment.
     """
-    if wait_s <= 0:
+    if wait_s == 0:
         return 'here'
     if candidates_left:
         return 'on'
-    shortest = wait_s if best_wait_s is None else min(wait_s, best_wait_s)
-    if shortest > limit_s * _WAIT_SHARE:
+    waits = [wait for wait in (wait_s, best_wait_s) if wait is not None]
+    shortest = min(waits, default=patience + 1)
+    if shortest > patience:
         return 'nowhere'
-    return 'back' if shortest < wait_s else 'here'
+    return 'here' if shortest == wait_s else 'back'
 
 
 def refusal_is_final(reason: int, copy: int) -> bool:
     """Say whether a caller should hear of a refusal now.
 
-    A cold host has room again within a second, and clients send two copies
-    of a first packet in that time; any other refusal is told at once.
+    A cold host or one with a full queue has room again within a second, and
+    clients send two copies of a first packet in that time; any other refusal
+    is told at once.
 
     Args:
         reason: why nobody took the flow.
         copy: how many copies of the first packet came before.
     """
-    return reason != reasons.COLD or copy >= _LAST_COPY
+    return reason not in reasons.SHORT or copy >= _LAST_COPY
--- a/siskinbank/admission/reasons.py
+++ b/siskinbank/admission/reasons.py
@@ -6,12 +6,15 @@
     'BUSY',
     'COLD',
     'DRAINING',
+    'FULL',
     'HOST_REFUSED',
+    'LOCAL',
     'NAMES',
     'NONE',
     'OTHER_SERVICE',
     'OUT',
     'PASSING',
+    'SHORT',
     'STOPPING',
     'UNREACHABLE',
     'UNREGISTERED',
@@ -29,6 +32,8 @@
 COLD = 7
 BUSY = 8
 HOST_REFUSED = 9
+# No room for the next moment; there will be before the time limit.
+FULL = 10
 
 NAMES = (
     'none',
@@ -41,11 +46,19 @@
     'cold',
     'busy',
     'host-refused',
+    'full',
 )
 
 # Reasons that may be over at the next packet; the others hold until the
 # sidecar says otherwise.
-PASSING = frozenset((COLD, BUSY, HOST_REFUSED))
+PASSING = frozenset((COLD, BUSY, HOST_REFUSED, FULL))
+# Reasons that are over before a client gives up its first packet.
+SHORT = frozenset((COLD, FULL))
+# Reasons for which other hosts than those asked may be better.
+LOCAL = frozenset(
+    (OTHER_SERVICE, DRAINING, OUT, STOPPING, UNREACHABLE, UNREGISTERED)
+    + (HOST_REFUSED,),
+)
 
 
 def name_of(reason: int) -> str:
--- a/siskinbank/beliefs/hosts.py
+++ b/siskinbank/beliefs/hosts.py
@@ -4,6 +4,7 @@
 
 from _socket import inet_aton
 
+from siskinbank.admission import reasons
 from siskinbank.relay.messages import Status
 
 __all__ = ('SILENT_S', 'HostBelief', 'HostBeliefs')
@@ -14,6 +15,9 @@
 # A host not heard of for this long is forgotten, in seconds: as long as the
 # platform lets a flow live.
 _FORGET_S = 60.0
+# A host that the store no longer knows leaves after its last word, in
+# seconds: one word missed.
+_LEAVES_S = 0.6
 
 
 class HostBelief:
@@ -24,10 +28,11 @@
         packed: the same in 4 bytes.
         status: the last word of its sidecar.
         heard: when that came.
+        heard_first: when the first one came.
         pending: flows placed there since.
     """
 
-    __slots__ = ('heard', 'ip', 'packed', 'pending', 'status')
+    __slots__ = ('heard', 'heard_first', 'ip', 'packed', 'pending', 'status')
 
     def __init__(self, ip: str, status: Status, heard: float) -> None:
         """Believe a first word."""
@@ -35,8 +40,19 @@
         self.packed = inet_aton(ip)
         self.status = status
         self.heard = heard
+        self.heard_first = heard
         self.pending = 0
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether the store has said anything of the host."""
+        return bool(self.status.born_ms)
+
+    def has_left(self, now: float) -> bool:
+        """Say whether a host without an entry in the store fell silent."""
+        unregistered = self.status.state == reasons.UNREGISTERED
+        return unregistered and now - self.heard > _LEAVES_S
+
 
 class HostBeliefs:
     """All hosts that an entry has heard of."""
@@ -52,6 +68,10 @@
         """Count the hosts."""
         return len(self._by_ip)
 
+    def all(self) -> list[HostBelief]:
+        """Return all hosts."""
+        return list(self._by_ip.values())
+
     def get(self, ip: str) -> HostBelief | None:
         """Return the host at an address."""
         return self._by_ip.get(ip)
--- a/siskinbank/beliefs/own_host.py
+++ b/siskinbank/beliefs/own_host.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from siskinbank.admission import reasons
-from siskinbank.admission.arrivals import ColdLimit, WorkTime
+from siskinbank.admission.arrivals import (
+    Arriving,
+    ColdLimit,
+    QueueRoom,
+    WorkTime,
+)
 from siskinbank.relay import messages
 from siskinbank.relay.loop import NEVER
 
@@ -14,6 +19,8 @@
 # After a start or a standstill, what the store says is waited for this long,
 # in seconds, before old beliefs serve again.
 _DOUBT_S = 0.5
+# Hosts discard flows that are idle for 15 s.
+_WATCHED_S = 18.0
 
 
 class OwnHost:
@@ -27,6 +34,8 @@
         stopping: the sidecar is about to stop.
         busy: requests in progress.
         work: how long the host works on a request.
+        arriving: flows whose first request is on its way.
+        room: how many requests the host keeps.
     """
 
     __slots__ = (
@@ -35,9 +44,12 @@
         '_doubt_until',
         '_operator_revision',
         '_unreachable_at',
+        '_watched_since',
+        'arriving',
         'busy',
         'confirmed',
         'record',
+        'room',
         'service',
         'stopping',
         'version',
@@ -53,11 +65,14 @@
         self.stopping = False
         self.busy = 0
         self.work = WorkTime()
+        self.arriving = Arriving()
+        self.room = QueueRoom()
         self._cold = ColdLimit()
         self._cold_until = NEVER
         self._unreachable_at = NEVER
         self._doubt_until = now + _DOUBT_S
         self._operator_revision = 0
+        self._watched_since = now
 
     @property
     def slots(self) -> int:
@@ -77,6 +92,20 @@
         """Say whether a word from the store is still to be waited for."""
         return now < self._doubt_until
 
+    def unconfirmed(self, now: float) -> bool:
+        """Say whether other hosts should be preferred.
+
+        A machine may have come back whose host has been replaced.
+        """
+        return self.record is None or self.in_doubt(now)
+
+    def seen_whole(self, now: float) -> bool:
+        """Say whether the sidecar has seen all flows that the host holds.
+
+        It has if it has watched for longer than flows may be idle.
+        """
+        return now - self._watched_since > _WATCHED_S
+
     def doubt(self, now: float) -> None:
         """Wait for fresh words: time has passed unnoticed."""
         self._doubt_until = now + _DOUBT_S
@@ -97,8 +126,9 @@
             record.cold_per_s = before.cold_per_s
             record.operator_revision = self._operator_revision
         self._operator_revision = record.operator_revision
-        if before and before.born_ms != record.born_ms:
+        if before and record.born_ms not in {0, before.born_ms}:
             self._unreachable_at = NEVER
+            self._watched_since = now
         self.record = record
         self.confirmed = now - record.age_s
         self._cold_until = now + record.cold_s if record.cold_s else NEVER
@@ -115,9 +145,15 @@
         """Return the reason why no entry should name this host, or NONE."""
         return self._lasting_reason(self.service, now)
 
-    def wait_s(self) -> float:
+    def is_full(self, now: float) -> bool:
+        """Say whether the host would shed another request."""
+        expected = self.busy + self.arriving.count(now)
+        return expected >= self.slots and self.room.is_full(expected, now)
+
+    def wait_s(self, now: float) -> float:
         """Return how long a new request would wait for a slot."""
-        return self.work.wait_s(self.busy, self.slots)
+        busy = self.busy + self.arriving.count(now)
+        return self.work.wait_s(busy, self.slots)
 
     def reason_against(self, service: int, now: float) -> int:
         """Return why the host takes no flow at this moment, or NONE.
@@ -143,18 +179,23 @@
             return None
         return self._cold.spare(now, record.cold_per_s)
 
-    def note_taken(self, now: float) -> None:
-        """Count a flow against the cold limit."""
+    def note_taken(self, key: bytes, now: float) -> None:
+        """Count a flow against the cold limit, and expect its request."""
         self._cold.note(now)
+        self.arriving.add(key, now)
 
     def _lasting_reason(self, service: int, now: float) -> int:
         if service != self.service:
             return reasons.OTHER_SERVICE
+        # What the store says goes first: it holds for good.
+        recorded = _recorded_reason(self.record, service)
+        if recorded:
+            return recorded
         if self.stopping:
             return reasons.STOPPING
         if now - self._unreachable_at < _UNREACHABLE_S:
             return reasons.UNREACHABLE
-        return _recorded_reason(self.record, service)
+        return reasons.NONE
 
 
 def _recorded_reason(record: messages.Record | None, service: int) -> int:
--- a/siskinbank/choice/placement.py
+++ b/siskinbank/choice/placement.py
@@ -45,12 +45,13 @@
     """
     able = [host for host in hosts if not host.status.state]
     heard = [host for host in able if now - host.heard < SILENT_S]
+    # A host of which the store has said nothing yet may be a leftover.
     scored = [
-        (_score(host, draw, data_centre), index)
+        (not host.confirmed, _score(host, draw, data_centre), index)
         for index, host in enumerate(heard)
     ]
     scored.sort()
-    best = [heard[index] for _, index in scored[:MOST_CANDIDATES]]
+    best = [heard[place[-1]] for place in scored[:MOST_CANDIDATES]]
     # Sidecars that went silent may be restarting; they come last.
     return best or able[:MOST_CANDIDATES]
 
--- a/siskinbank/entry/flow_cache.py
+++ b/siskinbank/entry/flow_cache.py
@@ -28,7 +28,7 @@
         tried: hosts that its first packet went to.
     """
 
-    __slots__ = ('_number', '_other', 'held', 'ip', 'seen', 'tried')
+    __slots__ = ('_claims', 'held', 'ip', 'seen', 'tried')
 
     def __init__(self, ip: str, seen: float) -> None:
         """Begin with a host that may take the flow."""
@@ -36,49 +36,58 @@
         self.held = False
         self.seen = seen
         self.tried: tuple[str, ...] = (ip,)
-        self._number = 0
-        self._other: tuple[str, int] | None = None
+        self._claims: dict[str, tuple[bool, int]] = {}
 
     @property
     def contested(self) -> bool:
-        """Whether two hosts have answered the first packet."""
-        return self._other is not None
+        """Whether several hosts hold the flow, open or half open."""
+        return len(self._claims) > 1
 
     def try_at(self, ip: str) -> None:
         """Note that the first packet goes to another host."""
         self.ip = ip
         self.tried = (*self.tried, ip)
 
-    def hold(self, ip: str, number: int) -> None:
+    def hold(self, ip: str, number: int, established: bool) -> None:
         """Note a sidecar's word that its host holds the flow.
 
         Args:
             ip: the host.
             number: its first sequence number, 0 if that is not known.
+            established: the host has worked on the flow.
         """
-        if self.held and self.ip != ip and number and self._number:
-            self._other = (ip, number)
-            return
-        self.ip = ip
+        if not self._claims or established:
+            self.ip = ip
         self.held = True
-        self._number = number or self._number
+        self._claims[ip] = (established, number)
 
     def settle(self, acknowledged: int) -> None:
-        """Of two hosts that answered, keep the one that the client chose.
+        """Of several hosts, keep the one that the client chose.
+
+        Load pattern: a first packet and its copy were taken by two hosts, as
+        the first one was slow; one of them waits for a client in vain.
 
         Args:
             acknowledged: what the client's packet acknowledges; it lies just
                 above the first number of the host that the client chose.
         """
-        if self._other is None:
-            return
-        ip, number = self._other
-        ahead = (acknowledged - self._number) % _SEQUENCE_NUMBERS
-        other_ahead = (acknowledged - number) % _SEQUENCE_NUMBERS
-        if other_ahead < ahead:
-            self.ip = ip
-            self._number = number
-        self._other = None
+        claims = self._claims
+        worked = [ip for ip in claims if claims[ip][0]]
+        if len(worked) == 1:
+            self.ip = worked[0]
+        else:
+            self.ip = min(
+                worked or claims,
+                key=lambda ip: _ahead(acknowledged, claims[ip][1]),
+            )
+        self._claims = {self.ip: claims[self.ip]}
+
+
+def _ahead(acknowledged: int, number: int) -> int:
+    """Return how far a number is behind; an unknown one is the farthest."""
+    if not number:
+        return _SEQUENCE_NUMBERS
+    return (acknowledged - number) % _SEQUENCE_NUMBERS
 
 
 class FlowCache:
--- a/siskinbank/entry/flow_searches.py
+++ b/siskinbank/entry/flow_searches.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-__all__ = ('SEARCH_S', 'Search', 'Searches')
-
-# How long a search may take, in seconds: less than the client's first
-# retransmission after 0.2 s, which starts the next.
-SEARCH_S = 0.18
+__all__ = ('ASK_AGAIN_S', 'Search', 'Searches')
+
+# Hosts that have not answered are asked again after this, in seconds: many
+# ways there and back, and less than a client's first retransmission.
+ASK_AGAIN_S = 0.09
+# How long a search may take, in seconds: a sidecar that was killed is back
+# within it. Later packets of the flow start another one.
+_LONGEST_S = 1.2
 # Packets kept for one flow meanwhile: as many as an end has under way.
 _MOST_WAITING = 16
 # Searches at once; beyond that packets are dropped and come again.
@@ -16,27 +19,36 @@
 class Search:
     """One flow whose host is looked for.
 
+    Load pattern: all processes lost power; clients repeat packets of flows
+    that no host holds any more, ever more seldom, while sidecars come back one
+    by one. A client that hears soon that its flow is gone opens another one
+    before its deadline.
+
     Attributes:
         began: when.
-        first: the packet that went to the hosts.
-        asked: the hosts that have not answered yet.
+        first: the packet that goes to the hosts.
+        absent: the hosts that do not hold the flow.
         waiting: the flow's packets since.
     """
 
-    __slots__ = ('asked', 'began', 'first', 'waiting')
+    __slots__ = ('absent', 'began', 'first', 'waiting')
 
-    def __init__(self, began: float, asked: set[str], first: bytes) -> None:
-        """Ask all at once."""
+    def __init__(self, began: float, first: bytes) -> None:
+        """Begin with no answers."""
         self.began = began
-        self.asked = asked
         self.first = first
+        self.absent: set[str] = set()
         self.waiting: list[bytes] = []
 
     def keep(self, packet: bytes) -> None:
         """Keep a packet until the host is found."""
-        if len(self.waiting) < _MOST_WAITING:
+        if packet != self.first and len(self.waiting) < _MOST_WAITING:
             self.waiting.append(packet)
 
+    def unanswered(self, hosts: list[str]) -> list[str]:
+        """Return the hosts that have not answered yet."""
+        return [ip for ip in hosts if ip not in self.absent]
+
 
 class Searches:
     """All searches of one entry, by flow key."""
@@ -64,14 +76,15 @@
         """Take a search out."""
         return self._searches.pop(key, None)
 
-    def overdue(self, now: float) -> list[tuple[bytes, Search]]:
-        """Take out the searches that found nothing in time."""
-        edge = now - SEARCH_S
-        late = [
+    def going_on(self, now: float) -> list[tuple[bytes, Search]]:
+        """Return the searches that have asked all hosts some time ago."""
+        edge = now - ASK_AGAIN_S / 2
+        return [
             (key, search)
             for key, search in self._searches.items()
             if search.began < edge
         ]
-        for key, _ in late:
-            self._searches.pop(key)
-        return late
+
+    def is_overdue(self, search: Search, now: float) -> bool:
+        """Say whether a search has found nothing in time."""
+        return now - search.began > _LONGEST_S
--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -77,20 +77,23 @@
     Attributes:
         shares: the services that take new flows, each with its weight above 0.
         repeatable: whether a request may run more than once.
+        aim_s: latency that users expect.
         limit_s: time after which a request's answer is of no use.
     """
 
-    __slots__ = ('limit_s', 'repeatable', 'shares')
+    __slots__ = ('aim_s', 'limit_s', 'repeatable', 'shares')
 
     def __init__(
         self,
         shares: tuple[tuple[str, float], ...],
         repeatable: bool,
+        aim_s: float,
         limit_s: float,
     ) -> None:
         """Name the services and describe the requests inside."""
         self.shares = shares
         self.repeatable = repeatable
+        self.aim_s = aim_s
         self.limit_s = limit_s
 
     def service_for(self, draw: int) -> str:
@@ -169,10 +172,12 @@
     if not port.isdigit() or int(port) > _MAX_PORT:
         raise Unreadable(f'Prefix {port!r} holds no port')
     address = _packed(text_in(document, 'Host'))
+    limit_ms = number_in(document, 'TimeoutMs', _DEFAULT_LIMIT_MS)
     route = Route(
         _shares(document),
         document.get('Kind') == 'safe',
-        number_in(document, 'TimeoutMs', _DEFAULT_LIMIT_MS) / _MS,
+        number_in(document, 'TargetLatencyMs', limit_ms) / _MS,
+        limit_ms / _MS,
     )
     return address + int(port).to_bytes(2, 'big'), route
 
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -6,11 +6,14 @@
 from zlib import crc32
 
 from siskinbank.admission import reasons
-from siskinbank.admission.arrivals import refusal_is_final
-from siskinbank.beliefs.hosts import SILENT_S, HostBelief, HostBeliefs
+from siskinbank.admission.arrivals import (
+    longest_wait_s,
+    patience_s,
+    refusal_is_final,
+)
+from siskinbank.beliefs.hosts import HostBeliefs
 from siskinbank.choice.placement import order
 from siskinbank.entry.flow_cache import CachedFlow, FlowCache
-from siskinbank.entry.flow_searches import SEARCH_S, Search, Searches
 from siskinbank.platform.packets import (
     FLOW_KEY,
     HEAD_BYTES,
@@ -30,6 +33,7 @@
 from siskinbank.relay.gossip import Gossip
 from siskinbank.relay.handover import Handover
 from siskinbank.relay.node import Node, open_datagrams
+from siskinbank.relay.seeker import Seeker
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -40,14 +44,16 @@
 # Datagrams read before other sockets get their turn.
 _READS_A_TURN = 64
 _SWEEP_S = 5.0
-# Packets kept while the process learns where to send them: clients send most
-# of them again after 0.2 s.
-_MOST_EARLY = 64
+# Packets kept while the process learns where to send them, and for how long,
+# in seconds: clients give up a flow that is not answered within 1.4 s.
+_MOST_EARLY = 256
+_EARLY_S = 1.0
 # A process that started this long ago, in seconds, has heard of all hosts
 # that it can hear of.
 _YOUNG_S = 0.6
-# A list of hosts older than this, in seconds, cannot say that one is gone.
-_FRESH_LIST_S = 1.5
+# How long after the first host others are waited for, in seconds: several
+# ways to the farthest data centre and back.
+_GATHER_S = 0.06
 # A first packet is placed this often when sidecars refuse it.
 _MOST_PLACINGS = 3
 # A planned stop: routers leave a node out after two failed probes, half a
@@ -70,12 +76,19 @@
         self._data_centre = messages.digest(settings.data_centre)
         self._started = node.loop.now
         self._flows = FlowCache()
-        self._searches = Searches()
-        self._early: list[bytes] = []
+        self._early: list[tuple[float, bytes]] = []
+        self._settled = False
         self._hosts = HostBeliefs()
         self._follower = Follower(node, self._hosts_read, self._operator_read)
         self._handover = Handover(node, self._follower, self._serve_early)
         self._gossip = Gossip(node, self._hosts, self._follower, self._handover)
+        self._seeker = Seeker(
+            node,
+            self._hosts,
+            self._follower,
+            self._gossip,
+            self._reset,
+        )
         self._clients = open_datagrams((settings.ip, settings.packet_port))
         node.ready = self._is_ready
         node.stopping = self._begin_stop
@@ -85,7 +98,7 @@
         node.handlers[messages.STATUS] = self._hear_status
         node.loop.watch(self._clients.fileno(), self._receive)
         node.loop.every(_SWEEP_S, self._sweep)
-        node.loop.every(SEARCH_S / 2, self._end_searches)
+        node.loop.every(_GATHER_S, self._serve_early)
         node.loop.on_stall(self._hosts.excuse)
         self._follower.check()
 
@@ -118,21 +131,12 @@
         flow.seen = now
         if flow.contested:
             flow.settle(sequence_numbers(packet)[1])
-        host = self._hosts.get(flow.ip)
-        if host and now - host.heard > SILENT_S and self._is_gone(host):
+        if self._seeker.has_left(flow.ip):
             self._reset(packet, 'host-gone')
             return
         wrap = messages.carry if flow.held else messages.search
         self._node.send(flow.ip, wrap(packet))
 
-    def _is_gone(self, host: HostBelief) -> bool:
-        """Say whether the store has lost a host whose sidecar is silent."""
-        follower = self._follower
-        if self._node.loop.now - follower.hosts_seen > _FRESH_LIST_S:
-            self._gossip.want_hosts()
-            return False
-        return host.ip not in follower.hosts and follower.trusts_absence()
-
     # First packets.
 
     def _open(self, packet: bytes) -> None:
@@ -194,7 +198,10 @@
         opening = messages.Opening(self._node.packed_ip, packet)
         opening.service = messages.digest(service)
         opening.version = self._follower.configuration.version
-        opening.limit_ms = min(int(route.limit_s * _MS), messages.MOST_WAIT_MS)
+        copy = sequence_numbers(packet)[1]
+        patience = patience_s(route.aim_s, route.limit_s, copy)
+        opening.patience_ms = messages.wait_ms(patience)
+        opening.limit_ms = messages.wait_ms(longest_wait_s(route.limit_s))
         opening.candidates = [host.packed for host in chosen]
         self._node.send(opening.pop_next(), opening.pack())
 
@@ -206,23 +213,38 @@
             self._reset(packet, 'no-host')
 
     def _knows(self) -> bool:
-        """Say whether routes and a host are known."""
-        return bool(self._follower.configuration.version and self._hosts)
+        """Say whether routes and hosts are known.
+
+        Load pattern: after a loss of power all callers come at once; the
+        first host that is heard of would get them all.
+        """
+        if not self._follower.configuration.version or not self._hosts:
+            return False
+        if self._settled:
+            return True
+        now = self._node.loop.now
+        first_heard = min(host.heard_first for host in self._hosts.all())
+        registered = self._follower.hosts
+        known = bool(registered) and all(map(self._hosts.get, registered))
+        self._settled = known or now - first_heard > _GATHER_S
+        return self._settled
 
     def _route(self, key: bytes) -> Route | None:
         return self._follower.configuration.routes.get(route_key(key))
 
     def _keep_early(self, packet: bytes) -> None:
         if len(self._early) < _MOST_EARLY:
-            self._early.append(packet)
+            self._early.append((self._node.loop.now, packet))
         else:
             self._node.meters.count('packets_early_dropped_total')
 
     def _serve_early(self) -> None:
         if self._early and self._knows():
             early, self._early = self._early, []
-            for packet in early:
-                self._take(packet)
+            edge = self._node.loop.now - _EARLY_S
+            for came, packet in early:
+                if came > edge:
+                    self._take(packet)
 
     def _reset(self, packet: bytes, reason: str) -> None:
         key = packet[FLOW_KEY]
@@ -240,99 +262,28 @@
         except OSError:
             self._node.meters.count('send_errors_total')
 
-    # Flows of unknown hosts.
-
     def _search(self, key: bytes, packet: bytes) -> None:
-        search = self._searches.get(key)
-        if search:
-            search.keep(packet)
-        elif flags_of(packet) & RST:
-            # Its client is done with it, and its host will be.
-            return
-        elif not self._knows():
+        if not self._knows():
             self._keep_early(packet)
-        elif self._searches.full:
-            self._node.meters.count('searches_refused_total')
-        else:
-            self._ask_hosts(key, packet)
-
-    def _ask_hosts(self, key: bytes, packet: bytes) -> None:
-        route = self._route(key)
-        if route is None:
-            self._reset(packet, 'no-route')
-            return
-        asked = {host.ip for host in self._route_hosts(route)}
-        self._node.meters.count('searches_total')
-        self._node.log('flow.search', flow=describe(key), asked=len(asked))
-        search = Search(self._node.loop.now, asked.copy(), packet)
-        self._searches.begin(key, search)
-        datagram = messages.search(packet)
-        for ip in asked:
-            self._node.send(ip, datagram)
-
-    def _route_hosts(self, route: Route) -> list[HostBelief]:
-        """Return the hosts that may hold flows of a route."""
-        hosts: list[HostBelief] = []
-        for service, _ in route.shares:
-            hosts.extend(self._hosts.of_service(messages.digest(service)))
-        return [
-            host
-            for host in hosts
-            if self._node.loop.now - host.heard < SILENT_S
-            or not self._is_gone(host)
-        ]
-
-    def _end_searches(self) -> None:
-        for key, search in self._searches.overdue(self._node.loop.now):
-            self._node.log(
-                'flow.absent',
-                flow=describe(key),
-                silent=','.join(sorted(search.asked)) or '-',
-            )
-            if not search.asked:
-                self._give_up(key, search)
-
-    def _give_up(self, key: bytes, search: Search) -> None:
-        """End a flow that no host holds, if all hosts were asked."""
-        route = self._route(key)
-        if route is None or self._knows_hosts_of(route):
-            self._reset(search.first, 'no-host-holds-it')
-
-    def _knows_hosts_of(self, route: Route) -> bool:
-        """Say whether every host with an entry in the store was heard."""
-        follower = self._follower
-        if not follower.hosts_revision:
-            return False
-        services = {service for service, _ in route.shares}
-        return all(
-            self._hosts.get(ip)
-            for ip, record in follower.hosts.items()
-            if record.service in services
-        )
+        elif not flags_of(packet) & RST:
+            # A client that resets a flow is done with it.
+            self._seeker.seek(key, packet)
 
     # Words of sidecars.
 
     def _hear_held(self, raw: bytes, ip: str) -> None:
-        key, number, _ = messages.read_flow_note(raw)
+        key, number, established = messages.read_flow_note(raw)
         flow = self._flows.get(key)
         if flow is None:
             flow = self._flows.add(key, ip, self._node.loop.now)
-        flow.hold(ip, number)
-        search = self._searches.end(key)
-        if search:
-            self._node.log('flow.found', flow=describe(key), host=ip)
-            for packet in search.waiting:
-                self._node.send(ip, messages.carry(packet))
+        flow.hold(ip, number, bool(established))
+        for packet in self._seeker.found(key, ip):
+            self._node.send(ip, messages.carry(packet))
 
     def _hear_absent(self, raw: bytes, ip: str) -> None:
         key, _, _ = messages.read_flow_note(raw)
         packet = raw[messages.FLOW_NOTE_BYTES :]
-        search = self._searches.get(key)
-        if search:
-            search.asked.discard(ip)
-            if not search.asked:
-                self._searches.end(key)
-                self._give_up(key, search)
+        if self._seeker.absent(key, ip):
             return
         flow = self._flows.get(key)
         if flow and flow.ip == ip and len(packet) >= HEAD_BYTES:
@@ -357,7 +308,7 @@
         host = self._hosts.get(ip)
         if host and reason not in reasons.PASSING:
             host.status.state = reason
-        if tries < _MOST_PLACINGS and reason not in reasons.PASSING:
+        if tries < _MOST_PLACINGS and reason in reasons.LOCAL:
             self._open(packet)
         elif refusal_is_final(reason, sequence_numbers(packet)[1]):
             self._reset(packet, name)
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -19,6 +19,7 @@
 __all__ = (
     'ABSENT',
     'ASK_CONFIGURATION',
+    'ASK_FLOW',
     'CARRY',
     'CONFIGURATION',
     'DRAINING',
@@ -41,6 +42,7 @@
     'SEARCH',
     'STATUS',
     'Status',
+    'UNSURE',
     'carry',
     'digest',
     'flow_note',
@@ -51,6 +53,7 @@
     'read_piece',
     'search',
     'unpack_addresses',
+    'wait_ms',
 )
 
 # A client's first packet, with the candidates that may take its flow.
@@ -73,6 +76,10 @@
 RECORD = 11
 ASK_CONFIGURATION = 12
 CONFIGURATION = 13
+# Whether a host holds a flow, without a packet, and that its sidecar cannot
+# tell: it began after the host.
+ASK_FLOW = 14
+UNSURE = 15
 
 # Flags of a record: the host has an entry, says that it drains, stands in a
 # data centre that was taken out; the operator's part is known.
@@ -89,7 +96,7 @@
 _MS = 1000
 _MAX_AGE_MS = 0xFFFFFFFF
 
-_OPENING = Struct('!BBIQ4sH4sHB')
+_OPENING = Struct('!BBIQ4sHH4sHB')
 _FLOW_NOTE = Struct('!B12sIB')
 _STATUS = Struct('!BIIBHHHQQII')
 _NEWS = Struct('!BBQQIQI')
@@ -129,7 +136,8 @@
         service: digest of the service that may take it.
         version: the configuration that the entry read this from.
         entry: address of the entry that wants to know who took it.
-        limit_ms: the time limit of the route's requests.
+        patience_ms: how long it may wait at a host now.
+        limit_ms: how long any copy of it may.
         best: address of the host with the shortest wait met so far.
         best_wait_ms: that wait, MOST_WAIT_MS while none was met.
         candidates: addresses to pass it on to, the best first.
@@ -144,6 +152,7 @@
         'hops',
         'limit_ms',
         'packet',
+        'patience_ms',
         'service',
         'version',
     )
@@ -155,6 +164,7 @@
         self.hops = 0
         self.service = 0
         self.version = 0
+        self.patience_ms = 0
         self.limit_ms = 0
         self.best = entry
         self.best_wait_ms = MOST_WAIT_MS
@@ -172,10 +182,23 @@
         end = start + fields[-1] * _ADDRESS_BYTES
         opening = cls(fields[4], raw[end:])
         opening.hops, opening.service, opening.version = fields[1:4]
-        opening.limit_ms, opening.best, opening.best_wait_ms = fields[5:8]
+        opening.patience_ms, opening.limit_ms = fields[5:7]
+        opening.best, opening.best_wait_ms = fields[7:9]
         opening.candidates = unpack_addresses(raw[start:end])
         return opening
 
+    @property
+    def best_wait_s(self) -> float | None:
+        """The shortest wait met so far, None while none was met."""
+        if self.best_wait_ms == MOST_WAIT_MS:
+            return None
+        return self.best_wait_ms / _MS
+
+    @property
+    def is_hopeless(self) -> bool:
+        """Whether even the shortest wait is too long for any copy."""
+        return self.limit_ms < self.best_wait_ms < MOST_WAIT_MS
+
     def pop_next(self) -> str:
         """Take out the next candidate and return its address as text."""
         return inet_ntoa(self.candidates.pop(0))
@@ -188,6 +211,7 @@
             self.service,
             self.version,
             self.entry,
+            self.patience_ms,
             self.limit_ms,
             self.best,
             self.best_wait_ms,
@@ -200,10 +224,11 @@
     """Write a note about one flow.
 
     Args:
-        kind: HELD, ABSENT or REFUSED.
+        kind: HELD, ABSENT, REFUSED, ASK_FLOW or UNSURE.
         key: the flow's key.
         number: the host's first sequence number, 0 if none is known.
-        reason: why a flow was refused, see ``admission.reasons``.
+        reason: why a flow was refused, see ``admission.reasons``; with HELD
+            whether the host has worked on the flow.
     """
     return _FLOW_NOTE.pack(kind, key, number, reason)
 
@@ -436,6 +461,11 @@
         )
 
 
+def wait_ms(seconds: float) -> int:
+    """Return a wait as messages state it."""
+    return min(int(seconds * _MS), MOST_WAIT_MS - 1)
+
+
 def pack_addresses(kind: int, *groups: list[bytes]) -> bytes:
     """Write lists of addresses, each with its length before it."""
     parts = [bytes((kind,))]
--- a/siskinbank/relay/reports.py
+++ b/siskinbank/relay/reports.py
@@ -91,7 +91,8 @@
         status = messages.Status(host.service, self._data_centre)
         status.state = host.state(now)
         status.slots = host.slots
-        status.busy = min(host.busy, _MOST_COUNT)
+        expected = host.busy + host.arriving.count(now)
+        status.busy = min(expected, _MOST_COUNT)
         status.flows = min(self._count_flows(), _MOST_COUNT)
         status.version = host.version
         spare = host.spare(now)
--- /dev/null
+++ b/siskinbank/relay/request_watch.py
@@ -0,0 +1,79 @@
+"""Follows the requests that a host works on, for load and for the logs."""
+
+from __future__ import annotations
+
+from siskinbank.platform.packets import describe
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from siskinbank.beliefs.own_host import OwnHost
+    from siskinbank.relay.node import Node
+    from siskinbank.sidecar.held_flows import HeldFlow
+
+__all__ = ('RequestWatch',)
+
+_MS = 1000
+
+
+class RequestWatch:
+    """Counts requests in progress and logs how each one ends."""
+
+    __slots__ = ('_host', '_node')
+
+    def __init__(self, node: Node, host: OwnHost) -> None:
+        """Watch the requests of one host."""
+        self._node = node
+        self._host = host
+
+    def take_packet(self, key: bytes, flow: HeldFlow, packet: bytes) -> None:
+        """Follow a client's packet."""
+        before = flow.request
+        request = flow.take_packet(packet, self._node.loop.now)
+        if request is None:
+            return
+        host = self._host
+        if before is None:
+            request.waited = host.work.wait_s(host.busy, host.slots) > 0
+            host.busy += 1
+            host.arriving.end(key)
+        self._node.meters.count('requests_total')
+        self._node.log(
+            'request.start',
+            id=request.name,
+            flow=describe(key),
+            entry=flow.entry or '-',
+            busy=host.busy,
+        )
+
+    def take_answer(self, key: bytes, flow: HeldFlow, packet: bytes) -> None:
+        """Follow a host's packet."""
+        now = self._node.loop.now
+        answer = flow.take_answer(packet, now)
+        if answer is None:
+            return
+        if not answer.executed:
+            self._host.room.note_shed(self._host.busy - 1, now)
+            self._node.meters.count('requests_shed_total')
+        self.end(key, flow, answer.status)
+
+    def end(self, key: bytes, flow: HeldFlow, outcome: str) -> None:
+        """Note that the request of a flow is over, if it has one."""
+        request = flow.request
+        if request is None:
+            return
+        flow.request = None
+        host = self._host
+        host.busy -= 1
+        took = self._node.loop.now - request.began
+        if not request.waited and outcome.isdigit():
+            host.work.note(took)
+        self._node.meters.count('requests_ended_total')
+        self._node.meters.time('request_seconds', took)
+        self._node.log(
+            'request.end',
+            id=request.name,
+            flow=describe(key),
+            outcome=outcome,
+            ms=int(took * _MS),
+            busy=host.busy,
+        )
--- /dev/null
+++ b/siskinbank/relay/seeker.py
@@ -0,0 +1,190 @@
+"""Finds the host of a flow that an entry does not know, or that there is none.
+
+Sidecars are asked first, with a few bytes; those that have watched their host
+for too short a time are sent the packet itself, and the host decides.
+"""
+
+from __future__ import annotations
+
+from siskinbank.entry.flow_searches import ASK_AGAIN_S, Search, Searches
+from siskinbank.platform.packets import FLOW_KEY, describe, route_key
+from siskinbank.relay import messages
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinbank.beliefs.hosts import HostBelief, HostBeliefs
+    from siskinbank.platform.records import Route
+    from siskinbank.relay.follower import Follower
+    from siskinbank.relay.gossip import Gossip
+    from siskinbank.relay.node import Node
+
+__all__ = ('Seeker',)
+
+# A sidecar that said nothing for this long may have left with its host, in
+# seconds: one word missed.
+_DOUBT_S = 0.6
+# A list of hosts older than this, in seconds, cannot say that one is gone.
+_FRESH_LIST_S = 1.5
+
+
+class Seeker:
+    """Searches for one entry, and knows which hosts are gone."""
+
+    __slots__ = (
+        '_follower',
+        '_gossip',
+        '_hosts',
+        '_node',
+        '_reset',
+        '_searches',
+    )
+
+    def __init__(
+        self,
+        node: Node,
+        hosts: HostBeliefs,
+        follower: Follower,
+        gossip: Gossip,
+        reset: Callable[[bytes, str], None],
+    ) -> None:
+        """Search with what this entry knows.
+
+        Args:
+            node: the process.
+            hosts: what sidecars say.
+            follower: what the store says.
+            gossip: has the store read when an answer needs it.
+            reset: ends the flow of a packet, for a reason.
+        """
+        self._node = node
+        self._hosts = hosts
+        self._follower = follower
+        self._gossip = gossip
+        self._reset = reset
+        self._searches = Searches()
+        node.handlers[messages.UNSURE] = self._hear_unsure
+        node.loop.every(ASK_AGAIN_S, self._go_on)
+
+    def seek(self, key: bytes, packet: bytes) -> None:
+        """Look for the host of a packet's flow."""
+        search = self._searches.get(key)
+        if search:
+            search.keep(packet)
+            return
+        if self._searches.full:
+            self._node.meters.count('searches_refused_total')
+            return
+        route = self._route(key)
+        if route is None:
+            self._reset(packet, 'no-route')
+            return
+        search = Search(self._node.loop.now, packet)
+        self._searches.begin(key, search)
+        hosts = self._hosts_of(route)
+        self._node.meters.count('searches_total')
+        self._node.log('flow.search', flow=describe(key), asked=len(hosts))
+        self._ask(search, hosts)
+
+    def found(self, key: bytes, ip: str) -> list[bytes]:
+        """End a search; return the packets that wait for its end."""
+        search = self._searches.end(key)
+        if search is None:
+            return []
+        self._node.log('flow.found', flow=describe(key), host=ip)
+        return [search.first, *search.waiting]
+
+    def absent(self, key: bytes, ip: str) -> bool:
+        """Note that a host does not hold a flow; say if it was asked."""
+        search = self._searches.get(key)
+        if search is None:
+            return False
+        search.absent.add(ip)
+        route = self._route(key)
+        hosts = self._hosts_of(route) if route else []
+        if not search.unanswered(hosts):
+            self._end_if_nowhere(key, search, hosts, route)
+        return True
+
+    def has_left(self, ip: str) -> bool:
+        """Say whether a host fell silent and has no entry in the store."""
+        host = self._hosts.get(ip)
+        now = self._node.loop.now
+        if host is None or now - host.heard < _DOUBT_S:
+            return False
+        return host.has_left(now) or self._is_unregistered(ip)
+
+    def _is_unregistered(self, ip: str) -> bool:
+        """Say whether the store has lost a host that does not answer."""
+        follower = self._follower
+        if self._node.loop.now - follower.hosts_seen > _FRESH_LIST_S:
+            # Whoever's turn it is to read: this flow needs to know.
+            self._gossip.want_hosts()
+            return False
+        return ip not in follower.hosts and follower.trusts_absence()
+
+    def _ask(self, search: Search, hosts: list[str]) -> None:
+        key = search.first[FLOW_KEY]
+        datagram = messages.flow_note(messages.ASK_FLOW, key, 0)
+        for ip in search.unanswered(hosts):
+            self._node.send(ip, datagram)
+
+    def _hear_unsure(self, raw: bytes, ip: str) -> None:
+        key, _, _ = messages.read_flow_note(raw)
+        search = self._searches.get(key)
+        if search:
+            self._node.send(ip, messages.search(search.first))
+
+    def _go_on(self) -> None:
+        now = self._node.loop.now
+        for key, search in self._searches.going_on(now):
+            route = self._route(key)
+            hosts = self._hosts_of(route) if route else []
+            if self._end_if_nowhere(key, search, hosts, route):
+                continue
+            if self._searches.is_overdue(search, now):
+                self._searches.end(key)
+                silent = ','.join(search.unanswered(hosts)) or '-'
+                self._node.log('flow.absent', flow=describe(key), silent=silent)
+            else:
+                self._ask(search, hosts)
+
+    def _end_if_nowhere(
+        self,
+        key: bytes,
+        search: Search,
+        hosts: list[str],
+        route: Route | None,
+    ) -> bool:
+        """End a flow if all hosts that may hold it have said no."""
+        if route:
+            silent = search.unanswered(hosts)
+            left = all(map(self._is_unregistered, silent))
+            if not left or not self._knows_hosts_of(route):
+                return False
+        self._searches.end(key)
+        self._reset(search.first, 'no-host-holds-it')
+        return True
+
+    def _route(self, key: bytes) -> Route | None:
+        return self._follower.configuration.routes.get(route_key(key))
+
+    def _hosts_of(self, route: Route) -> list[str]:
+        """Return the hosts that may hold flows of a route."""
+        hosts: list[HostBelief] = []
+        for service, _ in route.shares:
+            hosts.extend(self._hosts.of_service(messages.digest(service)))
+        return [host.ip for host in hosts if not self.has_left(host.ip)]
+
+    def _knows_hosts_of(self, route: Route) -> bool:
+        """Say whether every host with an entry in the store was heard."""
+        follower = self._follower
+        if not follower.hosts_revision:
+            return False
+        services = {service for service, _ in route.shares}
+        return all(
+            self._hosts.get(ip)
+            for ip, record in follower.hosts.items()
+            if record.service in services
+        )
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -36,6 +36,7 @@
 from siskinbank.relay.node import Node, open_datagrams
 from siskinbank.relay.records import record_for
 from siskinbank.relay.reports import Reports
+from siskinbank.relay.request_watch import RequestWatch
 from siskinbank.sidecar.held_flows import HeldFlow, Waiting
 
 __all__ = ('Sidecar',)
@@ -53,8 +54,6 @@
 _WAITING_S = 1.5
 # A flow is passed on at most this often.
 _MOST_HOPS = 8
-# A wait that is stated at all is shorter than this, in milliseconds.
-_LONGEST_WAIT_MS = messages.MOST_WAIT_MS - 1
 _MS = 1000
 # A planned stop waits for requests in progress this long, in seconds; the
 # platform kills after six.
@@ -82,6 +81,7 @@
         self._stop_at: float = 0
         service = messages.digest(settings.service or '')
         self._host = OwnHost(service, node.loop.now)
+        self._requests = RequestWatch(node, self._host)
         self._follower = Follower(node, self._store_read, self._store_read)
         self._follower.hosts_due = self._record_due
         self._follower.operator_due = self._record_due
@@ -94,6 +94,7 @@
         node.handlers[messages.OPEN] = self._hear_open
         node.handlers[messages.CARRY] = self._hear_carry
         node.handlers[messages.SEARCH] = self._hear_search
+        node.handlers[messages.ASK_FLOW] = self._hear_ask
         node.handlers[messages.RECORD] = self._hear_record
         node.loop.watch(self._outbound.fileno(), self._receive)
         node.loop.watch(self._inbound.fileno(), self._hear_error)
@@ -132,7 +133,9 @@
             flow.number = sequence_numbers(packet)[0]
         else:
             flow.established = True
-            self._follow_answer(key, flow, packet)
+            self._requests.take_answer(key, flow, packet)
+            if flags & (FIN | RST) and not flow.ended:
+                flow.ended = self._node.loop.now
         if waiting or flags & SYN:
             self._note_held(key, flow)
         try:
@@ -147,42 +150,16 @@
         flow = HeldFlow(entry, client, self._node.loop.now)
         self._flows[key] = flow
         if waiting and not flags_of(waiting.packet) & SYN:
-            self._follow_request(key, flow, waiting.packet)
+            self._requests.take_packet(key, flow, waiting.packet)
         return flow
 
-    def _follow_answer(self, key: bytes, flow: HeldFlow, packet: bytes) -> None:
-        answer = flow.take_answer(packet, self._node.loop.now)
-        if answer:
-            self._end_request(key, flow, answer.status)
-        if flags_of(packet) & (FIN | RST) and not flow.ended:
-            flow.ended = self._node.loop.now
-
-    def _end_request(self, key: bytes, flow: HeldFlow, outcome: str) -> None:
-        request = flow.request
-        if request is None:
-            return
-        flow.request = None
-        self._host.busy -= 1
-        took = self._node.loop.now - request.began
-        if not request.waited and outcome.isdigit():
-            self._host.work.note(took)
-        self._node.meters.count('requests_ended_total')
-        self._node.meters.time('request_seconds', took)
-        self._node.log(
-            'request.end',
-            id=request.name,
-            flow=describe(key),
-            outcome=outcome,
-            ms=int(took * 1000),
-            busy=self._host.busy,
-        )
-
     # Packets that the host does not take.
 
     def _take_back(self, packet: bytes) -> None:
         key = packet[FLOW_KEY]
         waiting = self._waiting.pop(key, None)
         if flags_of(packet) & SYN:
+            self._host.arriving.end(key)
             if waiting and waiting.opening:
                 self._pass_on(key, waiting.opening, reasons.HOST_REFUSED)
             return
@@ -191,7 +168,7 @@
             if waiting:
                 self._note_absent(key, waiting.entry, packet)
             return
-        self._end_request(key, flow, 'lost')
+        self._requests.end(key, flow, 'lost')
         if flow.ended:
             return
         if flow.established:
@@ -212,7 +189,12 @@
 
     def _note_held(self, key: bytes, flow: HeldFlow) -> None:
         if flow.entry:
-            note = messages.flow_note(messages.HELD, key, flow.number)
+            note = messages.flow_note(
+                messages.HELD,
+                key,
+                flow.number,
+                int(flow.established),
+            )
             self._node.send(flow.entry, note)
 
     def _note_absent(self, key: bytes, entry: str, packet: bytes) -> None:
@@ -243,20 +225,16 @@
             self._place(key, opening)
 
     def _place(self, key: bytes, opening: messages.Opening) -> None:
+        now = self._node.loop.now
         host = self._host
-        wait = host.wait_s()
         left = bool(opening.candidates) and opening.hops < _MOST_HOPS
-        if left and host.in_doubt(self._node.loop.now):
+        if left and host.unconfirmed(now):
             self._pass_on(key, opening, reasons.BUSY)
             return
-        best = opening.best_wait_ms / _MS
-        met = opening.best_wait_ms < messages.MOST_WAIT_MS
-        where = where_to_wait(
-            wait,
-            opening.limit_ms / _MS,
-            best if met else None,
-            left,
-        )
+        wait = None if host.is_full(now) else host.wait_s(now)
+        best = opening.best_wait_s
+        patience = opening.patience_ms / _MS
+        where = where_to_wait(wait, patience, best, left)
         if where == 'here':
             self._admit(key, opening)
             return
@@ -264,15 +242,16 @@
             # There it stays.
             opening.candidates = [opening.best]
             opening.best_wait_ms = messages.MOST_WAIT_MS
-        elif where == 'on' and (not met or wait < best):
+        elif wait is not None and (best is None or wait < best):
             opening.best = self._node.packed_ip
-            opening.best_wait_ms = min(int(wait * _MS), _LONGEST_WAIT_MS)
-        self._pass_on(key, opening, reasons.BUSY)
+            opening.best_wait_ms = messages.wait_ms(wait)
+        reason = reasons.BUSY if opening.is_hopeless else reasons.FULL
+        self._pass_on(key, opening, reason)
 
     def _admit(self, key: bytes, opening: messages.Opening) -> None:
         now = self._node.loop.now
         host = self._host
-        host.note_taken(now)
+        host.note_taken(key, now)
         waiting = Waiting(inet_ntoa(opening.entry), now, opening.packet)
         waiting.opening = opening
         self._waiting[key] = waiting
@@ -280,7 +259,7 @@
             'flow.taken',
             flow=describe(key),
             busy=host.busy,
-            wait_ms=int(host.wait_s() * _MS),
+            wait_ms=int(host.wait_s(self._node.loop.now) * _MS),
             flows=len(self._flows),
             hops=opening.hops,
             version=opening.version,
@@ -304,7 +283,7 @@
             flow=describe(key),
             reason=name,
             busy=host.busy,
-            wait_ms=int(host.wait_s() * _MS),
+            wait_ms=int(host.wait_s(self._node.loop.now) * _MS),
             hops=opening.hops,
             revision=host.revision,
             age_ms=host.age_ms(self._node.loop.now),
@@ -324,6 +303,17 @@
     def _hear_search(self, raw: bytes, ip: str) -> None:
         self._take(_whole(raw[1:]), ip, searching=True)
 
+    def _hear_ask(self, raw: bytes, ip: str) -> None:
+        key, _, _ = messages.read_flow_note(raw)
+        flow = self._flows.get(key)
+        if flow:
+            flow.entry = ip
+            self._note_held(key, flow)
+        else:
+            complete = self._host.seen_whole(self._node.loop.now)
+            kind = messages.ABSENT if complete else messages.UNSURE
+            self._node.send(ip, messages.flow_note(kind, key, 0))
+
     def _take(self, packet: bytes, entry: str, searching: bool) -> None:
         key = packet[FLOW_KEY]
         flow = self._flows.get(key)
@@ -335,31 +325,9 @@
             flow.entry = entry
             if searching:
                 self._note_held(key, flow)
-            self._follow_request(key, flow, packet)
+            self._requests.take_packet(key, flow, packet)
         self._deliver(packet)
 
-    def _follow_request(
-        self,
-        key: bytes,
-        flow: HeldFlow,
-        packet: bytes,
-    ) -> None:
-        before = flow.request
-        request = flow.take_packet(packet, self._node.loop.now)
-        if request is None:
-            return
-        if before is None:
-            request.waited = self._host.wait_s() > 0
-            self._host.busy += 1
-        self._node.meters.count('requests_total')
-        self._node.log(
-            'request.start',
-            id=request.name,
-            flow=describe(key),
-            entry=flow.entry or '-',
-            busy=self._host.busy,
-        )
-
     def _deliver(self, packet: bytes) -> None:
         try:
             self._inbound.send(packet)
@@ -385,7 +353,7 @@
         flows = list(self._flows.items())
         self._flows.clear()
         for key, flow in flows:
-            self._end_request(key, flow, 'host-gone')
+            self._requests.end(key, flow, 'host-gone')
             if flow.established and flow.head and not flow.ended:
                 self._reset(flow.head, 'host-gone')
         self._reports.tell()
@@ -401,10 +369,10 @@
         before = host.record
         if not host.believe(record, self._node.loop.now):
             return
-        if before and (before.flags, before.born_ms) == (
-            record.flags,
-            record.born_ms,
-        ):
+        reborn = before and record.born_ms not in {0, before.born_ms}
+        if before and before.born_ms and reborn:
+            self._forget_flows()
+        elif before and before.flags == record.flags:
             return
         self._node.log(
             'host.changed',
@@ -418,6 +386,12 @@
         )
         self._reports.tell()
 
+    def _forget_flows(self) -> None:
+        """The host started anew: what was seen before holds no more."""
+        for key, flow in list(self._flows.items()):
+            self._flows.pop(key)
+            self._requests.end(key, flow, 'host-restarted')
+
     def _record_due(self) -> bool:
         now = self._node.loop.now
         stale = now - self._host.confirmed > SIDECAR_PATIENCE_S
@@ -458,7 +432,7 @@
             ended = flow.ended and now - flow.ended > _ENDED_S
             if ended or now - flow.seen > _IDLE_S:
                 self._flows.pop(key)
-                self._end_request(key, flow, 'idle')
+                self._requests.end(key, flow, 'idle')
         edge = now - _WAITING_S
         for key, waiting in list(self._waiting.items()):
             if waiting.seen < edge:
