--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -58,7 +58,7 @@
 _MOST_PLACINGS = 3
 # A planned stop: routers leave a node out after two failed probes, half a
 # second apart; in seconds.
-_LINGER_S = 1.5
+_LINGER_S = 1.2
 _MS = 1000
 
 
