Ask for many flows in one datagram, and dead hosts only once

Cause: after a loss of power of a grown site, entries with thin links asked each of 57 hosts for each flow again every 0.09 s and sent whole packets to sidecars that could not tell; the links were full until second 50, and entries met each other only at second 49, as the seeds were down. Change: questions about flows are gathered, a host is asked again only after its sidecar spoke; a sidecar that started together with its host can tell; entries also meet through sidecars. Ruled out: processor time (0.02 of a core); the store (no refusals).

--- a/siskinbank/beliefs/hosts.py
+++ b/siskinbank/beliefs/hosts.py
@@ -30,9 +30,18 @@
         heard: when that came.
         heard_first: when the first one came.
         pending: flows placed there since.
+        left: it fell silent and is known to be gone.
     """
 
-    __slots__ = ('heard', 'heard_first', 'ip', 'packed', 'pending', 'status')
+    __slots__ = (
+        'heard',
+        'heard_first',
+        'ip',
+        'left',
+        'packed',
+        'pending',
+        'status',
+    )
 
     def __init__(self, ip: str, status: Status, heard: float) -> None:
         """Believe a first word."""
@@ -42,6 +51,7 @@
         self.heard = heard
         self.heard_first = heard
         self.pending = 0
+        self.left = False
 
     @property
     def confirmed(self) -> bool:
@@ -50,8 +60,9 @@
 
     def has_left(self, now: float) -> bool:
         """Say whether a host without an entry in the store fell silent."""
-        unregistered = self.status.state == reasons.UNREGISTERED
-        return unregistered and now - self.heard > _LEAVES_S
+        if self.status.state == reasons.UNREGISTERED:
+            self.left = self.left or now - self.heard > _LEAVES_S
+        return self.left
 
 
 class HostBeliefs:
@@ -92,6 +103,7 @@
         belief.status = status
         belief.heard = now
         belief.pending = 0
+        belief.left = False
         if before.service != status.service:
             self._index()
             return True
--- a/siskinbank/beliefs/own_host.py
+++ b/siskinbank/beliefs/own_host.py
@@ -21,6 +21,9 @@
 _DOUBT_S = 0.5
 # Hosts discard flows that are idle for 15 s.
 _WATCHED_S = 18.0
+# A host that began at most this long before its sidecar, in milliseconds,
+# had no other sidecar: one that is killed needs longer to be back.
+_TOGETHER_MS = 250
 
 
 class OwnHost:
@@ -43,6 +46,7 @@
         '_cold_until',
         '_doubt_until',
         '_operator_revision',
+        '_started_ms',
         '_unreachable_at',
         '_watched_since',
         'arriving',
@@ -56,8 +60,15 @@
         'work',
     )
 
-    def __init__(self, service: int, now: float) -> None:
-        """Know nothing but the service."""
+    def __init__(self, service: int, now: float, started_ms: int) -> None:
+        """Know nothing but the service.
+
+        Args:
+            service: digest of the service that the sidecar was set up for.
+            now: time on the clock that counts suspension.
+            started_ms: the time of day, as hosts state the time of their own
+                start.
+        """
         self.service = service
         self.record: messages.Record | None = None
         self.confirmed = NEVER
@@ -72,6 +83,7 @@
         self._unreachable_at = NEVER
         self._doubt_until = now + _DOUBT_S
         self._operator_revision = 0
+        self._started_ms = started_ms
         self._watched_since = now
 
     @property
@@ -102,9 +114,12 @@
     def seen_whole(self, now: float) -> bool:
         """Say whether the sidecar has seen all flows that the host holds.
 
-        It has if it has watched for longer than flows may be idle.
+        It has if it has watched for longer than flows may be idle, or if
+        both started together: a host gets no packet before its sidecar runs.
         """
-        return now - self._watched_since > _WATCHED_S
+        born_ms = self.record.born_ms if self.record else 0
+        together = born_ms > self._started_ms - _TOGETHER_MS
+        return together or now - self._watched_since > _WATCHED_S
 
     def doubt(self, now: float) -> None:
         """Wait for fresh words: time has passed unnoticed."""
--- a/siskinbank/entry/flow_searches.py
+++ b/siskinbank/entry/flow_searches.py
@@ -7,6 +7,8 @@
 # Hosts that have not answered are asked again after this, in seconds: many
 # ways there and back, and less than a client's first retransmission.
 ASK_AGAIN_S = 0.09
+# Pause before a host is asked again, in seconds.
+_PAUSE_S = 0.3
 # How long a search may take, in seconds: a sidecar that was killed is back
 # within it. Later packets of the flow start another one.
 _LONGEST_S = 1.2
@@ -31,7 +33,7 @@
         waiting: the flow's packets since.
     """
 
-    __slots__ = ('absent', 'began', 'first', 'waiting')
+    __slots__ = ('_asked', 'absent', 'began', 'first', 'waiting')
 
     def __init__(self, began: float, first: bytes) -> None:
         """Begin with no answers."""
@@ -39,6 +41,28 @@
         self.first = first
         self.absent: set[str] = set()
         self.waiting: list[bytes] = []
+        self._asked: dict[str, float] = {}
+
+    def to_ask(self, heard: dict[str, float], now: float) -> list[str]:
+        """Return the hosts to ask now; they count as asked.
+
+        Load pattern: hundreds of searches at once, while dozens of hosts are
+        dead. A host is asked again only when its sidecar has spoken since it
+        was asked: it came back, or a datagram was lost.
+
+        Args:
+            heard: when the sidecar of each host spoke last.
+            now: time on the same clock.
+        """
+        hosts = [
+            ip
+            for ip in self.unanswered(list(heard))
+            if heard[ip] > self._asked.get(ip, heard[ip] - 1)
+            and now - self._asked.get(ip, 0) > _PAUSE_S
+        ]
+        for ip in hosts:
+            self._asked[ip] = now
+        return hosts
 
     def keep(self, packet: bytes) -> None:
         """Keep a packet until the host is found."""
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -19,7 +19,7 @@
 __all__ = (
     'ABSENT',
     'ASK_CONFIGURATION',
-    'ASK_FLOW',
+    'ASK_FLOWS',
     'CARRY',
     'CONFIGURATION',
     'DRAINING',
@@ -27,8 +27,10 @@
     'HELD',
     'HELLO',
     'MOST_WAIT_MS',
+    'MOST_KEYS',
     'Malformed',
     'NEWS',
+    'NOT_HELD',
     'News',
     'OPEN',
     'OPERATOR',
@@ -47,8 +49,10 @@
     'digest',
     'flow_note',
     'pack_addresses',
+    'pack_keys',
     'pack_piece',
     'read_flow_note',
+    'read_keys',
     'read_peers',
     'read_piece',
     'search',
@@ -76,10 +80,11 @@
 RECORD = 11
 ASK_CONFIGURATION = 12
 CONFIGURATION = 13
-# Whether a host holds a flow, without a packet, and that its sidecar cannot
-# tell: it began after the host.
-ASK_FLOW = 14
-UNSURE = 15
+# Which of some flows a host holds, by key; which it does not hold, and of
+# which its sidecar cannot tell, as it began after the host.
+ASK_FLOWS = 14
+NOT_HELD = 15
+UNSURE = 16
 
 # Flags of a record: the host has an entry, says that it drains, stands in a
 # data centre that was taken out; the operator's part is known.
@@ -93,6 +98,8 @@
 
 _ADDRESS_BYTES = 4
 _KEY_BYTES = 12
+# Keys in one datagram: fits any link unbroken.
+MOST_KEYS = 90
 _MS = 1000
 _MAX_AGE_MS = 0xFFFFFFFF
 
@@ -224,7 +231,7 @@
     """Write a note about one flow.
 
     Args:
-        kind: HELD, ABSENT, REFUSED, ASK_FLOW or UNSURE.
+        kind: HELD, ABSENT or REFUSED.
         key: the flow's key.
         number: the host's first sequence number, 0 if none is known.
         reason: why a flow was refused, see ``admission.reasons``; with HELD
@@ -243,6 +250,22 @@
     return key, number, reason
 
 
+def pack_keys(kind: int, keys: list[bytes]) -> bytes:
+    """Write a datagram about several flows.
+
+    Args:
+        kind: ASK_FLOWS, NOT_HELD or UNSURE.
+        keys: the flows' keys, MOST_KEYS at most.
+    """
+    return bytes((kind,)) + b''.join(keys)
+
+
+def read_keys(raw: bytes) -> list[bytes]:
+    """Return the keys of a datagram about several flows."""
+    starts = range(1, len(raw) - _KEY_BYTES + 1, _KEY_BYTES)
+    return [raw[start : start + _KEY_BYTES] for start in starts]
+
+
 class Status:
     """What a sidecar says of its host.
 
--- a/siskinbank/relay/reports.py
+++ b/siskinbank/relay/reports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from _socket import inet_ntoa
+from _socket import inet_aton, inet_ntoa
 
 from siskinbank.relay import messages
 from siskinbank.relay.loop import NEVER
@@ -74,6 +74,10 @@
     def _hear_hello(self, raw: bytes, ip: str) -> None:
         self.note_entry(ip)
         self._node.send(ip, self._status().pack())
+        # Seeds may be down: entries also find each other through sidecars.
+        entries = [inet_aton(entry) for entry in self._entries]
+        peers = messages.pack_addresses(messages.PEERS, entries, [])
+        self._node.send(ip, peers)
 
     def _hear_peers(self, raw: bytes, ip: str) -> None:
         self.note_entry(ip)
--- a/siskinbank/relay/seeker.py
+++ b/siskinbank/relay/seeker.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 from siskinbank.entry.flow_searches import ASK_AGAIN_S, Search, Searches
-from siskinbank.platform.packets import FLOW_KEY, describe, route_key
+from siskinbank.platform.packets import describe, route_key
 from siskinbank.relay import messages
+from siskinbank.relay.loop import NEVER
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -27,16 +28,23 @@
 _DOUBT_S = 0.6
 # A list of hosts older than this, in seconds, cannot say that one is gone.
 _FRESH_LIST_S = 1.5
+# Questions that come within this, in seconds, go out together.
+_GATHER_S = 0.01
+# Silent hosts named in one line of the log.
+_MOST_NAMED = 4
 
 
 class Seeker:
     """Searches for one entry, and knows which hosts are gone."""
 
     __slots__ = (
+        '_asked_at',
         '_follower',
+        '_gathering',
         '_gossip',
         '_hosts',
         '_node',
+        '_questions',
         '_reset',
         '_searches',
     )
@@ -64,6 +72,10 @@
         self._gossip = gossip
         self._reset = reset
         self._searches = Searches()
+        self._questions: dict[str, list[bytes]] = {}
+        self._asked_at = NEVER
+        self._gathering = False
+        node.handlers[messages.NOT_HELD] = self._hear_not_held
         node.handlers[messages.UNSURE] = self._hear_unsure
         node.loop.every(ASK_AGAIN_S, self._go_on)
 
@@ -80,12 +92,18 @@
         if route is None:
             self._reset(packet, 'no-route')
             return
-        search = Search(self._node.loop.now, packet)
+        now = self._node.loop.now
+        search = Search(now, packet)
         self._searches.begin(key, search)
         hosts = self._hosts_of(route)
         self._node.meters.count('searches_total')
         self._node.log('flow.search', flow=describe(key), asked=len(hosts))
-        self._ask(search, hosts)
+        self._ask(key, search, hosts)
+        if now - self._asked_at > _GATHER_S:
+            self._send_questions()
+        elif not self._gathering:
+            self._gathering = True
+            self._node.loop.after(_GATHER_S, self._send_questions)
 
     def found(self, key: bytes, ip: str) -> list[bytes]:
         """End a search; return the packets that wait for its end."""
@@ -103,7 +121,7 @@
         search.absent.add(ip)
         route = self._route(key)
         hosts = self._hosts_of(route) if route else []
-        if not search.unanswered(hosts):
+        if not search.unanswered(_addresses(hosts)):
             self._end_if_nowhere(key, search, hosts, route)
         return True
 
@@ -113,7 +131,9 @@
         now = self._node.loop.now
         if host is None or now - host.heard < _DOUBT_S:
             return False
-        return host.has_left(now) or self._is_unregistered(ip)
+        if not host.has_left(now):
+            host.left = self._is_unregistered(ip)
+        return host.left
 
     def _is_unregistered(self, ip: str) -> bool:
         """Say whether the store has lost a host that does not answer."""
@@ -124,17 +144,37 @@
             return False
         return ip not in follower.hosts and follower.trusts_absence()
 
-    def _ask(self, search: Search, hosts: list[str]) -> None:
-        key = search.first[FLOW_KEY]
-        datagram = messages.flow_note(messages.ASK_FLOW, key, 0)
-        for ip in search.unanswered(hosts):
-            self._node.send(ip, datagram)
+    def _ask(self, key: bytes, search: Search, hosts: list[HostBelief]) -> None:
+        """Put a flow on the list of questions to its hosts."""
+        heard = {host.ip: host.heard for host in hosts}
+        for ip in search.to_ask(heard, self._node.loop.now):
+            self._questions.setdefault(ip, []).append(key)
+
+    def _send_questions(self) -> None:
+        """Ask each host for all flows on its list at once.
+
+        Load pattern: a loss of power leaves hundreds of flows to be searched
+        for at many hosts, on entries with thin links.
+        """
+        self._gathering = False
+        self._asked_at = self._node.loop.now
+        questions, self._questions = self._questions, {}
+        for ip, keys in questions.items():
+            for start in range(0, len(keys), messages.MOST_KEYS):
+                some = keys[start : start + messages.MOST_KEYS]
+                datagram = messages.pack_keys(messages.ASK_FLOWS, some)
+                self._node.send(ip, datagram)
+
+    def _hear_not_held(self, raw: bytes, ip: str) -> None:
+        for key in messages.read_keys(raw):
+            self.absent(key, ip)
 
     def _hear_unsure(self, raw: bytes, ip: str) -> None:
-        key, _, _ = messages.read_flow_note(raw)
-        search = self._searches.get(key)
-        if search:
-            self._node.send(ip, messages.search(search.first))
+        """A sidecar cannot tell: its host shall, by the packet itself."""
+        for key in messages.read_keys(raw):
+            search = self._searches.get(key)
+            if search:
+                self._node.send(ip, messages.search(search.first))
 
     def _go_on(self) -> None:
         now = self._node.loop.now
@@ -145,21 +185,27 @@
                 continue
             if self._searches.is_overdue(search, now):
                 self._searches.end(key)
-                silent = ','.join(search.unanswered(hosts)) or '-'
-                self._node.log('flow.absent', flow=describe(key), silent=silent)
+                silent = search.unanswered(_addresses(hosts))
+                self._node.log(
+                    'flow.absent',
+                    flow=describe(key),
+                    silent=','.join(silent[:_MOST_NAMED]) or '-',
+                    count=len(silent),
+                )
             else:
-                self._ask(search, hosts)
+                self._ask(key, search, hosts)
+        self._send_questions()
 
     def _end_if_nowhere(
         self,
         key: bytes,
         search: Search,
-        hosts: list[str],
+        hosts: list[HostBelief],
         route: Route | None,
     ) -> bool:
         """End a flow if all hosts that may hold it have said no."""
         if route:
-            silent = search.unanswered(hosts)
+            silent = search.unanswered(_addresses(hosts))
             left = all(map(self._is_unregistered, silent))
             if not left or not self._knows_hosts_of(route):
                 return False
@@ -170,12 +216,12 @@
     def _route(self, key: bytes) -> Route | None:
         return self._follower.configuration.routes.get(route_key(key))
 
-    def _hosts_of(self, route: Route) -> list[str]:
+    def _hosts_of(self, route: Route) -> list[HostBelief]:
         """Return the hosts that may hold flows of a route."""
         hosts: list[HostBelief] = []
         for service, _ in route.shares:
             hosts.extend(self._hosts.of_service(messages.digest(service)))
-        return [host.ip for host in hosts if not self.has_left(host.ip)]
+        return [host for host in hosts if not self.has_left(host.ip)]
 
     def _knows_hosts_of(self, route: Route) -> bool:
         """Say whether every host with an entry in the store was heard."""
@@ -188,3 +234,7 @@
             for ip, record in follower.hosts.items()
             if record.service in services
         )
+
+
+def _addresses(hosts: list[HostBelief]) -> list[str]:
+    return [host.ip for host in hosts]
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -10,6 +10,7 @@
     inet_ntoa,
     socket,
 )
+from time import time
 
 from siskinbank.admission import reasons
 from siskinbank.admission.arrivals import where_to_wait
@@ -80,7 +81,8 @@
         self._waiting: dict[bytes, Waiting] = {}
         self._stop_at: float = 0
         service = messages.digest(settings.service or '')
-        self._host = OwnHost(service, node.loop.now)
+        started_ms = int(time() * _MS)
+        self._host = OwnHost(service, node.loop.now, started_ms)
         self._requests = RequestWatch(node, self._host)
         self._follower = Follower(node, self._store_read, self._store_read)
         self._follower.hosts_due = self._record_due
@@ -94,7 +96,7 @@
         node.handlers[messages.OPEN] = self._hear_open
         node.handlers[messages.CARRY] = self._hear_carry
         node.handlers[messages.SEARCH] = self._hear_search
-        node.handlers[messages.ASK_FLOW] = self._hear_ask
+        node.handlers[messages.ASK_FLOWS] = self._hear_ask
         node.handlers[messages.RECORD] = self._hear_record
         node.loop.watch(self._outbound.fileno(), self._receive)
         node.loop.watch(self._inbound.fileno(), self._hear_error)
@@ -304,15 +306,18 @@
         self._take(_whole(raw[1:]), ip, searching=True)
 
     def _hear_ask(self, raw: bytes, ip: str) -> None:
-        key, _, _ = messages.read_flow_note(raw)
-        flow = self._flows.get(key)
-        if flow:
-            flow.entry = ip
-            self._note_held(key, flow)
-        else:
-            complete = self._host.seen_whole(self._node.loop.now)
-            kind = messages.ABSENT if complete else messages.UNSURE
-            self._node.send(ip, messages.flow_note(kind, key, 0))
+        unknown: list[bytes] = []
+        for key in messages.read_keys(raw):
+            flow = self._flows.get(key)
+            if flow:
+                flow.entry = ip
+                self._note_held(key, flow)
+            else:
+                unknown.append(key)
+        if unknown:
+            whole = self._host.seen_whole(self._node.loop.now)
+            kind = messages.NOT_HELD if whole else messages.UNSURE
+            self._node.send(ip, messages.pack_keys(kind, unknown))
 
     def _take(self, packet: bytes, entry: str, searching: bool) -> None:
         key = packet[FLOW_KEY]
--- a/tests/beliefs/test_own_host.py
+++ b/tests/beliefs/test_own_host.py
@@ -32,7 +32,7 @@
 
     def setUp(self) -> None:
         """Know a healthy host at time 100."""
-        self.host = OwnHost(SERVICE, 100)
+        self.host = OwnHost(SERVICE, 100, 50_000)
         self.host.believe(record(), 100)
 
     def test_from_the_store(self) -> None:
@@ -113,7 +113,7 @@
 
     def test_until_a_word_comes(self) -> None:
         """Or half a second has passed: then old beliefs serve."""
-        host = OwnHost(SERVICE, 100)
+        host = OwnHost(SERVICE, 100, 50_000)
         self.assertTrue(host.in_doubt(100.4))
         self.assertFalse(host.in_doubt(100.6))
         self.assertEqual(host.reason_against(SERVICE, 100), reasons.NONE)
@@ -122,3 +122,28 @@
         host.believe(record(), 200.1)
         self.assertFalse(host.in_doubt(200.1))
         self.assertEqual(host.age_ms(200.3), 200)
+
+
+class TestSeenWhole(unittest.TestCase):
+    """Whether the sidecar can speak for its host."""
+
+    def test_started_together_or_watched_for_long(self) -> None:
+        """Load pattern: searches after a loss of power of whole machines."""
+        for born_ms, whole in ((7, False), (49_700, False), (49_900, True)):
+            host = OwnHost(SERVICE, 100, 50_000)
+            self.assertFalse(host.seen_whole(101))
+            found = record()
+            found.born_ms = born_ms
+            host.believe(found, 101)
+            self.assertEqual(host.seen_whole(101), whole)
+            self.assertTrue(host.seen_whole(119))
+
+    def test_a_host_that_starts_anew_is_watched_anew(self) -> None:
+        """What was seen of its life before says nothing."""
+        host = OwnHost(SERVICE, 100, 50_000)
+        host.believe(record(), 101)
+        self.assertTrue(host.seen_whole(119))
+        reborn = record(20)
+        reborn.born_ms = 8
+        host.believe(reborn, 120)
+        self.assertFalse(host.seen_whole(121))
--- a/tests/entry/test_flow_cache.py
+++ b/tests/entry/test_flow_cache.py
@@ -85,6 +85,19 @@
         self.assertFalse(searches.is_overdue(search, 1))
         self.assertTrue(searches.is_overdue(search, 1.3))
 
+    def test_dead_hosts_are_asked_once(self) -> None:
+        """Load pattern: many searches while dozens of hosts are dead."""
+        search = Search(100, b'first')
+        heard = {'dead': 99.5, 'living': 99.9}
+        self.assertEqual(search.to_ask(heard, 100), ['dead', 'living'])
+        for step in range(1, 12):
+            self.assertEqual(search.to_ask(heard, 100 + step / 10), [])
+        heard['living'] = 101.1
+        self.assertEqual(search.to_ask(heard, 101.2), ['living'])
+        search.absent.add('living')
+        heard['living'] = 101.5
+        self.assertEqual(search.to_ask(heard, 101.6), [])
+
     def test_a_repeated_packet_is_kept_once(self) -> None:
         """The hosts have the first one already."""
         search = Search(0, b'first')
--- a/tests/relay/test_messages.py
+++ b/tests/relay/test_messages.py
@@ -64,6 +64,14 @@
         piece = messages.pack_piece(9, 1, 3, b'piece')
         self.assertEqual(messages.read_piece(piece), (9, 1, 3, b'piece'))
 
+    def test_keys(self) -> None:
+        """Of several flows in one datagram."""
+        keys = [bytes((number,)) * 12 for number in range(messages.MOST_KEYS)]
+        raw = messages.pack_keys(messages.UNSURE, keys)
+        self.assertLessEqual(len(raw), 1200)
+        self.assertEqual(messages.read_keys(raw), keys)
+        self.assertEqual(messages.read_keys(raw[:-1]), keys[:-1])
+
     @given(st.binary(max_size=80))
     def test_anything_else(self, raw: bytes) -> None:
         """It is read or refused, never more."""
@@ -74,6 +82,7 @@
             messages.Record.read,
             messages.read_flow_note,
             messages.read_piece,
+            messages.read_keys,
             messages.read_peers,
         )
         for read in readers:
