Let no fault of one subscriber end a process; bound the numbers of entries

Looking for it: a connection reset between its opening and the request raised out of the loop; an entry of another writer with more slots or a larger start than fits a datagram would have ended each reader. Change: both are handled; the loop logs a fault of a subscriber with its place (R104) and goes on.

--- a/siskinbank/platform/documents.py
+++ b/siskinbank/platform/documents.py
@@ -7,6 +7,10 @@
 __all__ = ('Unreadable', 'decode', 'number_in', 'text_in', 'whole_in')
 
 
+# Numbers beyond this are no counts, times or revisions.
+_MOST = 1 << 62
+
+
 class Unreadable(ValueError):
     """A document or a field that does not hold what it should."""
 
@@ -53,7 +57,7 @@
 
 
 def whole_in(document: dict[str, object], name: str) -> int:
-    """Return a field that holds a whole number, never a boolean.
+    """Return a field that holds a whole number from 0 on, never a boolean.
 
     Raises:
         Unreadable: the field is missing or holds something else.
@@ -61,11 +65,13 @@
     found = document.get(name)
     if not isinstance(found, int) or isinstance(found, bool):
         raise Unreadable(f'{name} is no whole number')
+    if not 0 <= found <= _MOST:
+        raise Unreadable(f'{name} is out of range')
     return found
 
 
 def number_in(document: dict[str, object], name: str, default: float) -> float:
-    """Return a field that holds a number, or the default if it is missing.
+    """Return a field that holds a number from 0 on, or the default.
 
     Raises:
         Unreadable: the field holds something else.
@@ -73,4 +79,6 @@
     found = document.get(name, default)
     if not isinstance(found, int | float) or isinstance(found, bool):
         raise Unreadable(f'{name} is no number')
+    if not 0 <= found <= _MOST:
+        raise Unreadable(f'{name} is out of range')
     return float(found)
--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -24,6 +24,8 @@
 # Steps in which the share of a weighted service is drawn.
 _DRAWS = 1 << 16
 _MAX_PORT = 65535
+# More slots than this are not counted.
+_MOST_SLOTS = 65535
 # For a route that states no time limit: the shortest of the users' requests.
 _DEFAULT_LIMIT_MS = 1500
 
@@ -61,7 +63,7 @@
         self.service = text_in(document, 'Service')
         self.ip = _host_ip(text_in(document, 'Address'))
         self.data_centre = text_in(document, 'Zone')
-        self.slots = max(1, whole_in(document, 'Slots'))
+        self.slots = min(max(1, whole_in(document, 'Slots')), _MOST_SLOTS)
         state = text_in(document, 'State')
         if state not in {'ready', 'draining'}:
             raise Unreadable(f'State {state!r} is unknown')
--- a/siskinbank/relay/catalogue.py
+++ b/siskinbank/relay/catalogue.py
@@ -12,6 +12,7 @@
     'process.stopping': 'R101',
     'process.stop': 'R102',
     'process.stalled': 'R103',
+    'process.fault': 'R104',
     'settings.reload': 'R110',
     'settings.refused': 'R111',
     'log.dropped': 'R120',
--- a/siskinbank/relay/http.py
+++ b/siskinbank/relay/http.py
@@ -121,7 +121,11 @@
                     self._finish(0, b'')
                     return
                 self._loop.watch_writing(connection.fileno(), writing=False)
-                connection.send(unsent.pop())
+                try:
+                    connection.send(unsent.pop())
+                except OSError:
+                    # Reset as soon as it was open.
+                    self._finish(0, b'')
                 return
             self._read(connection)
 
--- a/siskinbank/relay/loop.py
+++ b/siskinbank/relay/loop.py
@@ -49,7 +49,15 @@
     before it has aged when it wakes.
     """
 
-    __slots__ = ('_callbacks', '_poll', '_running', '_stalls', '_timers', 'now')
+    __slots__ = (
+        '_callbacks',
+        '_poll',
+        '_running',
+        '_stalls',
+        '_timers',
+        'now',
+        'on_fault',
+    )
 
     def __init__(self) -> None:
         """Start with no subscribers."""
@@ -58,7 +66,9 @@
         self._callbacks: dict[int, Callable[[int], None]] = {}
         self._timers: list[Timer] = []
         self._stalls: list[Callable[[float], None]] = []
-        self._running = True
+        self._running = False
+        #: Takes a fault of a subscriber; without one it ends the process.
+        self.on_fault: Callable[[Exception], None] | None = None
 
     def watch(self, descriptor: int, callback: Callable[[int], None]) -> None:
         """Call back with the events whenever the descriptor can be read."""
@@ -98,6 +108,7 @@
 
     def run(self) -> None:
         """Serve until stopped."""
+        self._running = True
         while self._running:
             self._turn()
 
@@ -113,7 +124,7 @@
         for descriptor, event in events:
             callback = self._callbacks.get(descriptor)
             if callback:
-                callback(event)
+                self._call(callback, event)
         self._run_timers()
 
     def _wait_s(self) -> float:
@@ -129,7 +140,16 @@
                 timer.due = self.now + timer.period
             else:
                 self.cancel(timer)
-            timer.callback()
+            self._call(timer.callback)
+
+    def _call(self, callback: Callable[..., None], *words: int) -> None:
+        """Call a subscriber; a fault in one of them ends no other."""
+        try:
+            callback(*words)
+        except Exception as fault:
+            if self.on_fault is None:
+                raise
+            self.on_fault(fault)
 
     def _add(self, timer: Timer) -> Timer:
         self._timers.append(timer)
--- a/siskinbank/relay/node.py
+++ b/siskinbank/relay/node.py
@@ -87,6 +87,7 @@
         self.loop.every(_SIGNALS_S, self._serve_signals)
         self.loop.every(_SETTINGS_S, self.reload)
         self.loop.on_stall(self._note_stall)
+        self.loop.on_fault = self._note_fault
         self._servers = [
             Server(
                 self.loop,
@@ -194,6 +195,23 @@
             self.log('process.stopping', instance=self.settings.instance)
             self.stopping()
 
+    def _note_fault(self, fault: Exception) -> None:
+        """Log a fault of the program with the place where it happened."""
+        trace = fault.__traceback__
+        while trace is not None and trace.tb_next is not None:
+            trace = trace.tb_next
+        place = '-'
+        if trace is not None:
+            code = trace.tb_frame.f_code
+            place = f'{code.co_filename}:{trace.tb_lineno}'
+        self.meters.count('faults_total')
+        self.log(
+            'process.fault',
+            kind=type(fault).__name__,
+            reason=_no_blanks(fault),
+            place=place,
+        )
+
     def _note_stall(self, lost: float) -> None:
         self.meters.count('stalls_total')
         self.log('process.stalled', seconds=round(lost, 2))
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -58,6 +58,11 @@
             changed(Service=None),
             changed(Slots='3'),
             changed(Slots=True),
+            changed(Slots=-1),
+            changed(born=-1),
+            changed(born=1 << 70),
+            changed(WarmupLeftMs=float('nan')),
+            changed(WarmupLeftMs=float('inf')),
             changed(State='asleep'),
             changed(Address='here'),
             changed(Address='10.0.0:80'),
@@ -69,6 +74,10 @@
             with self.subTest(raw=raw), self.assertRaises(Unreadable):
                 decode_host(raw)
 
+    def test_more_slots_than_can_be(self) -> None:
+        """They are counted as the most that there are."""
+        self.assertEqual(decode_host(changed(Slots=10**9)).slots, 65535)
+
     @given(st.binary() | JSON.map(lambda value: json.dumps(value).encode()))
     def test_anything_else(self, raw: bytes) -> None:
         """It is read or refused, never more."""
