Let sidecars leave the store to the entries when all start at once

Change: a sidecar counts what it read itself, and asks a second after its start at the earliest. Ruled out: the readers' order (two calls a second from one entry).

--- a/siskinbank/beliefs/freshness.py
+++ b/siskinbank/beliefs/freshness.py
@@ -10,11 +10,11 @@
 from __future__ import annotations
 
 __all__ = (
-    'SIDECAR_PATIENCE_S',
     'hosts_patience_s',
     'operator_patience_s',
     'pause_after_failures_s',
     'rank_of',
+    'sidecar_reads',
 )
 
 # Ages at which knowledge is renewed, in seconds. Three seconds are allowed
@@ -27,7 +27,10 @@
 # Beyond this rank all wait the same, in places.
 _MOST_STEPS = 4
 # A sidecar reads for itself when no entry has told it anything for so long.
-SIDECAR_PATIENCE_S = 2.1
+_SIDECAR_PATIENCE_S = 2.1
+# After its start it asks a second later: entries that start beside it read
+# first.
+_START_CREDIT_S = 1.1
 
 # Pauses after failed calls, in seconds: doubling, as a store that is down
 # has a price too; short enough to be back within a second of its return.
@@ -55,6 +58,27 @@
     return _OPERATOR_NEXT_S + _STEP_S * min(rank - 1, _MOST_STEPS)
 
 
+def sidecar_reads(
+    now: float,
+    started: float,
+    told: float,
+    seen: float,
+) -> bool:
+    """Say whether a sidecar reads the store for itself.
+
+    Load pattern: all processes start at once, before their hosts have written
+    their entries; nobody can tell them anything yet, and each would ask.
+
+    Args:
+        now: the time.
+        started: when the sidecar started.
+        told: when the store last confirmed what an entry told it.
+        seen: when it last read for itself.
+    """
+    newest = max(told, seen, started - _START_CREDIT_S)
+    return now - newest > _SIDECAR_PATIENCE_S
+
+
 def pause_after_failures_s(failures: int, rank: int) -> float:
     """Return how long to leave the store alone after failed calls in a row."""
     if not failures:
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -14,7 +14,7 @@
 
 from siskinbank.admission import reasons
 from siskinbank.admission.arrivals import where_to_wait
-from siskinbank.beliefs.freshness import SIDECAR_PATIENCE_S
+from siskinbank.beliefs.freshness import sidecar_reads
 from siskinbank.beliefs.own_host import OwnHost
 from siskinbank.platform.packets import (
     BOUNCED,
@@ -80,18 +80,19 @@
         self._flows: dict[bytes, HeldFlow] = {}
         self._waiting: dict[bytes, Waiting] = {}
         self._stop_at: float = 0
+        self._started = node.loop.now
         service = messages.digest(settings.service or '')
         started_ms = int(time() * _MS)
         self._host = OwnHost(service, node.loop.now, started_ms)
         self._requests = RequestWatch(node, self._host)
         self._follower = Follower(node, self._store_read, self._store_read)
-        self._follower.hosts_due = self._record_due
-        self._follower.operator_due = self._record_due
+        self._follower.hosts_due = self._hosts_due
+        self._follower.operator_due = self._operator_due
         self._outbound = open_datagrams(settings.host_output)
         self._packets = open_datagrams((settings.ip, settings.packet_port))
         self._inbound = _connect(settings.host_address)
         self._reports = Reports(node, self._host, self._flows.__len__)
-        node.ready = self._is_ready
+        node.ready = lambda: not self._host.stopping
         node.stopping = self._begin_stop
         node.handlers[messages.OPEN] = self._hear_open
         node.handlers[messages.CARRY] = self._hear_carry
@@ -397,10 +398,16 @@
             self._flows.pop(key)
             self._requests.end(key, flow, 'host-restarted')
 
-    def _record_due(self) -> bool:
+    def _hosts_due(self) -> bool:
+        return self._reads_itself(self._follower.hosts_seen)
+
+    def _operator_due(self) -> bool:
+        return self._reads_itself(self._follower.operator_seen)
+
+    def _reads_itself(self, seen: float) -> bool:
+        """Say whether no entry has told what this sidecar needs to know."""
         now = self._node.loop.now
-        stale = now - self._host.confirmed > SIDECAR_PATIENCE_S
-        return stale and not self._host.in_doubt(now)
+        return sidecar_reads(now, self._started, self._host.confirmed, seen)
 
     def _store_read(self) -> None:
         follower = self._follower
@@ -413,9 +420,6 @@
 
     # Life of the process.
 
-    def _is_ready(self) -> bool:
-        return not self._host.stopping
-
     def _note_stall(self, lost: float) -> None:
         self._host.doubt(self._node.loop.now)
 
--- a/tests/beliefs/test_freshness.py
+++ b/tests/beliefs/test_freshness.py
@@ -7,6 +7,7 @@
     operator_patience_s,
     pause_after_failures_s,
     rank_of,
+    sidecar_reads,
 )
 
 # From a host's word to its effect everywhere.
@@ -33,6 +34,21 @@
         for patience in (hosts_patience_s, operator_patience_s):
             self.assertLessEqual(patience(2) + 0.25, _ALLOWED_S - 1)
 
+    def test_sidecars_leave_the_store_to_entries(self) -> None:
+        """Replay: 20 s from the start, told every second or not at all."""
+        for told, most in ((True, 0), (False, 10)):
+            reads = 0
+            seen, heard = -1e9, -1e9
+            for step in range(200):
+                now = 100 + step / 10
+                heard = float(int(now)) if told else heard
+                if sidecar_reads(now, 100, heard, seen):
+                    reads += 1
+                    seen = now
+            self.assertLessEqual(reads, most)
+        self.assertFalse(sidecar_reads(100.9, 100, -1e9, -1e9))
+        self.assertTrue(sidecar_reads(101.2, 100, -1e9, -1e9))
+
     def test_a_store_that_is_down_is_asked_less_and_less(self) -> None:
         """But at least once a second by the first reader."""
         pauses = [pause_after_failures_s(count, 0) for count in range(9)]
