--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -20,19 +20,18 @@
     MAX_PACKET_BYTES,
     RST,
     SYN,
-    client_address,
     describe,
     flags_of,
     problem_of,
-    reset_for,
     route_key,
     sequence_numbers,
 )
 from siskinbank.relay import messages
+from siskinbank.relay.datagrams import open_datagrams, read_datagrams
 from siskinbank.relay.follower import Follower
 from siskinbank.relay.gossip import Gossip
 from siskinbank.relay.handover import Handover
-from siskinbank.relay.node import Node, open_datagrams
+from siskinbank.relay.node import Node
 from siskinbank.relay.seeker import Seeker
 
 TYPE_CHECKING = False
@@ -41,8 +40,6 @@
 
 __all__ = ('Entry',)
 
-# Datagrams read before other sockets get their turn.
-_READS_A_TURN = 64
 _SWEEP_S = 5.0
 # Packets kept while the process learns where to send them, and for how long,
 # in seconds: clients give up a flow that is not answered within 1.4 s.
@@ -105,18 +102,14 @@
     # Packets of clients.
 
     def _receive(self, events: int) -> None:
-        receive = self._clients.recv
-        for _ in range(_READS_A_TURN):
-            try:
-                packet = receive(MAX_PACKET_BYTES + 1)
-            except OSError:
-                # Nothing left, or an error report for an earlier datagram.
-                return
-            problem = problem_of(packet)
-            if problem:
-                self._node.meters.count(f'packets_refused_{problem}_total')
-            else:
-                self._take(packet)
+        read_datagrams(self._clients, MAX_PACKET_BYTES + 1, self._check)
+
+    def _check(self, packet: bytes, address: tuple[str, int]) -> None:
+        problem = problem_of(packet)
+        if problem:
+            self._node.meters.count(f'packets_refused_{problem}_total')
+        else:
+            self._take(packet)
 
     def _take(self, packet: bytes) -> None:
         if flags_of(packet) & SYN:
@@ -247,20 +240,8 @@
                     self._take(packet)
 
     def _reset(self, packet: bytes, reason: str) -> None:
-        key = packet[FLOW_KEY]
-        self._flows.drop(key)
-        self._node.meters.count('resets_total')
-        self._node.log(
-            'flow.reset',
-            flow=describe(key),
-            reason=reason,
-            version=self._follower.configuration.version,
-        )
-        address = (client_address(key), self._node.settings.packet_port)
-        try:
-            self._clients.sendto(reset_for(packet), address)
-        except OSError:
-            self._node.meters.count('send_errors_total')
+        self._flows.drop(packet[FLOW_KEY])
+        self._node.reset_flow(self._clients, packet, reason)
 
     def _search(self, key: bytes, packet: bytes) -> None:
         if not self._knows():
--- a/siskinbank/relay/http.py
+++ b/siskinbank/relay/http.py
@@ -132,12 +132,9 @@
         return ready
 
     def _read(self, connection: socket) -> None:
-        try:
-            received = connection.recv(_READ_BYTES)
-        except BlockingIOError:
+        received = _receive(connection)
+        if received is None:
             return
-        except OSError:
-            received = b''
         if not received:
             self._finish(0, b'')
             return
@@ -215,12 +212,9 @@
         pending = bytearray()
 
         def ready(events: int) -> None:
-            try:
-                received = connection.recv(_READ_BYTES)
-            except BlockingIOError:
+            received = _receive(connection)
+            if received is None:
                 return
-            except OSError:
-                received = b''
             pending.extend(received)
             if not received or len(pending) > _READ_BYTES:
                 self._close(descriptor)
@@ -257,6 +251,17 @@
         self._connections.pop(descriptor).close()
 
 
+def _receive(connection: socket) -> bytes | None:
+    """Return what has come, nothing at the end, None if there is none yet."""
+    try:
+        return connection.recv(_READ_BYTES)
+    except BlockingIOError:
+        return None
+    except OSError:
+        # Reset: the connection is over as at its end.
+        return b''
+
+
 def _split(received: bytes) -> tuple[bytes, bytes] | None:
     """Return head and body once both are whole."""
     head, found, rest = received.partition(_HEAD_END)
--- a/siskinbank/relay/node.py
+++ b/siskinbank/relay/node.py
@@ -9,19 +9,17 @@
     SIGTERM,
     signal,
 )
-from _socket import (
-    AF_INET,
-    SO_RCVBUF,
-    SOCK_CLOEXEC,
-    SOCK_DGRAM,
-    SOCK_NONBLOCK,
-    SOL_SOCKET,
-    inet_aton,
-    socket,
-)
+from _socket import inet_aton
 
 from siskinbank.platform.documents import Unreadable
+from siskinbank.platform.packets import (
+    FLOW_KEY,
+    client_address,
+    describe,
+    reset_for,
+)
 from siskinbank.platform.settings import read_settings
+from siskinbank.relay.datagrams import open_datagrams, read_datagrams
 from siskinbank.relay.http import Server
 from siskinbank.relay.log import Log
 from siskinbank.relay.loop import Loop
@@ -30,24 +28,21 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from _socket import socket
     from collections.abc import Callable
 
     #: Takes a datagram and the address of its sender.
     Handler = Callable[[bytes, str], None]
 
-__all__ = ('READY_PATH', 'Node', 'open_datagrams')
+__all__ = ('READY_PATH', 'Node')
 
 READY_PATH = '/api/ready'
 METRICS_PATH = '/metrics'
 # The port that deploy/system.toml names for metrics.
 METRICS_PORT = 9464
 
-# Room for half a second of the busiest process's datagrams.
-_RECEIVE_BUFFER_BYTES = 1 << 20
 # The longest datagram: a packet, the head around it, and candidates.
 _READ_BYTES = 4096
-# Datagrams read from one socket before the others get their turn.
-_READS_A_TURN = 64
 # Settings may change without a signal; they are looked at this often, in
 # seconds: seeds may come late, and a start without them waits for this.
 _SETTINGS_S = 1.0
@@ -139,17 +134,28 @@
             )
         self.settings = fresh
 
+    def reset_flow(self, sender: socket, packet: bytes, reason: str) -> None:
+        """End the flow of a client's packet.
+
+        Args:
+            sender: any socket of this process.
+            packet: the packet.
+            reason: why, for the log.
+        """
+        key = packet[FLOW_KEY]
+        self.meters.count('resets_total')
+        self.log('flow.reset', flow=describe(key), reason=reason)
+        address = (client_address(key), self.settings.packet_port)
+        try:
+            sender.sendto(reset_for(packet), address)
+        except OSError:
+            self.meters.count('send_errors_total')
+
     def _receive(self, events: int) -> None:
-        peers = self._peers
-        for _ in range(_READS_A_TURN):
-            try:
-                datagram, sender = peers.recvfrom(_READ_BYTES)
-            except OSError:
-                # Nothing left, or an error report for an earlier datagram.
-                return
-            self._handle(datagram, sender[0])
-
-    def _handle(self, datagram: bytes, sender: str) -> None:
+        read_datagrams(self._peers, _READ_BYTES, self._handle)
+
+    def _handle(self, datagram: bytes, address: tuple[str, int]) -> None:
+        sender = address[0]
         handler = self.handlers.get(datagram[0]) if datagram else None
         if handler is None:
             self.meters.count('peer_datagrams_refused_total')
@@ -217,17 +223,5 @@
         self.log('process.stalled', seconds=round(lost, 2))
 
 
-def open_datagrams(address: tuple[str, int]) -> socket:
-    """Open a UDP socket that never waits.
-
-    Raises:
-        OSError: the address cannot be had.
-    """
-    datagrams = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC)
-    datagrams.setsockopt(SOL_SOCKET, SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
-    datagrams.bind(address)
-    return datagrams
-
-
 def _no_blanks(error: Exception) -> str:
     return str(error).replace(' ', '_')
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -2,14 +2,7 @@
 
 from __future__ import annotations
 
-from _socket import (
-    AF_INET,
-    SOCK_CLOEXEC,
-    SOCK_DGRAM,
-    SOCK_NONBLOCK,
-    inet_ntoa,
-    socket,
-)
+from _socket import inet_ntoa
 from time import time
 
 from siskinbank.admission import reasons
@@ -29,12 +22,16 @@
     describe,
     flags_of,
     not_bounced,
-    reset_for,
     sequence_numbers,
 )
 from siskinbank.relay import messages
+from siskinbank.relay.datagrams import (
+    connect_datagrams,
+    open_datagrams,
+    read_datagrams,
+)
 from siskinbank.relay.follower import Follower
-from siskinbank.relay.node import Node, open_datagrams
+from siskinbank.relay.node import Node
 from siskinbank.relay.records import record_for
 from siskinbank.relay.reports import Reports
 from siskinbank.relay.request_watch import RequestWatch
@@ -42,8 +39,6 @@
 
 __all__ = ('Sidecar',)
 
-# Datagrams read before other sockets get their turn.
-_READS_A_TURN = 64
 _SWEEP_S = 2.0
 # A flow that is over is remembered this long, in seconds, for the last
 # packets that its client repeats.
@@ -90,7 +85,7 @@
         self._follower.operator_due = self._operator_due
         self._outbound = open_datagrams(settings.host_output)
         self._packets = open_datagrams((settings.ip, settings.packet_port))
-        self._inbound = _connect(settings.host_address)
+        self._inbound = connect_datagrams(settings.host_address)
         self._reports = Reports(node, self._host, self._flows.__len__)
         node.ready = lambda: not self._host.stopping
         node.stopping = self._begin_stop
@@ -107,19 +102,15 @@
     # Packets of the host.
 
     def _receive(self, events: int) -> None:
-        receive = self._outbound.recv
-        for _ in range(_READS_A_TURN):
-            try:
-                packet = receive(MAX_PACKET_BYTES + 1)
-            except OSError:
-                # Nothing left, or an error report for an earlier datagram.
-                return
-            if len(packet) < HEAD_BYTES:
-                self._node.meters.count('packets_refused_short_total')
-            elif flags_of(packet) & BOUNCED:
-                self._take_back(not_bounced(packet))
-            else:
-                self._send_out(packet)
+        read_datagrams(self._outbound, MAX_PACKET_BYTES + 1, self._check)
+
+    def _check(self, packet: bytes, address: tuple[str, int]) -> None:
+        if len(packet) < HEAD_BYTES:
+            self._node.meters.count('packets_refused_short_total')
+        elif flags_of(packet) & BOUNCED:
+            self._take_back(not_bounced(packet))
+        else:
+            self._send_out(packet)
 
     def _send_out(self, packet: bytes) -> None:
         key = answer_key(packet)
@@ -176,20 +167,10 @@
             return
         if flow.established:
             # The host worked on it and knows nothing of it any more.
-            self._reset(packet, 'host-forgot')
+            self._node.reset_flow(self._packets, packet, 'host-forgot')
         elif flow.entry:
             self._note_absent(key, flow.entry, packet)
 
-    def _reset(self, packet: bytes, reason: str) -> None:
-        key = packet[FLOW_KEY]
-        self._node.meters.count('resets_total')
-        self._node.log('flow.reset', flow=describe(key), reason=reason)
-        address = (client_address(key), self._node.settings.packet_port)
-        try:
-            self._packets.sendto(reset_for(packet), address)
-        except OSError:
-            self._node.meters.count('send_errors_total')
-
     def _note_held(self, key: bytes, flow: HeldFlow) -> None:
         if flow.entry:
             note = messages.flow_note(
@@ -361,7 +342,7 @@
         for key, flow in flows:
             self._requests.end(key, flow, 'host-gone')
             if flow.established and flow.head and not flow.ended:
-                self._reset(flow.head, 'host-gone')
+                self._node.reset_flow(self._packets, flow.head, 'host-gone')
         self._reports.tell()
 
     # What is known of the host.
@@ -448,13 +429,6 @@
                 self._waiting.pop(key)
 
 
-def _connect(address: tuple[str, int]) -> socket:
-    """Open a UDP socket to the host, which reports when nobody listens."""
-    inbound = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC)
-    inbound.connect(address)
-    return inbound
-
-
 def _whole(packet: bytes) -> bytes:
     """Return a packet that has at least a head.
 
