--- a/siskinbank/admission/reasons.py
+++ b/siskinbank/admission/reasons.py
@@ -56,8 +56,15 @@
 SHORT = frozenset((COLD, FULL))
 # Reasons for which other hosts than those asked may be better.
 LOCAL = frozenset(
-    (OTHER_SERVICE, DRAINING, OUT, STOPPING, UNREACHABLE, UNREGISTERED)
-    + (HOST_REFUSED,),
+    (
+        OTHER_SERVICE,
+        DRAINING,
+        OUT,
+        STOPPING,
+        UNREACHABLE,
+        UNREGISTERED,
+        HOST_REFUSED,
+    ),
 )
 
 
--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -97,11 +97,6 @@
         self._return = StoreReturn()
         node.loop.every(_CHECK_S, self.check)
 
-    @property
-    def reachable(self) -> bool:
-        """Whether the last listing of hosts was answered."""
-        return not self._hosts_line.failures
-
     def check(self) -> None:
         """Make the calls that are due."""
         if self._may_call(self._hosts_line) and self.hosts_due():
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 """Tests of calls to the store and of its answers."""
 
+import json
 import unittest
 
 from siskinbank.platform.documents import Unreadable
@@ -8,7 +9,9 @@
     HOSTS,
     OPERATOR,
     changes_path,
+    key_path,
     page_path,
+    read_change,
     read_page,
     read_watch,
 )
@@ -26,6 +29,15 @@
         self.assertTrue(call.stale)
         self.assertFalse(read_call(page_path(HOSTS)).stale)
 
+    def test_one_item(self) -> None:
+        """By its key; the answer is that item."""
+        call = read_call(key_path('op/config'))
+        self.assertEqual((call.kind, call.prefix), ('read', 'op/config'))
+        item = Item('op/config', b'{}', 7).document()
+        change = read_change(json.dumps({**item, 'At': 9}).encode())
+        self.assertEqual((change.key, change.content), ('op/config', b'{}'))
+        self.assertEqual(change.revision, 7)
+
     def test_watch(self) -> None:
         """With a revision, and whole milliseconds to wait."""
         call = read_call(changes_path(OPERATOR, 41, 1.0004))
