Name the configuration in an entry's resets again; keep the ready path in the adapter

Cause: the shared reset lost the version that decided it, which the operations page shows; the platform's path for readiness stood outside siskinbank/platform; the text of an error was made one word in three places. Change: Node.reset_flow takes what else decided; READY_PATH moves to platform/settings.py; relay/log.py has no_blanks. Before: no version in the line, and the new assertion has nothing to match.

--- a/siskinbank/platform/settings.py
+++ b/siskinbank/platform/settings.py
@@ -4,7 +4,10 @@
 
 from siskinbank.platform.documents import Unreadable, decode, text_in
 
-__all__ = ('SETTINGS_VARIABLE', 'Settings', 'read_settings')
+__all__ = ('READY_PATH', 'SETTINGS_VARIABLE', 'Settings', 'read_settings')
+
+# Where the platform asks whether a process takes work.
+READY_PATH = '/api/ready'
 
 SETTINGS_VARIABLE = 'SISKINBANK_SETTINGS'
 
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -241,7 +241,8 @@
 
     def _reset(self, packet: bytes, reason: str) -> None:
         self._flows.drop(packet[FLOW_KEY])
-        self._node.reset_flow(self._clients, packet, reason)
+        version = self._follower.configuration.version
+        self._node.reset_flow(self._clients, packet, reason, version=version)
 
     def _search(self, key: bytes, packet: bytes) -> None:
         if not self._knows():
--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -18,6 +18,7 @@
     read_watch,
 )
 from siskinbank.relay.http import Client
+from siskinbank.relay.log import no_blanks
 from siskinbank.relay.loop import NEVER
 
 TYPE_CHECKING = False
@@ -267,5 +268,4 @@
 
     def _refuse(self, event: str, source: str, error: Exception) -> None:
         self._node.meters.count('records_refused_total')
-        reason = str(error).replace(' ', '_')
-        self._node.log(event, source=source, reason=reason)
+        self._node.log(event, source=source, reason=no_blanks(error))
--- a/siskinbank/relay/handover.py
+++ b/siskinbank/relay/handover.py
@@ -4,6 +4,7 @@
 
 from siskinbank.platform.documents import Unreadable
 from siskinbank.relay import messages
+from siskinbank.relay.log import no_blanks
 from siskinbank.relay.loop import NEVER
 
 TYPE_CHECKING = False
@@ -95,7 +96,7 @@
             self._node.log(
                 'configuration.refused',
                 source=ip,
-                reason=str(error).replace(' ', '_'),
+                reason=no_blanks(error),
             )
             return
         if taken:
--- a/siskinbank/relay/log.py
+++ b/siskinbank/relay/log.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from siskinbank.relay.loop import Loop
 
-__all__ = ('Log',)
+__all__ = ('Log', 'no_blanks')
 
 _STDOUT = 1
 # Lines a second over a longer time, and how many may come at once. The budget
@@ -86,3 +86,8 @@
             return False
         self._tokens -= 1
         return True
+
+
+def no_blanks(error: Exception) -> str:
+    """Return an error's text as one value of a line."""
+    return str(error).replace(' ', '_')
--- a/siskinbank/relay/node.py
+++ b/siskinbank/relay/node.py
@@ -18,10 +18,10 @@
     describe,
     reset_for,
 )
-from siskinbank.platform.settings import read_settings
+from siskinbank.platform.settings import READY_PATH, read_settings
 from siskinbank.relay.datagrams import open_datagrams, read_datagrams
 from siskinbank.relay.http import Server
-from siskinbank.relay.log import Log
+from siskinbank.relay.log import Log, no_blanks
 from siskinbank.relay.loop import Loop
 from siskinbank.relay.messages import Malformed
 from siskinbank.relay.meters import Meters
@@ -34,9 +34,8 @@
     #: Takes a datagram and the address of its sender.
     Handler = Callable[[bytes, str], None]
 
-__all__ = ('READY_PATH', 'Node')
+__all__ = ('Node',)
 
-READY_PATH = '/api/ready'
 METRICS_PATH = '/metrics'
 # The port that deploy/system.toml names for metrics.
 METRICS_PORT = 9464
@@ -123,7 +122,7 @@
         try:
             fresh = read_settings(self._path)
         except (OSError, Unreadable) as error:
-            self.log('settings.refused', reason=_no_blanks(error))
+            self.log('settings.refused', reason=no_blanks(error))
             return
         before = self.settings
         if (fresh.seeds, fresh.service) != (before.seeds, before.service):
@@ -134,17 +133,24 @@
             )
         self.settings = fresh
 
-    def reset_flow(self, sender: socket, packet: bytes, reason: str) -> None:
+    def reset_flow(
+        self,
+        sender: socket,
+        packet: bytes,
+        reason: str,
+        **inputs: object,
+    ) -> None:
         """End the flow of a client's packet.
 
         Args:
             sender: any socket of this process.
             packet: the packet.
             reason: why, for the log.
+            inputs: what else decided it, for the log.
         """
         key = packet[FLOW_KEY]
         self.meters.count('resets_total')
-        self.log('flow.reset', flow=describe(key), reason=reason)
+        self.log('flow.reset', flow=describe(key), reason=reason, **inputs)
         address = (client_address(key), self.settings.packet_port)
         try:
             sender.sendto(reset_for(packet), address)
@@ -167,7 +173,7 @@
             self.log(
                 'packet.refused',
                 sender=sender,
-                reason=_no_blanks(error),
+                reason=no_blanks(error),
             )
 
     def _readiness(self) -> tuple[int, str]:
@@ -182,7 +188,7 @@
                 {METRICS_PATH: lambda: (200, self.meters.text())},
             )
         except OSError as error:
-            self.log('packet.refused', reason=_no_blanks(error))
+            self.log('packet.refused', reason=no_blanks(error))
             return
         self._servers.append(server)
 
@@ -214,14 +220,10 @@
         self.log(
             'process.fault',
             kind=type(fault).__name__,
-            reason=_no_blanks(fault),
+            reason=no_blanks(fault),
             place=place,
         )
 
     def _note_stall(self, lost: float) -> None:
         self.meters.count('stalls_total')
         self.log('process.stalled', seconds=round(lost, 2))
-
-
-def _no_blanks(error: Exception) -> str:
-    return str(error).replace(' ', '_')
--- a/tests/relay/test_end_to_end.py
+++ b/tests/relay/test_end_to_end.py
@@ -147,6 +147,13 @@
         for client in self.fleet.clients:
             self.assertFalse(await _serves(client, TARGET))
             self.assertTrue(await _serves(client, other))
+        await asyncio.sleep(0.5)
+        resets = [
+            line
+            for line in self.fleet.entries[0].log.splitlines()
+            if 'reason=no-route' in line
+        ]
+        self.assertRegex(resets[-1], r' version=\d+$')
 
     async def test_it_serves_while_the_store_is_silent(self) -> None:
         """Also from an entry that starts meanwhile: its peers know."""
