Let no search wait for a host that stays silent

Change: a sidecar silent for 1.3 s is not waited for where requests may run again, for 3 s otherwise, unless half of the hosts are silent: then it is rather this entry that is cut off. The same holds for packets of known flows.

--- a/siskinbank/entry/flow_searches.py
+++ b/siskinbank/entry/flow_searches.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ('ASK_AGAIN_S', 'Search', 'Searches')
+__all__ = ('ASK_AGAIN_S', 'Search', 'Searches', 'may_still_answer')
 
 # Hosts that have not answered are asked again after this, in seconds: many
 # ways there and back, and less than a client's first retransmission.
@@ -17,6 +17,12 @@
 # Searches at once; beyond that packets are dropped and come again.
 _MOST_SEARCHES = 512
 
+# A sidecar silent for longer than this is not waited for, in seconds: three
+# of its words missed. A request that may run only once waits longer, as its
+# answer may be ready: as long as a killed sidecar takes to be back.
+_SILENT_REPEATABLE_S = 1.3
+_SILENT_ONCE_S = 3.0
+
 
 class Search:
     """One flow whose host is looked for.
@@ -112,3 +118,18 @@
     def is_overdue(self, search: Search, now: float) -> bool:
         """Say whether a search has found nothing in time."""
         return now - search.began > _LONGEST_S
+
+
+def may_still_answer(silent_s: float, repeatable: bool) -> bool:
+    """Say whether a search waits for a host that has not answered.
+
+    Load pattern: after a loss of power the store still names hosts that never
+    come back. Each would hold up the searches for all flows that were lost,
+    until their clients' deadlines have passed.
+
+    Args:
+        silent_s: how long its sidecar has said nothing.
+        repeatable: whether the flow's requests may run more than once.
+    """
+    longest = _SILENT_REPEATABLE_S if repeatable else _SILENT_ONCE_S
+    return silent_s < longest
--- a/siskinbank/relay/seeker.py
+++ b/siskinbank/relay/seeker.py
@@ -6,7 +6,13 @@
 
 from __future__ import annotations
 
-from siskinbank.entry.flow_searches import ASK_AGAIN_S, Search, Searches
+from siskinbank.beliefs.hosts import SILENT_S
+from siskinbank.entry.flow_searches import (
+    ASK_AGAIN_S,
+    Search,
+    Searches,
+    may_still_answer,
+)
 from siskinbank.platform.packets import describe, route_key
 from siskinbank.relay import messages
 from siskinbank.relay.loop import NEVER
@@ -47,6 +53,7 @@
         '_questions',
         '_reset',
         '_searches',
+        '_started',
     )
 
     def __init__(
@@ -67,6 +74,7 @@
             reset: ends the flow of a packet, for a reason.
         """
         self._node = node
+        self._started = node.loop.now
         self._hosts = hosts
         self._follower = follower
         self._gossip = gossip
@@ -135,6 +143,17 @@
             host.left = self._is_unregistered(ip)
         return host.left
 
+    def is_lost(self, key: bytes, ip: str) -> bool:
+        """Say whether a flow that a host held has gone with it."""
+        if self.has_left(ip):
+            return True
+        route = self._route(key)
+        return (
+            route is not None
+            and not self._may_answer(ip, route)
+            and not self._is_cut_off(route)
+        )
+
     def _is_unregistered(self, ip: str) -> bool:
         """Say whether the store has lost a host that does not answer."""
         follower = self._follower
@@ -204,15 +223,46 @@
         route: Route | None,
     ) -> bool:
         """End a flow if all hosts that may hold it have said no."""
-        if route:
-            silent = search.unanswered(_addresses(hosts))
-            left = all(map(self._is_unregistered, silent))
-            if not left or not self._knows_hosts_of(route):
-                return False
+        if route and not self._all_have_left(search, hosts, route):
+            return False
         self._searches.end(key)
         self._reset(search.first, 'no-host-holds-it')
         return True
 
+    def _all_have_left(
+        self,
+        search: Search,
+        hosts: list[HostBelief],
+        route: Route,
+    ) -> bool:
+        """Say whether all hosts that have not answered are gone."""
+        if not self._follower.hosts_revision:
+            return False
+        asked = search.unanswered(_addresses(hosts))
+        unclear = [
+            ip
+            for ip in asked + self._never_heard(route)
+            if not self._is_unregistered(ip)
+        ]
+        return not unclear or (
+            not self._is_cut_off(route)
+            and not any(self._may_answer(ip, route) for ip in unclear)
+        )
+
+    def _may_answer(self, ip: str, route: Route) -> bool:
+        host = self._hosts.get(ip)
+        heard = host.heard if host else self._started
+        silent_s = self._node.loop.now - heard
+        return may_still_answer(silent_s, route.repeatable)
+
+    def _is_cut_off(self, route: Route) -> bool:
+        """Say whether it is rather this process that nobody reaches."""
+        edge = self._node.loop.now - SILENT_S
+        hosts = self._hosts_of(route)
+        silent = sum(1 for host in hosts if host.heard < edge)
+        unknown = len(self._never_heard(route))
+        return (silent + unknown) * 2 > len(hosts) + unknown
+
     def _route(self, key: bytes) -> Route | None:
         return self._follower.configuration.routes.get(route_key(key))
 
@@ -223,17 +273,14 @@
             hosts.extend(self._hosts.of_service(messages.digest(service)))
         return [host for host in hosts if not self.has_left(host.ip)]
 
-    def _knows_hosts_of(self, route: Route) -> bool:
-        """Say whether every host with an entry in the store was heard."""
-        follower = self._follower
-        if not follower.hosts_revision:
-            return False
+    def _never_heard(self, route: Route) -> list[str]:
+        """Return hosts with an entry in the store whose sidecar is unknown."""
         services = {service for service, _ in route.shares}
-        return all(
-            self._hosts.get(ip)
-            for ip, record in follower.hosts.items()
-            if record.service in services
-        )
+        return [
+            ip
+            for ip, record in self._follower.hosts.items()
+            if record.service in services and not self._hosts.get(ip)
+        ]
 
 
 def _addresses(hosts: list[HostBelief]) -> list[str]:
--- /dev/null
+++ b/tests/entry/test_flow_searches.py
@@ -0,0 +1,31 @@
+"""Tests of searches for the hosts of flows."""
+
+import unittest
+
+from siskinbank.entry.flow_searches import Search, may_still_answer
+
+HOSTS = {'10.0.0.1': 99.0, '10.0.0.2': 99.0}
+
+
+class TestSearch(unittest.TestCase):
+    """Load pattern: hundreds of searches while dozens of hosts are dead."""
+
+    def test_a_dead_host_is_asked_once(self) -> None:
+        """Until its sidecar speaks again."""
+        search = Search(100, b'packet')
+        self.assertEqual(search.to_ask(HOSTS, 100), list(HOSTS))
+        search.absent.add('10.0.0.1')
+        self.assertEqual(search.to_ask(HOSTS, 100.4), [])
+        back = {**HOSTS, '10.0.0.2': 100.2}
+        self.assertEqual(search.to_ask(back, 100.4), ['10.0.0.2'])
+
+    def test_silence_ends_the_wait(self) -> None:
+        """Sooner where a request may run again."""
+        for silent_s, repeatable, waits in (
+            (0.5, True, True),
+            (1.4, True, False),
+            (1.4, False, True),
+            (3.1, False, False),
+        ):
+            found = may_still_answer(silent_s, repeatable)
+            self.assertEqual(found, waits, (silent_s, repeatable))
--- a/tests/relay/test_end_to_end.py
+++ b/tests/relay/test_end_to_end.py
@@ -92,6 +92,24 @@
         with self.assertRaisesRegex(Refused, 'reset'):
             await client.ask(flow, 'after')
 
+    async def test_a_flow_of_a_machine_without_power_is_reset(self) -> None:
+        """Long before the store forgets the host; also by a new entry."""
+        client = self.fleet.clients[0]
+        for restarted in (False, True):
+            await self.fleet.settle()
+            flow = await client.connect(TARGET)
+            body = await client.ask(flow, 'before')
+            index = int(body.split()[1].removeprefix('i-'))
+            self.fleet.hosts[index].close()
+            self.fleet.sidecars[index].end()
+            if restarted:
+                self.fleet.entries[0].end()
+                self.fleet.entries[0].start()
+            with self.assertRaisesRegex(Refused, 'reset'):
+                await client.ask(flow, 'after')
+            await self.fleet.hosts[index].open()
+            self.fleet.sidecars[index].start()
+
     async def test_a_draining_host_gets_no_new_flows(self) -> None:
         """Soon after the store says so; its open flows go on."""
         client = self.fleet.clients[0]
