Keep first packets at the sidecar; those that can be in time go first

Cause: after a loss of power everyone who asked meanwhile comes at once. Hosts took each flow whose wait was below the expected latency, so their queues held a quarter of a second of work, new and old requests mixed, and both were late for two seconds more. Also: idle machines whose hosts had been replaced refused thousands of first packets, as every entry named them first; and a flow whose client had given up was counted as work for 0.3 s. Ruled out: capacity (hosts used a third of their slots), the store. Flows that can still be in time go first, in order, the late ones after them; copies follow a kept flow. A host that refuses all first packets is left alone for 0.25 s to 2 s. The request of a taken flow is waited for three times the usual. First packets have a module of their own, relay/openings.py. A reader that knows less of the operator's part changes nothing.

--- a/siskinbank/admission/arrivals.py
+++ b/siskinbank/admission/arrivals.py
@@ -16,9 +16,10 @@
     'Arriving',
     'ColdLimit',
     'QueueRoom',
+    'RefusingHost',
     'WorkTime',
     'longest_wait_s',
-    'patience_s',
+    'nobody_is_final',
     'refusal_is_final',
     'where_to_wait',
 )
@@ -35,14 +36,27 @@
 # A request follows its flow's first packet within this, in seconds: several
 # ways to the client and back, with one packet lost.
 _ARRIVES_S = 0.3
+# It usually does within this, in seconds, before any was seen: two ways to a
+# client of 3 ms and back, and some work on the way.
+_FIRST_ARRIVAL_S = 0.02
+# A request is expected for this many times the usual.
+_USUAL_TIMES = 3
 # Requests by which the room of a queue is tried anew, a second.
 _ROOM_GROWS_PER_S = 0.5
-# Part of a new measurement in the usual time: about the last ten count.
+# Part of a new measurement in a usual time: about the last ten count.
 _WORK_SHARE = 0.1
 # Part of a request's time limit that it may wait before it is worked on; the
 # rest is for the work, the way, and for the client's next try elsewhere.
 _WAIT_SHARE = 0.5
 
+# First packets refused in a row after which a host refuses all: one may come
+# at the moment at which it leaves or is full.
+_REFUSALS_IN_A_ROW = 2
+# Pauses before a refusing host is tried again, in seconds: the first is about
+# the time in which a host starts, the longest that in which a store forgets it.
+_FIRST_PAUSE_S = 0.25
+_LONGEST_PAUSE_S = 2.0
+
 # Clients send a first packet three times.
 _LAST_COPY = 2
 
@@ -72,26 +86,34 @@
 
     Load pattern: many first packets reach a host within the time that a
     client takes to send its request; none of them shows among the requests in
-    progress yet, and all of them will.
+    progress yet, and all of them will. Then a backlog, in which many clients
+    have given up: a host must not wait long for their requests.
     """
 
-    __slots__ = ('_taken',)
+    __slots__ = ('_taken', '_usual_s')
 
     def __init__(self) -> None:
         """Start with none."""
         self._taken: dict[bytes, float] = {}
+        self._usual_s = _FIRST_ARRIVAL_S
 
     def add(self, key: bytes, now: float) -> None:
         """Expect the request of a flow."""
         self._taken[key] = now
 
+    def note_request(self, key: bytes, now: float) -> None:
+        """Note that the request came, and how long that took."""
+        taken = self._taken.pop(key, None)
+        if taken is not None:
+            self._usual_s += (now - taken - self._usual_s) * _WORK_SHARE
+
     def end(self, key: bytes) -> None:
-        """Note that the request came, or that the flow did not open."""
+        """Note that the flow did not open."""
         self._taken.pop(key, None)
 
     def count(self, now: float) -> int:
         """Return how many requests are expected; some never come."""
-        edge = now - _ARRIVES_S
+        edge = now - min(_ARRIVES_S, self._usual_s * _USUAL_TIMES)
         late = [key for key, taken in self._taken.items() if taken < edge]
         for key in late:
             self._taken.pop(key)
@@ -150,19 +172,42 @@
         return requests >= int(most)
 
 
-def patience_s(aim_s: float, limit_s: float, copy: int) -> float:
-    """Return how long a flow may wait at a host before it is worked on.
-
-    A flow that would miss the latency that users expect leaves its place to
-    one that would not, and comes again with the client's next copy; the last
-    copy waits as long as an answer is of use.
+class RefusingHost:
+    """Keeps new flows away from a host that refuses all of them.
 
-    Args:
-        aim_s: the latency that users expect of the route.
-        limit_s: the time limit of the route's requests.
-        copy: how many copies of the first packet came before.
+    Load pattern: after a loss of power machines are back whose hosts were
+    replaced, while the store still names them. They are idle, so every entry
+    would send its first packets there before any other host.
     """
-    return longest_wait_s(limit_s) if copy >= _LAST_COPY else aim_s
+
+    __slots__ = ('_pause_s', '_refusals', '_until')
+
+    def __init__(self) -> None:
+        """Start with a host that takes flows."""
+        self._refusals = 0
+        self._pause_s = _FIRST_PAUSE_S
+        self._until: float = 0
+
+    def note_refusal(self, now: float) -> bool:
+        """Count a refused first packet; say whether a pause begins."""
+        if self.pauses(now):
+            return False
+        self._refusals += 1
+        if self._refusals < _REFUSALS_IN_A_ROW:
+            return False
+        self._until = now + self._pause_s
+        self._pause_s = min(self._pause_s * 2, _LONGEST_PAUSE_S)
+        return True
+
+    def note_taken(self) -> None:
+        """Note that the host took a flow."""
+        self._refusals = 0
+        self._pause_s = _FIRST_PAUSE_S
+        self._until = 0
+
+    def pauses(self, now: float) -> bool:
+        """Say whether the host is to be left alone."""
+        return now < self._until
 
 
 def longest_wait_s(limit_s: float) -> float:
@@ -172,7 +217,7 @@
 
 def where_to_wait(
     wait_s: float | None,
-    patience: float,
+    longest_s: float,
     best_wait_s: float | None,
     candidates_left: bool,
 ) -> str:
@@ -184,7 +229,7 @@
 
     Args:
         wait_s: how long it would wait here, None if the host keeps no more.
-        patience: how long it may wait, in seconds.
+        longest_s: how long it may wait, in seconds.
         best_wait_s: the shortest wait that it met before, None without one.
         candidates_left: whether it can be passed on.
 
@@ -197,8 +242,8 @@
     if candidates_left:
         return 'on'
     waits = [wait for wait in (wait_s, best_wait_s) if wait is not None]
-    shortest = min(waits, default=patience + 1)
-    if shortest > patience:
+    shortest = min(waits, default=longest_s + 1)
+    if shortest > longest_s:
         return 'nowhere'
     return 'here' if shortest == wait_s else 'back'
 
@@ -206,12 +251,22 @@
 def refusal_is_final(reason: int, copy: int) -> bool:
     """Say whether a caller should hear of a refusal now.
 
-    A cold host or one with a full queue has room again within a second, and
-    clients send two copies of a first packet in that time; any other refusal
-    is told at once.
+    A host that is cold, has a full queue or just started has room again within
+    a second, and clients send two copies of a first packet in that time; any
+    other refusal is told at once.
 
     Args:
         reason: why nobody took the flow.
         copy: how many copies of the first packet came before.
     """
     return reason not in reasons.SHORT or copy >= _LAST_COPY
+
+
+def nobody_is_final(states: list[int], copy: int) -> bool:
+    """Say whether a caller should hear now that no host takes its flow.
+
+    Args:
+        states: why each host of the service takes none.
+        copy: how many copies of the first packet came before.
+    """
+    return not reasons.SHORT.intersection(states) or copy >= _LAST_COPY
--- a/siskinbank/admission/reasons.py
+++ b/siskinbank/admission/reasons.py
@@ -14,6 +14,7 @@
     'OTHER_SERVICE',
     'OUT',
     'PASSING',
+    'REFUSING',
     'SHORT',
     'STOPPING',
     'UNREACHABLE',
@@ -34,6 +35,8 @@
 HOST_REFUSED = 9
 # No room for the next moment; there will be before the time limit.
 FULL = 10
+# The host refuses every first packet for now.
+REFUSING = 11
 
 NAMES = (
     'none',
@@ -47,13 +50,14 @@
     'busy',
     'host-refused',
     'full',
+    'host-refusing',
 )
 
 # Reasons that may be over at the next packet; the others hold until the
 # sidecar says otherwise.
 PASSING = frozenset((COLD, BUSY, HOST_REFUSED, FULL))
 # Reasons that are over before a client gives up its first packet.
-SHORT = frozenset((COLD, FULL))
+SHORT = frozenset((COLD, FULL, UNREACHABLE, REFUSING))
 # Reasons for which other hosts than those asked may be better.
 LOCAL = frozenset(
     (
@@ -64,6 +68,7 @@
         UNREACHABLE,
         UNREGISTERED,
         HOST_REFUSED,
+        REFUSING,
     ),
 )
 
--- a/siskinbank/beliefs/own_host.py
+++ b/siskinbank/beliefs/own_host.py
@@ -7,6 +7,7 @@
     Arriving,
     ColdLimit,
     QueueRoom,
+    RefusingHost,
     WorkTime,
 )
 from siskinbank.relay import messages
@@ -39,6 +40,7 @@
         work: how long the host works on a request.
         arriving: flows whose first request is on its way.
         room: how many requests the host keeps.
+        refusing: whether it refuses all new flows.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         'busy',
         'confirmed',
         'record',
+        'refusing',
         'room',
         'service',
         'stopping',
@@ -78,6 +81,7 @@
         self.work = WorkTime()
         self.arriving = Arriving()
         self.room = QueueRoom()
+        self.refusing = RefusingHost()
         self._cold = ColdLimit()
         self._cold_until = NEVER
         self._unreachable_at = NEVER
@@ -136,14 +140,15 @@
         if before and record.revision < before.revision:
             return False
         if before and record.operator_revision < self._operator_revision:
-            out = before.flags & messages.OUT
-            record.flags = record.flags & ~messages.OUT | out
+            kept = messages.OUT | messages.OPERATOR
+            record.flags = record.flags & ~kept | before.flags & kept
             record.cold_per_s = before.cold_per_s
             record.operator_revision = self._operator_revision
         self._operator_revision = record.operator_revision
         if before and record.born_ms not in {0, before.born_ms}:
             self._unreachable_at = NEVER
             self._watched_since = now
+            self.refusing.note_taken()
         self.record = record
         self.confirmed = now - record.age_s
         self._cold_until = now + record.cold_s if record.cold_s else NEVER
@@ -165,9 +170,14 @@
         expected = self.busy + self.arriving.count(now)
         return expected >= self.slots and self.room.is_full(expected, now)
 
-    def wait_s(self, now: float) -> float:
-        """Return how long a new request would wait for a slot."""
-        busy = self.busy + self.arriving.count(now)
+    def wait_s(self, now: float, ahead: int = 0) -> float:
+        """Return how long a new request would wait for a slot.
+
+        Args:
+            now: time on the clock that counts suspension.
+            ahead: flows that are kept and get a slot before it.
+        """
+        busy = self.busy + self.arriving.count(now) + ahead
         return self.work.wait_s(busy, self.slots)
 
     def reason_against(self, service: int, now: float) -> int:
@@ -210,6 +220,8 @@
             return reasons.STOPPING
         if now - self._unreachable_at < _UNREACHABLE_S:
             return reasons.UNREACHABLE
+        if self.refusing.pauses(now):
+            return reasons.REFUSING
         return reasons.NONE
 
 
--- a/siskinbank/choice/placement.py
+++ b/siskinbank/choice/placement.py
@@ -12,7 +12,7 @@
 
 from siskinbank.beliefs.hosts import SILENT_S, HostBelief
 
-__all__ = ('MOST_CANDIDATES', 'order')
+__all__ = ('MOST_CANDIDATES', 'candidates', 'order')
 
 # Candidates named with a first packet: with every second host busy, one in
 # thirty such flows still meets only busy ones.
@@ -56,6 +56,31 @@
     return best or able[:MOST_CANDIDATES]
 
 
+def candidates(
+    hosts: list[HostBelief],
+    ordered: list[HostBelief],
+    tried: tuple[str, ...],
+    kept_at: str,
+) -> list[HostBelief]:
+    """Return where a copy of a first packet goes, the best first.
+
+    Load pattern: all hosts are at work, and a flow waits in the order of its
+    coming at one of them; its copies must not lose it that place.
+
+    Args:
+        hosts: the hosts of its service.
+        ordered: the best of those that may take it.
+        tried: where it has been.
+        kept_at: where it waits, empty if nowhere.
+    """
+    keeping = [
+        host for host in hosts if host.ip == kept_at and not host.status.state
+    ]
+    fresh = [host for host in ordered if host.ip not in tried]
+    others = [host for host in fresh or ordered if host.ip != kept_at]
+    return keeping + others
+
+
 def _score(host: HostBelief, draw: int, data_centre: int) -> float:
     status = host.status
     load = status.busy + host.pending + status.flows * _FLOW_WEIGHT
--- a/siskinbank/entry/flow_cache.py
+++ b/siskinbank/entry/flow_cache.py
@@ -24,16 +24,19 @@
         ip: the host.
         held: the host's sidecar has said that the host holds the flow; until
             then ``ip`` is only where its first packet went.
+        kept_at: the host whose sidecar keeps the first packet until a slot is
+            free, empty without one.
         seen: time of the last packet.
         tried: hosts that its first packet went to.
     """
 
-    __slots__ = ('_claims', 'held', 'ip', 'seen', 'tried')
+    __slots__ = ('_claims', 'held', 'ip', 'kept_at', 'seen', 'tried')
 
     def __init__(self, ip: str, seen: float) -> None:
         """Begin with a host that may take the flow."""
         self.ip = ip
         self.held = False
+        self.kept_at = ''
         self.seen = seen
         self.tried: tuple[str, ...] = (ip,)
         self._claims: dict[str, tuple[bool, int]] = {}
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -8,11 +8,11 @@
 from siskinbank.admission import reasons
 from siskinbank.admission.arrivals import (
     longest_wait_s,
-    patience_s,
+    nobody_is_final,
     refusal_is_final,
 )
-from siskinbank.beliefs.hosts import HostBeliefs
-from siskinbank.choice.placement import order
+from siskinbank.beliefs.hosts import HostBelief, HostBeliefs
+from siskinbank.choice.placement import candidates, order
 from siskinbank.entry.flow_cache import CachedFlow, FlowCache
 from siskinbank.platform.packets import (
     FLOW_KEY,
@@ -90,6 +90,7 @@
         node.ready = self._is_ready
         node.stopping = self._begin_stop
         node.handlers[messages.HELD] = self._hear_held
+        node.handlers[messages.KEPT] = self._hear_kept
         node.handlers[messages.ABSENT] = self._hear_absent
         node.handlers[messages.REFUSED] = self._hear_refused
         node.handlers[messages.STATUS] = self._hear_status
@@ -124,7 +125,7 @@
         flow.seen = now
         if flow.contested:
             flow.settle(sequence_numbers(packet)[1])
-        if self._seeker.has_left(flow.ip):
+        if self._seeker.is_lost(key, flow.ip):
             self._reset(packet, 'host-gone')
             return
         wrap = messages.carry if flow.held else messages.search
@@ -159,17 +160,18 @@
         now = self._node.loop.now
         draw = crc32(key)
         service = route.service_for(draw)
+        hosts = self._hosts.of_service(messages.digest(service))
         ordered = order(
-            self._hosts.of_service(messages.digest(service)),
+            hosts,
             draw,
             self._data_centre,
             now,
         )
         tried = flow.tried if flow else ()
-        fresh = [host for host in ordered if host.ip not in tried]
-        chosen = fresh or ordered
+        kept_at = flow.kept_at if flow else ''
+        chosen = candidates(hosts, ordered, tried, kept_at)
         if not chosen:
-            self._refuse_unplaced(packet)
+            self._refuse_unplaced(packet, hosts)
             return
         first = chosen[0]
         first.pending += 1
@@ -191,19 +193,32 @@
         opening = messages.Opening(self._node.packed_ip, packet)
         opening.service = messages.digest(service)
         opening.version = self._follower.configuration.version
-        copy = sequence_numbers(packet)[1]
-        patience = patience_s(route.aim_s, route.limit_s, copy)
-        opening.patience_ms = messages.wait_ms(patience)
+        opening.aim_ms = messages.wait_ms(route.aim_s)
         opening.limit_ms = messages.wait_ms(longest_wait_s(route.limit_s))
         opening.candidates = [host.packed for host in chosen]
         self._node.send(opening.pop_next(), opening.pack())
 
-    def _refuse_unplaced(self, packet: bytes) -> None:
+    def _refuse_unplaced(
+        self,
+        packet: bytes,
+        hosts: list[HostBelief],
+    ) -> None:
         """No host takes new flows; a young process may not know them yet."""
         if self._node.loop.now - self._started < _YOUNG_S:
             self._keep_early(packet)
-        else:
+            return
+        states = [host.status.state for host in hosts]
+        copy = sequence_numbers(packet)[1]
+        if nobody_is_final(states, copy):
             self._reset(packet, 'no-host')
+            return
+        self._node.log(
+            'flow.refused',
+            flow=describe(packet[FLOW_KEY]),
+            reason='no-host',
+            hosts=len(hosts),
+            copy=copy,
+        )
 
     def _knows(self) -> bool:
         """Say whether routes and hosts are known.
@@ -262,6 +277,12 @@
         for packet in self._seeker.found(key, ip):
             self._node.send(ip, messages.carry(packet))
 
+    def _hear_kept(self, raw: bytes, ip: str) -> None:
+        key, _, _ = messages.read_flow_note(raw)
+        flow = self._flows.get(key)
+        if flow and not flow.held:
+            flow.kept_at = ip
+
     def _hear_absent(self, raw: bytes, ip: str) -> None:
         key, _, _ = messages.read_flow_note(raw)
         packet = raw[messages.FLOW_NOTE_BYTES :]
@@ -278,6 +299,7 @@
         flow = self._flows.get(key)
         if flow is None or flow.held or len(packet) < HEAD_BYTES:
             return
+        flow.kept_at = ''
         tries = len(flow.tried)
         name = reasons.name_of(reason)
         self._node.log(
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -26,6 +26,7 @@
     'FLOW_NOTE_BYTES',
     'HELD',
     'HELLO',
+    'KEPT',
     'MOST_WAIT_MS',
     'MOST_KEYS',
     'Malformed',
@@ -67,7 +68,7 @@
 # A packet of a flow that any of several hosts may hold.
 SEARCH = 3
 # A sidecar's notes to an entry: its host holds a flow, does not hold it, or
-# nobody may take it now.
+# nobody may take it now; see also KEPT.
 HELD = 4
 ABSENT = 5
 REFUSED = 6
@@ -85,6 +86,8 @@
 ASK_FLOWS = 14
 NOT_HELD = 15
 UNSURE = 16
+# A note as well: the sidecar keeps a first packet until a slot is free.
+KEPT = 17
 
 # Flags of a record: the host has an entry, says that it drains, stands in a
 # data centre that was taken out; the operator's part is known.
@@ -143,8 +146,8 @@
         service: digest of the service that may take it.
         version: the configuration that the entry read this from.
         entry: address of the entry that wants to know who took it.
-        patience_ms: how long it may wait at a host now.
-        limit_ms: how long any copy of it may.
+        aim_ms: latency that the client expects of its request.
+        limit_ms: how long it may wait at a host.
         best: address of the host with the shortest wait met so far.
         best_wait_ms: that wait, MOST_WAIT_MS while none was met.
         candidates: addresses to pass it on to, the best first.
@@ -152,6 +155,7 @@
     """
 
     __slots__ = (
+        'aim_ms',
         'best',
         'best_wait_ms',
         'candidates',
@@ -159,7 +163,6 @@
         'hops',
         'limit_ms',
         'packet',
-        'patience_ms',
         'service',
         'version',
     )
@@ -171,7 +174,7 @@
         self.hops = 0
         self.service = 0
         self.version = 0
-        self.patience_ms = 0
+        self.aim_ms = 0
         self.limit_ms = 0
         self.best = entry
         self.best_wait_ms = MOST_WAIT_MS
@@ -189,7 +192,7 @@
         end = start + fields[-1] * _ADDRESS_BYTES
         opening = cls(fields[4], raw[end:])
         opening.hops, opening.service, opening.version = fields[1:4]
-        opening.patience_ms, opening.limit_ms = fields[5:7]
+        opening.aim_ms, opening.limit_ms = fields[5:7]
         opening.best, opening.best_wait_ms = fields[7:9]
         opening.candidates = unpack_addresses(raw[start:end])
         return opening
@@ -203,7 +206,7 @@
 
     @property
     def is_hopeless(self) -> bool:
-        """Whether even the shortest wait is too long for any copy."""
+        """Whether even the shortest wait is too long."""
         return self.limit_ms < self.best_wait_ms < MOST_WAIT_MS
 
     def pop_next(self) -> str:
@@ -218,7 +221,7 @@
             self.service,
             self.version,
             self.entry,
-            self.patience_ms,
+            self.aim_ms,
             self.limit_ms,
             self.best,
             self.best_wait_ms,
@@ -231,7 +234,7 @@
     """Write a note about one flow.
 
     Args:
-        kind: HELD, ABSENT or REFUSED.
+        kind: HELD, ABSENT, REFUSED or KEPT.
         key: the flow's key.
         number: the host's first sequence number, 0 if none is known.
         reason: why a flow was refused, see ``admission.reasons``; with HELD
--- a/siskinbank/relay/reports.py
+++ b/siskinbank/relay/reports.py
@@ -34,18 +34,27 @@
 class Reports:
     """Speaks to the entries for one sidecar."""
 
-    __slots__ = ('_count_flows', '_data_centre', '_entries', '_host', '_node')
+    __slots__ = (
+        '_count_flows',
+        '_count_kept',
+        '_data_centre',
+        '_entries',
+        '_host',
+        '_node',
+    )
 
     def __init__(
         self,
         node: Node,
         host: OwnHost,
         count_flows: Callable[[], int],
+        count_kept: Callable[[], int],
     ) -> None:
         """Greet the seeds and report from now on."""
         self._node = node
         self._host = host
         self._count_flows = count_flows
+        self._count_kept = count_kept
         self._data_centre = messages.digest(node.settings.data_centre)
         self._entries: dict[str, float] = {}
         node.handlers[messages.HELLO] = self._hear_hello
@@ -95,7 +104,7 @@
         status = messages.Status(host.service, self._data_centre)
         status.state = host.state(now)
         status.slots = host.slots
-        expected = host.busy + host.arriving.count(now)
+        expected = host.busy + host.arriving.count(now) + self._count_kept()
         status.busy = min(expected, _MOST_COUNT)
         status.flows = min(self._count_flows(), _MOST_COUNT)
         status.version = host.version
--- a/siskinbank/relay/request_watch.py
+++ b/siskinbank/relay/request_watch.py
@@ -6,6 +6,8 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from siskinbank.beliefs.own_host import OwnHost
     from siskinbank.relay.node import Node
     from siskinbank.sidecar.held_flows import HeldFlow
@@ -18,10 +20,12 @@
 class RequestWatch:
     """Counts requests in progress and logs how each one ends."""
 
-    __slots__ = ('_host', '_node')
+    __slots__ = ('_host', '_node', 'on_end')
 
     def __init__(self, node: Node, host: OwnHost) -> None:
         """Watch the requests of one host."""
+        #: Called when a slot may be free.
+        self.on_end: Callable[[], object] = bool
         self._node = node
         self._host = host
 
@@ -35,7 +39,7 @@
         if before is None:
             request.waited = host.work.wait_s(host.busy, host.slots) > 0
             host.busy += 1
-            host.arriving.end(key)
+            host.arriving.note_request(key, self._node.loop.now)
         self._node.meters.count('requests_total')
         self._node.log(
             'request.start',
@@ -77,3 +81,4 @@
             ms=int(took * _MS),
             busy=host.busy,
         )
+        self.on_end()
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-from _socket import inet_ntoa
 from time import time
 
-from siskinbank.admission import reasons
-from siskinbank.admission.arrivals import where_to_wait
 from siskinbank.beliefs.freshness import sidecar_reads
 from siskinbank.beliefs.own_host import OwnHost
 from siskinbank.platform.packets import (
@@ -19,7 +16,6 @@
     SYN,
     answer_key,
     client_address,
-    describe,
     flags_of,
     not_bounced,
     sequence_numbers,
@@ -32,6 +28,7 @@
 )
 from siskinbank.relay.follower import Follower
 from siskinbank.relay.node import Node
+from siskinbank.relay.openings import Openings, whole_packet
 from siskinbank.relay.records import record_for
 from siskinbank.relay.reports import Reports
 from siskinbank.relay.request_watch import RequestWatch
@@ -45,11 +42,13 @@
 _ENDED_S = 5.0
 # Hosts discard flows that are idle for 15 s.
 _IDLE_S = 20.0
+# A request without an answer for longer than this, in seconds, counts for
+# nothing: the deadline of most requests.
+_OVERDUE_S = 3.0
+_IDLE = 'idle'
 # A packet without an answer is forgotten, in seconds: clients give up a first
 # packet after 1.4 s.
 _WAITING_S = 1.5
-# A flow is passed on at most this often.
-_MOST_HOPS = 8
 _MS = 1000
 # A planned stop waits for requests in progress this long, in seconds; the
 # platform kills after six.
@@ -86,10 +85,23 @@
         self._outbound = open_datagrams(settings.host_output)
         self._packets = open_datagrams((settings.ip, settings.packet_port))
         self._inbound = connect_datagrams(settings.host_address)
-        self._reports = Reports(node, self._host, self._flows.__len__)
+        self._reports = Reports(
+            node,
+            self._host,
+            self._flows.__len__,
+            lambda: len(self._openings.room),
+        )
+        self._openings = Openings(
+            node,
+            self._host,
+            self._reports,
+            self._flows,
+            self._waiting,
+            self._deliver,
+        )
+        self._requests.on_end = self._openings.release
         node.ready = lambda: not self._host.stopping
         node.stopping = self._begin_stop
-        node.handlers[messages.OPEN] = self._hear_open
         node.handlers[messages.CARRY] = self._hear_carry
         node.handlers[messages.SEARCH] = self._hear_search
         node.handlers[messages.ASK_FLOWS] = self._hear_ask
@@ -125,6 +137,7 @@
             flow = self._learn(key, waiting)
         if flags & SYN:
             flow.number = sequence_numbers(packet)[0]
+            self._host.refusing.note_taken()
         else:
             flow.established = True
             self._requests.take_answer(key, flow, packet)
@@ -153,9 +166,7 @@
         key = packet[FLOW_KEY]
         waiting = self._waiting.pop(key, None)
         if flags_of(packet) & SYN:
-            self._host.arriving.end(key)
-            if waiting and waiting.opening:
-                self._pass_on(key, waiting.opening, reasons.HOST_REFUSED)
+            self._openings.take_back(key, waiting)
             return
         flow = self._flows.pop(key, None)
         if flow is None:
@@ -185,107 +196,13 @@
         note = messages.flow_note(messages.ABSENT, key, 0)
         self._node.send(entry, note + packet)
 
-    # First packets.
-
-    def _hear_open(self, raw: bytes, ip: str) -> None:
-        opening = messages.Opening.read(raw)
-        packet = _whole(opening.packet)
-        key = packet[FLOW_KEY]
-        entry = inet_ntoa(opening.entry)
-        self._host.version = max(self._host.version, opening.version)
-        self._reports.note_entry(entry)
-        flow = self._flows.get(key)
-        if flow:
-            flow.entry = entry
-        if flow or key in self._waiting:
-            # A copy of what the host has already.
-            self._deliver(packet)
-            return
-        now = self._node.loop.now
-        reason = self._host.reason_against(opening.service, now)
-        if reason:
-            self._pass_on(key, opening, reason)
-        else:
-            self._place(key, opening)
-
-    def _place(self, key: bytes, opening: messages.Opening) -> None:
-        now = self._node.loop.now
-        host = self._host
-        left = bool(opening.candidates) and opening.hops < _MOST_HOPS
-        if left and host.unconfirmed(now):
-            self._pass_on(key, opening, reasons.BUSY)
-            return
-        wait = None if host.is_full(now) else host.wait_s(now)
-        best = opening.best_wait_s
-        patience = opening.patience_ms / _MS
-        where = where_to_wait(wait, patience, best, left)
-        if where == 'here':
-            self._admit(key, opening)
-            return
-        if where == 'back':
-            # There it stays.
-            opening.candidates = [opening.best]
-            opening.best_wait_ms = messages.MOST_WAIT_MS
-        elif wait is not None and (best is None or wait < best):
-            opening.best = self._node.packed_ip
-            opening.best_wait_ms = messages.wait_ms(wait)
-        reason = reasons.BUSY if opening.is_hopeless else reasons.FULL
-        self._pass_on(key, opening, reason)
-
-    def _admit(self, key: bytes, opening: messages.Opening) -> None:
-        now = self._node.loop.now
-        host = self._host
-        host.note_taken(key, now)
-        waiting = Waiting(inet_ntoa(opening.entry), now, opening.packet)
-        waiting.opening = opening
-        self._waiting[key] = waiting
-        self._node.log(
-            'flow.taken',
-            flow=describe(key),
-            busy=host.busy,
-            wait_ms=int(host.wait_s(self._node.loop.now) * _MS),
-            flows=len(self._flows),
-            hops=opening.hops,
-            version=opening.version,
-            revision=host.revision,
-            age_ms=host.age_ms(now),
-        )
-        self._deliver(opening.packet)
-
-    def _pass_on(
-        self,
-        key: bytes,
-        opening: messages.Opening,
-        reason: int,
-    ) -> None:
-        host = self._host
-        name = reasons.name_of(reason)
-        passing = bool(opening.candidates) and opening.hops <= _MOST_HOPS
-        self._node.meters.count(f'flows_not_taken_{name}_total')
-        self._node.log(
-            'flow.passed' if passing else 'flow.refused',
-            flow=describe(key),
-            reason=name,
-            busy=host.busy,
-            wait_ms=int(host.wait_s(self._node.loop.now) * _MS),
-            hops=opening.hops,
-            revision=host.revision,
-            age_ms=host.age_ms(self._node.loop.now),
-        )
-        if passing:
-            opening.hops += 1
-            self._node.send(opening.pop_next(), opening.pack())
-            return
-        note = messages.flow_note(messages.REFUSED, key, 0, reason)
-        self._node.send(inet_ntoa(opening.entry), note + opening.packet)
-
     # Other packets of clients.
 
     def _hear_carry(self, raw: bytes, ip: str) -> None:
-        self._take(_whole(raw[1:]), ip, searching=False)
+        self._take(whole_packet(raw[1:]), ip, searching=False)
 
     def _hear_search(self, raw: bytes, ip: str) -> None:
-        self._take(_whole(raw[1:]), ip, searching=True)
+        self._take(whole_packet(raw[1:]), ip, searching=True)
 
     def _hear_ask(self, raw: bytes, ip: str) -> None:
         unknown: list[bytes] = []
@@ -313,6 +230,8 @@
             if searching:
                 self._note_held(key, flow)
             self._requests.take_packet(key, flow, packet)
+            if flags_of(packet) & RST:
+                self._requests.end(key, flow, 'client-reset')
         self._deliver(packet)
 
     def _deliver(self, packet: bytes) -> None:
@@ -420,22 +339,23 @@
     def _sweep(self) -> None:
         now = self._node.loop.now
         for key, flow in list(self._flows.items()):
-            ended = flow.ended and now - flow.ended > _ENDED_S
-            if ended or now - flow.seen > _IDLE_S:
+            outcome = _outcome_of_silence(flow, now)
+            if outcome:
+                self._requests.end(key, flow, outcome)
+            if outcome == _IDLE:
                 self._flows.pop(key)
-                self._requests.end(key, flow, 'idle')
         edge = now - _WAITING_S
         for key, waiting in list(self._waiting.items()):
             if waiting.seen < edge:
                 self._waiting.pop(key)
 
 
-def _whole(packet: bytes) -> bytes:
-    """Return a packet that has at least a head.
-
-    Raises:
-        Malformed: it has not.
-    """
-    if len(packet) < HEAD_BYTES:
-        raise messages.Malformed('no packet')
-    return packet
+def _outcome_of_silence(flow: HeldFlow, now: float) -> str:
+    """Say how a flow's request counts after a while, empty if not at all."""
+    ended = flow.ended and now - flow.ended > _ENDED_S
+    if ended or now - flow.seen > _IDLE_S:
+        return _IDLE
+    # Its client has given up; the slot may still be taken, but a host must
+    # not look busy for ever.
+    overdue = flow.request and now - flow.request.began > _OVERDUE_S
+    return 'overdue' if overdue else ''
--- a/tests/beliefs/test_own_host.py
+++ b/tests/beliefs/test_own_host.py
@@ -84,6 +84,23 @@
         self.host.believe(reborn, 300.1)
         self.assertEqual(self.host.state(300.1), reasons.NONE)
 
+    def test_a_host_that_refuses_all_is_left_alone(self) -> None:
+        """Until it takes a flow or starts anew."""
+        self.host.refusing.note_refusal(200)
+        self.assertEqual(self.host.state(200), reasons.NONE)
+        self.host.refusing.note_refusal(200)
+        self.assertEqual(self.host.state(200.1), reasons.REFUSING)
+        reborn = record(30)
+        reborn.born_ms = 8
+        self.host.believe(reborn, 200.1)
+        self.assertEqual(self.host.state(200.1), reasons.NONE)
+
+    def test_the_operators_part_stays_known(self) -> None:
+        """A reader that knows less of it changes nothing."""
+        self.host.believe(record(11, 0, messages.REGISTERED), 101)
+        known = self.host.record
+        self.assertEqual(known and known.flags, HEALTHY)
+
     def test_a_cold_host_takes_few(self) -> None:
         """Until it is warm; a service without a rate sets no limit."""
         cold = record(11)
--- a/tests/choice/test_placement.py
+++ b/tests/choice/test_placement.py
@@ -4,7 +4,7 @@
 import unittest
 
 from siskinbank.beliefs.hosts import HostBelief, HostBeliefs
-from siskinbank.choice.placement import MOST_CANDIDATES, order
+from siskinbank.choice.placement import MOST_CANDIDATES, candidates, order
 from siskinbank.relay.messages import Status
 
 SERVICE = 7
@@ -60,6 +60,28 @@
         self.assertLessEqual(max(counts.values()), 15)
 
 
+class TestCandidates(unittest.TestCase):
+    """Load pattern: copies of first packets while all hosts are at work."""
+
+    def test_a_copy_follows_the_flow_that_waits(self) -> None:
+        """Also where others have less to do; not where the host leaves."""
+        hosts = [belief(1), belief(2), belief(3, busy=9)]
+        ordered = hosts[:2]
+        found = candidates(hosts, ordered, ('10.0.0.1',), '10.0.0.3')
+        self.assertEqual([host.ip[-1] for host in found], ['3', '2'])
+        hosts[2].status.state = 2
+        found = candidates(hosts, ordered, ('10.0.0.1',), '10.0.0.3')
+        self.assertEqual([host.ip[-1] for host in found], ['2'])
+
+    def test_hosts_that_were_not_tried_come_first(self) -> None:
+        """When all were, they are tried again."""
+        hosts = [belief(1), belief(2)]
+        found = candidates(hosts, hosts, ('10.0.0.1',), '')
+        self.assertEqual(found, hosts[1:])
+        found = candidates(hosts, hosts, ('10.0.0.1', '10.0.0.2'), '')
+        self.assertEqual(found, hosts)
+
+
 class TestBeliefs(unittest.TestCase):
     """Words of sidecars."""
 
