Greet ten times a second while all may be starting

Ruled out: lost datagrams (all greetings of that second were unanswered). Change: relay/greetings.py paces greetings of entries and sidecars: 0.1 s in the first two seconds, the old pauses later. A host's FIN that overtakes its answer does not count as a request without one.

--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -10,6 +10,7 @@
     rank_of,
 )
 from siskinbank.relay import messages
+from siskinbank.relay.greetings import LOOK_S, GreetingPace
 from siskinbank.relay.loop import NEVER
 from siskinbank.relay.records import record_for
 
@@ -74,7 +75,8 @@
         node.handlers[messages.PEERS] = self._hear_peers
         node.handlers[messages.NEWS] = self._hear_news
         node.loop.every(_NEWS_S, self.tell)
-        node.loop.every(_GREET_S, self._greet)
+        self._pace = GreetingPace(node.loop.now, _GREET_S)
+        node.loop.every(LOOK_S, self._greet_when_due)
         node.loop.every(_SWEEP_S, self._sweep)
         self._greet()
 
@@ -132,12 +134,18 @@
         age = self._node.loop.now - newest
         return age >= operator_patience_s(follower.rank)
 
+    def _greet_when_due(self) -> None:
+        if self._pace.is_due(self._node.loop.now):
+            self._greet()
+
     def _greet(self) -> None:
-        own = self._node.settings.ip
+        now = self._node.loop.now
+        young = self._pace.is_young(now)
         for seed in self._node.settings.seeds:
-            if seed != own:
+            packed = inet_aton(seed)
+            silent = now - self._heard.get(packed, NEVER) > _GREET_S
+            if packed != self._node.packed_ip and (silent or not young):
                 self._node.send(seed, _HELLO)
-        now = self._node.loop.now
         for packed in list(self.sidecars)[:_MOST_ADDRESSES]:
             ip = inet_ntoa(packed)
             host = self._hosts.get(ip)
--- a/siskinbank/relay/reports.py
+++ b/siskinbank/relay/reports.py
@@ -5,6 +5,7 @@
 from _socket import inet_aton, inet_ntoa
 
 from siskinbank.relay import messages
+from siskinbank.relay.greetings import LOOK_S, GreetingPace
 from siskinbank.relay.loop import NEVER
 
 TYPE_CHECKING = False
@@ -41,6 +42,7 @@
         '_entries',
         '_host',
         '_node',
+        '_pace',
     )
 
     def __init__(
@@ -60,7 +62,8 @@
         node.handlers[messages.HELLO] = self._hear_hello
         node.handlers[messages.PEERS] = self._hear_peers
         node.loop.every(_STATUS_S, self.tell)
-        node.loop.every(_GREET_S, self._greet)
+        self._pace = GreetingPace(node.loop.now, _GREET_S)
+        node.loop.every(LOOK_S, self._greet_when_due)
         node.loop.every(_SWEEP_S, self._sweep)
         self._greet()
 
@@ -74,6 +77,10 @@
         for ip in list(self._entries)[:_MOST_ENTRIES]:
             self._node.send(ip, datagram)
 
+    def _greet_when_due(self) -> None:
+        if self._pace.is_due(self._node.loop.now):
+            self._greet()
+
     def _greet(self) -> None:
         if self._host.record and self._entries:
             return
--- a/siskinbank/relay/request_watch.py
+++ b/siskinbank/relay/request_watch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from siskinbank.platform.packets import describe
+from siskinbank.platform.packets import FIN, RST, describe, flags_of
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -10,11 +10,14 @@
 
     from siskinbank.beliefs.own_host import OwnHost
     from siskinbank.relay.node import Node
-    from siskinbank.sidecar.held_flows import HeldFlow
+    from siskinbank.sidecar.held_flows import HeldFlow, Request
 
 __all__ = ('RequestWatch',)
 
 _MS = 1000
+# An answer follows the end of its flow within this, in seconds: both lie on
+# the machine's own network.
+_LAST_WORDS_S = 0.01
 
 
 class RequestWatch:
@@ -54,6 +57,8 @@
         now = self._node.loop.now
         answer = flow.take_answer(packet, now)
         if answer is None:
+            if flow.request and flags_of(packet) & (FIN | RST):
+                self._expect_end(key, flow, flow.request)
             return
         if not answer.executed:
             self._host.room.note_shed(self._host.busy - 1, now)
@@ -82,3 +87,23 @@
             busy=host.busy,
         )
         self.on_end()
+
+    def _expect_end(
+        self,
+        key: bytes,
+        flow: HeldFlow,
+        request: Request,
+    ) -> None:
+        """End a request whose host closes the flow.
+
+        Load pattern: callers that close their side with the request, and
+        hosts that close theirs without an answer; each request would count as
+        work until the flow is idle. An answer may follow the end of its flow,
+        as packets overtake each other.
+        """
+
+        def end_if_unanswered() -> None:
+            if flow.request is request:
+                self.end(key, flow, 'cut')
+
+        self._node.loop.after(_LAST_WORDS_S, end_if_unanswered)
--- a/siskinbank/sidecar/held_flows.py
+++ b/siskinbank/sidecar/held_flows.py
@@ -7,12 +7,9 @@
 from __future__ import annotations
 
 from siskinbank.platform.packets import (
-    FIN,
     HEAD_BYTES,
-    RST,
     Answer,
     begins_request,
-    flags_of,
     read_answer,
     request_id,
     sequence_numbers,
@@ -98,17 +95,9 @@
         return self.request
 
     def take_answer(self, packet: bytes, now: float) -> Answer | None:
-        """Follow a host's packet; return the answer that it begins.
-
-        A host that closes the flow instead works on the request no more.
-        """
+        """Follow a host's packet; return the answer that it begins."""
         self.seen = now
-        if self.request is None:
-            return None
-        answer = read_answer(packet)
-        if answer is None and flags_of(packet) & (FIN | RST):
-            return Answer('cut', executed=True)
-        return answer
+        return read_answer(packet) if self.request else None
 
 
 class Waiting:
