Let late flows wait for a free slot; trust hosts that prove themselves

Causes: (1) A host was given one request beyond its slots, also a late one; requests of open flows and new ones waited for it and were late too. (2) A cut had made the entries of one data centre lapse before the loss of power. Its hosts were up, but as the store said nothing of them for a second, no entry named them among its five candidates: a quarter of the hosts stood idle while the others worked off the backlog. Ruled out: the cut itself (all entries heard of these hosts at 35.83), searches. Change: late flows go to the host when a slot is free, those that can be in time one request earlier. A host without an entry may take one flow; if it does, it is trusted, and before that counts like one request in progress. An entry tells its peers at once when it has taken a newer configuration.

--- a/siskinbank/admission/waiting_room.py
+++ b/siskinbank/admission/waiting_room.py
@@ -25,9 +25,13 @@
 # From a free slot to the request's arrival and back to the client, in seconds:
 # four ways to a client of 3 ms each, and what a busy process adds.
 _WAYS_S = 0.02
-# Requests that a flow lets pass before it and the one that it brings, in times
-# of usual work: the one that is still worked on, and itself.
-_WORKS = 2
+# Work before an answer is there, in times of the usual: the request itself,
+# and on average half of the one that is worked on before it.
+_WORKS = 1.5
+# Requests beyond its slots that a host is given, so that the next one is there
+# when a slot gets free, in the time of a way to the client and back. None
+# that is late already: requests of open flows and new ones would wait for it.
+_AHEAD = 1
 # First packets kept at once; beyond that flows are refused.
 _MOST_KEPT = 256
 
@@ -109,20 +113,25 @@
         self,
         now: float,
         work_s: float,
+        free: int,
     ) -> tuple[bytes, KeptOpening] | None:
-        """Take out the flow that gets a free slot, None if none waits.
+        """Take out the flow that goes to the host, None if none may.
 
         Args:
             now: the time.
             work_s: how long the host usually works on a request.
+            free: slots without a request, below 0 for requests that wait.
         """
-        chosen: bytes | None = None
+        if free <= -_AHEAD:
+            return None
+        late: bytes | None = None
         for key, kept in self._kept.items():
             if kept.in_time_at(now, work_s):
-                chosen = key
-                break
-            chosen = chosen or key
-        return None if chosen is None else (chosen, self._kept.pop(chosen))
+                return key, self._kept.pop(key)
+            late = late or key
+        if late is None or free <= 0:
+            return None
+        return late, self._kept.pop(late)
 
     def drop_given_up(self, now: float) -> list[tuple[bytes, KeptOpening]]:
         """Take out the flows that their clients have given up."""
--- a/siskinbank/beliefs/hosts.py
+++ b/siskinbank/beliefs/hosts.py
@@ -53,11 +53,6 @@
         self.pending = 0
         self.left = False
 
-    @property
-    def confirmed(self) -> bool:
-        """Whether the store has said anything of the host."""
-        return bool(self.status.born_ms)
-
     def has_left(self, now: float) -> bool:
         """Say whether a host without an entry in the store fell silent."""
         if self.status.state == reasons.UNREGISTERED:
--- a/siskinbank/beliefs/own_host.py
+++ b/siskinbank/beliefs/own_host.py
@@ -40,6 +40,7 @@
         work: how long the host works on a request.
         arriving: flows whose first request is on its way.
         room: how many requests the host keeps.
+        proven: it has taken a flow that this process saw.
         refusing: whether it refuses all new flows.
     """
 
@@ -54,6 +55,7 @@
         'arriving',
         'busy',
         'confirmed',
+        'proven',
         'record',
         'refusing',
         'room',
@@ -82,6 +84,7 @@
         self.arriving = Arriving()
         self.room = QueueRoom()
         self.refusing = RefusingHost()
+        self.proven = False
         self._cold = ColdLimit()
         self._cold_until = NEVER
         self._unreachable_at = NEVER
@@ -108,12 +111,26 @@
         """Say whether a word from the store is still to be waited for."""
         return now < self._doubt_until
 
-    def unconfirmed(self, now: float) -> bool:
-        """Say whether other hosts should be preferred.
+    def is_trusted(self, now: float) -> bool:
+        """Say whether nothing speaks for other hosts.
 
-        A machine may have come back whose host has been replaced.
+        A machine may have come back whose host has been replaced. A host of
+        which the store says nothing is trusted once it has taken a flow: its
+        entry may have lapsed in a cut, and is back only with its next word.
         """
-        return self.record is None or self.in_doubt(now)
+        if self.record is None:
+            return self.proven
+        return not self.in_doubt(now)
+
+    def may_prove_itself(self, now: float) -> bool:
+        """Say whether a host that nobody knows may take one flow."""
+        tried = self.busy + self.arriving.count(now)
+        return self.record is None and not tried
+
+    def note_opened(self) -> None:
+        """Note that the host took a flow."""
+        self.proven = True
+        self.refusing.note_taken()
 
     def seen_whole(self, now: float) -> bool:
         """Say whether the sidecar has seen all flows that the host holds.
@@ -159,6 +176,7 @@
         """Note that nobody listens at the host; say whether that is new."""
         fresh = now - self._unreachable_at > _UNREACHABLE_S
         self._unreachable_at = now
+        self.proven = False
         return fresh
 
     def state(self, now: float) -> int:
--- a/siskinbank/choice/placement.py
+++ b/siskinbank/choice/placement.py
@@ -24,6 +24,9 @@
 # What the way to another data centre costs, in requests in progress: the way
 # takes a twentieth of a usual request's time.
 _AWAY_WEIGHT = 0.15
+# A host of which the store has said nothing yet may be a leftover, but is no
+# worse than a host at work, in requests in progress.
+_UNTRUSTED_WEIGHT = 1
 # Spreads equal hosts, in requests in progress.
 _SPREAD_WEIGHT = 0.1
 _SPREAD_STEPS = 256
@@ -45,9 +48,8 @@
     """
     able = [host for host in hosts if not host.status.state]
     heard = [host for host in able if now - host.heard < SILENT_S]
-    # A host of which the store has said nothing yet may be a leftover.
     scored = [
-        (not host.confirmed, _score(host, draw, data_centre), index)
+        (_score(host, draw, data_centre), index)
         for index, host in enumerate(heard)
     ]
     scored.sort()
@@ -86,4 +88,5 @@
     load = status.busy + host.pending + status.flows * _FLOW_WEIGHT
     spread = (draw ^ host.packed[3] * 0x9D) % _SPREAD_STEPS / _SPREAD_STEPS
     away = _AWAY_WEIGHT if status.data_centre != data_centre else 0
-    return load / status.slots + away + spread * _SPREAD_WEIGHT
+    unknown = 0 if status.trusted else _UNTRUSTED_WEIGHT
+    return load / status.slots + away + unknown + spread * _SPREAD_WEIGHT
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -77,7 +77,7 @@
         self._settled = False
         self._hosts = HostBeliefs()
         self._follower = Follower(node, self._hosts_read, self._operator_read)
-        self._handover = Handover(node, self._follower, self._serve_early)
+        self._handover = Handover(node, self._follower, self._configured)
         self._gossip = Gossip(node, self._hosts, self._follower, self._handover)
         self._seeker = Seeker(
             node,
@@ -336,8 +336,12 @@
     def _hosts_read(self) -> None:
         self._gossip.tell_records()
 
-    def _operator_read(self) -> None:
+    def _configured(self) -> None:
+        self._gossip.tell_of_change()
         self._serve_early()
+
+    def _operator_read(self) -> None:
+        self._configured()
         if self._follower.hosts_revision:
             self._gossip.tell_records()
 
--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -69,6 +69,7 @@
         self._stopping: set[bytes] = set()
         self._operator_confirmed = NEVER
         self._wanted = False
+        self._version_told = 0
         follower.hosts_due = self._hosts_due
         follower.operator_due = self._operator_due
         node.handlers[messages.HELLO] = self._hear_hello
@@ -90,6 +91,18 @@
         ]
         self._follower.rank = rank_of(self._node.packed_ip, readers)
 
+    def tell_of_change(self) -> None:
+        """Tell the others at once if the configuration has changed.
+
+        Load pattern: the store is back after a loss of power, with a large
+        configuration; the first entry that has read it spares the others a
+        long read over a thin link.
+        """
+        version = self._follower.configuration.version
+        if version != self._version_told:
+            self._version_told = version
+            self.tell()
+
     def tell_records(self) -> None:
         """Tell each sidecar what the store says of its host."""
         self.meet(list(map(inet_aton, self._follower.hosts)))
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -108,7 +108,7 @@
 
 _OPENING = Struct('!BBIQ4sHH4sHB')
 _FLOW_NOTE = Struct('!B12sIB')
-_STATUS = Struct('!BIIBHHHQQII')
+_STATUS = Struct('!BIIBHHHQQIIB')
 _NEWS = Struct('!BBQQIQI')
 _RECORD = Struct('!BBIIHQQIIQQ')
 _PIECE = Struct('!BQHH')
@@ -285,6 +285,7 @@
         spare: new flows that the host's cold limit still allows, as a number
             a second; a large number where there is no limit.
         record_age_ms: age of what the store says of the host.
+        trusted: nothing speaks for other hosts, see ``OwnHost.is_trusted``.
     """
 
     __slots__ = (
@@ -297,6 +298,7 @@
         'slots',
         'spare',
         'state',
+        'trusted',
         'version',
     )
 
@@ -312,6 +314,7 @@
         self.version = 0
         self.spare = 0
         self.record_age_ms = _MAX_AGE_MS
+        self.trusted = False
 
     @classmethod
     def read(cls, raw: bytes) -> Status:
@@ -331,7 +334,8 @@
             status.version,
             status.spare,
             status.record_age_ms,
-        ) = fields[3:]
+        ) = fields[3:-1]
+        status.trusted = bool(fields[-1])
         return status
 
     def pack(self) -> bytes:
@@ -348,6 +352,7 @@
             self.version,
             self.spare,
             min(self.record_age_ms, _MAX_AGE_MS),
+            self.trusted,
         )
 
 
--- a/siskinbank/relay/openings.py
+++ b/siskinbank/relay/openings.py
@@ -33,9 +33,8 @@
 
 # A flow is passed on at most this often.
 _MOST_HOPS = 8
-# Requests beyond its slots that a host is given: the next one is there when a
-# slot gets free, in the time of a way to the client and back.
-_AHEAD = 1
+# Free slots of a host that would shed another request.
+_NO_ROOM = -1000
 # Kept flows are looked at this often, in seconds, besides each end of a
 # request: as long as a usual request.
 _LOOK_S = 0.03
@@ -111,8 +110,8 @@
             for key, kept in self.room.clear():
                 self._pass_on(key, kept.opening, reason)
             return
-        while self._has_slot(now) and host.spare(now) != 0:
-            found = self.room.next(now, host.work.seconds)
+        while host.spare(now) != 0:
+            found = self.room.next(now, host.work.seconds, self._free(now))
             if found is None:
                 return
             self._admit(*found)
@@ -146,7 +145,8 @@
         now = self._node.loop.now
         host = self._host
         left = bool(opening.candidates) and opening.hops < _MOST_HOPS
-        if left and host.unconfirmed(now):
+        unknown = not host.is_trusted(now) and not host.may_prove_itself(now)
+        if left and unknown:
             self._pass_on(key, opening, reasons.BUSY)
             return
         copy = sequence_numbers(opening.packet)[1]
@@ -178,11 +178,10 @@
         return host.wait_s(now, ahead)
 
     def _keep(self, key: bytes, kept: KeptOpening) -> None:
-        now = self._node.loop.now
-        if not self.room and self._has_slot(now):
-            self._admit(key, kept)
-            return
         self.room.keep(key, kept)
+        self.release()
+        if not self.room.get(key):
+            return
         opening = kept.opening
         self._node.meters.count('flows_kept_total')
         self._node.log(
@@ -197,10 +196,11 @@
         self._node.send(inet_ntoa(opening.entry), note)
         self._look_later()
 
-    def _has_slot(self, now: float) -> bool:
+    def _free(self, now: float) -> int:
+        """Return the slots without a request, below 0 for those that wait."""
         host = self._host
         expected = host.busy + host.arriving.count(now)
-        return expected < host.slots + _AHEAD and not host.is_full(now)
+        return _NO_ROOM if host.is_full(now) else host.slots - expected
 
     def _look_later(self) -> None:
         if not self._looking:
--- a/siskinbank/relay/reports.py
+++ b/siskinbank/relay/reports.py
@@ -116,6 +116,7 @@
         status.flows = min(self._count_flows(), _MOST_COUNT)
         status.version = host.version
         spare = host.spare(now)
+        status.trusted = host.is_trusted(now)
         status.spare = _MOST_COUNT if spare is None else spare
         if host.record:
             status.born_ms = host.record.born_ms
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -137,7 +137,7 @@
             flow = self._learn(key, waiting)
         if flags & SYN:
             flow.number = sequence_numbers(packet)[0]
-            self._host.refusing.note_taken()
+            self._host.note_opened()
         else:
             flow.established = True
             self._requests.take_answer(key, flow, packet)
--- a/tests/admission/test_waiting_room.py
+++ b/tests/admission/test_waiting_room.py
@@ -55,7 +55,7 @@
         while coming and coming[0] <= now:
             sent = coming.pop(0)
             room.keep(b'new%d' % step, KeptOpening(None, now, sent, aim_s))
-        found = room.next(now, WORK_S) if now >= free_at else None
+        found = room.next(now, WORK_S, 1) if now >= free_at else None
         if found:
             free_at = now + rng.uniform(0.5, 1.5) * WORK_S
             in_time += found[1].sent >= 0 and free_at - found[1].sent < AIM_S
@@ -76,10 +76,22 @@
         for key, sent in ((b'a', 99.4), (b'b', 99.8), (b'c', 99.99)):
             room.keep(key, KeptOpening(None, 100, sent, AIM_S))
         order = []
-        while found := room.next(100, WORK_S):
+        while found := room.next(100, WORK_S, 1):
             order.append(found[0])
         self.assertEqual(order, [b'c', b'a', b'b'])
 
+    def test_late_flows_wait_for_a_free_slot(self) -> None:
+        """Others are there when a slot gets free, one at a time."""
+        room = WaitingRoom()
+        for key, sent in ((b'a', 99.4), (b'b', 99.99)):
+            room.keep(key, KeptOpening(None, 100, sent, AIM_S))
+        self.assertIsNone(room.next(100, WORK_S, -1))
+        found = room.next(100, WORK_S, 0)
+        self.assertEqual(found and found[0], b'b')
+        self.assertIsNone(room.next(100, WORK_S, 0))
+        found = room.next(100, WORK_S, 1)
+        self.assertEqual(found and found[0], b'a')
+
     def test_what_is_ahead_of_a_new_flow(self) -> None:
         """All, unless it can be in time."""
         room = WaitingRoom()
--- a/tests/beliefs/test_own_host.py
+++ b/tests/beliefs/test_own_host.py
@@ -155,6 +155,21 @@
             self.assertEqual(host.seen_whole(101), whole)
             self.assertTrue(host.seen_whole(119))
 
+    def test_an_unknown_host_proves_itself(self) -> None:
+        """With one flow at a time; a standstill asks for the store's word."""
+        host = OwnHost(SERVICE, 100, 50_000)
+        self.assertFalse(host.is_trusted(100))
+        self.assertTrue(host.may_prove_itself(100))
+        host.note_taken(b'first', 100)
+        self.assertFalse(host.may_prove_itself(100.001))
+        host.note_opened()
+        self.assertTrue(host.is_trusted(100.1))
+        host.believe(record(), 101)
+        host.doubt(200)
+        self.assertFalse(host.is_trusted(200.1))
+        self.assertFalse(host.may_prove_itself(200.1))
+        self.assertTrue(host.is_trusted(200.6))
+
     def test_a_host_that_starts_anew_is_watched_anew(self) -> None:
         """What was seen of its life before says nothing."""
         host = OwnHost(SERVICE, 100, 50_000)
--- a/tests/choice/test_placement.py
+++ b/tests/choice/test_placement.py
@@ -14,6 +14,7 @@
 def belief(number: int, now: float = 100, **status: int) -> HostBelief:
     """Return a host with some fields of its status changed."""
     word = Status(SERVICE, HERE)
+    word.trusted = True
     for name, amount in status.items():
         setattr(word, name, amount)
     return HostBelief(f'10.0.0.{number}', word, now)
@@ -38,6 +39,13 @@
             hosts = [away, belief(2, busy=busy)]
             self.assertEqual(order(hosts, 0, HERE, 100)[0].ip[-1], first)
 
+    def test_unknown_hosts_are_no_worse_than_busy_ones(self) -> None:
+        """Load pattern: a cut made entries of a data centre lapse."""
+        unknown = belief(1, trusted=False)
+        for busy, first in ((0, '2'), (2, '1')):
+            hosts = [unknown, belief(2, busy=busy)]
+            self.assertEqual(order(hosts, 0, HERE, 100)[0].ip[-1], first)
+
     def test_hosts_that_take_nothing_are_left_out(self) -> None:
         """Silent ones come in only when there is nobody else."""
         silent = belief(1, now=90)
