Draw three of five candidates; give hosts late flows one request ahead

Causes: (1) Words of sidecars are up to 0.4 s old, and entries named the five hosts with the least load in them. (2) Late flows got a slot only when one was free, so each cost a way to the client and back, a quarter of the time of a host with one slot. Ruled out: processor time (the same without it counted), the order in the waiting room (no late flow was taken before one in time at its host), searches. Change: two candidates by load, three drawn by the flow's key; sidecars state the flows in time that they keep as load, not the late ones; late flows go to the host one request ahead too.

--- a/siskinbank/admission/waiting_room.py
+++ b/siskinbank/admission/waiting_room.py
@@ -35,8 +35,7 @@
 # at a host that is not overloaded.
 _FEW = 2
 # Requests beyond its slots that a host is given, so that the next one is there
-# when a slot gets free, in the time of a way to the client and back. None
-# that is late already: requests of open flows and new ones would wait for it.
+# when a slot gets free, in the time of a way to the client and back.
 _AHEAD = 1
 # First packets kept at once; beyond that flows are refused.
 _MOST_KEPT = 256
@@ -112,8 +111,12 @@
         """Return how many would get a slot before a flow that comes now."""
         if not kept.in_time_at(now, work_s):
             return len(self._kept)
-        others = self._kept.values()
-        return sum(1 for other in others if other.in_time_at(now, work_s))
+        return self.count_in_time(now, work_s)
+
+    def count_in_time(self, now: float, work_s: float) -> int:
+        """Count the flows that go before a new one at most."""
+        kept = self._kept.values()
+        return sum(1 for one in kept if one.in_time_at(now, work_s))
 
     def next(
         self,
@@ -137,7 +140,7 @@
         ]
         if in_time:
             chosen = in_time[0 if len(in_time) <= _FEW else -1]
-        elif self._kept and free > 0:
+        elif self._kept:
             chosen = next(iter(self._kept))
         else:
             return None
--- a/siskinbank/choice/placement.py
+++ b/siskinbank/choice/placement.py
@@ -17,6 +17,9 @@
 # Candidates named with a first packet: with every second host busy, one in
 # thirty such flows still meets only busy ones.
 MOST_CANDIDATES = 5
+# Candidates chosen by what was heard of them; the others are drawn, so that
+# entries that heard the same words do not all name the same hosts.
+_CHOSEN = 2
 
 # A flow's part in a host's load next to one request in progress: a long flow
 # is at work about a tenth of the time.
@@ -53,11 +56,26 @@
         for index, host in enumerate(heard)
     ]
     scored.sort()
-    best = [heard[place[-1]] for place in scored[:MOST_CANDIDATES]]
+    places = _with_drawn([place[-1] for place in scored], draw)
+    best = [heard[place] for place in places]
     # Sidecars that went silent may be restarting; they come last.
     return best or able[:MOST_CANDIDATES]
 
 
+def _with_drawn(places: list[int], draw: int) -> list[int]:
+    """Keep the best places, and draw the others from all that are left.
+
+    Load pattern: all hosts are at work and words about them are up to 0.4 s
+    old. By load alone every entry would name the same five, whose queues grow
+    while the others work off late flows.
+    """
+    chosen, left = places[:_CHOSEN], places[_CHOSEN:]
+    while left and len(chosen) < MOST_CANDIDATES:
+        draw, place = divmod(draw, len(left))
+        chosen.append(left.pop(place))
+    return chosen
+
+
 def candidates(
     hosts: list[HostBelief],
     ordered: list[HostBelief],
--- a/siskinbank/relay/openings.py
+++ b/siskinbank/relay/openings.py
@@ -97,6 +97,11 @@
         if waiting and waiting.opening:
             self._pass_on(key, waiting.opening, reasons.HOST_REFUSED)
 
+    def count_in_time(self) -> int:
+        """Count the kept flows that a new one would find before it."""
+        now = self._node.loop.now
+        return self.room.count_in_time(now, self._host.work.seconds)
+
     def release(self) -> None:
         """Hand kept flows to the host while it has slots for them."""
         if not self.room:
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -90,7 +90,7 @@
             node,
             self._host,
             self._flows.__len__,
-            lambda: len(self._openings.room),
+            lambda: self._openings.count_in_time(),
         )
         self._openings = Openings(
             node,
--- a/tests/choice/test_placement.py
+++ b/tests/choice/test_placement.py
@@ -56,6 +56,20 @@
         self.assertEqual(order(hosts[:2], 0, HERE, 100), [silent])
         self.assertEqual(order([], 0, HERE, 100), [])
 
+    def test_entries_do_not_all_name_the_same_hosts(self) -> None:
+        """Replay: 50 entries, 40 hosts at work, some with more flows.
+
+        Each flow stays at the shortest of the queues that it meets.
+        """
+        hosts = [belief(number, busy=3, flows=number) for number in range(40)]
+        chance = random.Random(1)
+        queues = dict.fromkeys((host.ip for host in hosts), 0)
+        for _ in range(200):
+            met = order(hosts, chance.randrange(1 << 32), HERE, 100)
+            self.assertEqual(len({host.ip for host in met}), MOST_CANDIDATES)
+            queues[min((host.ip for host in met), key=queues.__getitem__)] += 1
+        self.assertLessEqual(max(queues.values()), 2 * 200 // 40)
+
     def test_many_entries_spread_over_equal_hosts(self) -> None:
         """Replay: 50 entries place one flow each on the same old words."""
         hosts = [belief(number) for number in range(1, 11)]
