--- a/siskinbank/admission/waiting_room.py
+++ b/siskinbank/admission/waiting_room.py
@@ -18,7 +18,7 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from typing import Any
+    from siskinbank.relay.messages import Opening
 
 # When a client sends a first packet and its copies, in seconds after the first.
 _COPIES_AT_S = (0, 0.2, 0.6)
@@ -45,7 +45,8 @@
     """Return how long before a copy the client sent its first packet.
 
     Args:
-        copy: how many copies came before; the last one known counts for more.
+        copy: how many copies came before; more than clients send count as
+            the last one.
     """
     return _COPIES_AT_S[min(copy, len(_COPIES_AT_S) - 1)]
 
@@ -64,7 +65,7 @@
 
     def __init__(
         self,
-        opening: Any,
+        opening: Opening,
         since: float,
         sent: float,
         aim_s: float,
--- a/tests/admission/test_waiting_room.py
+++ b/tests/admission/test_waiting_room.py
@@ -8,7 +8,9 @@
     WaitingRoom,
     sent_ago_s,
 )
+from siskinbank.relay.messages import Opening
 
+OPENING = Opening(b'', b'')
 AIM_S = 0.25
 # A cold host: the usual work of the users' heaviest service, 1.6 times as long.
 WORK_S = 0.038
@@ -28,7 +30,7 @@
     room = WaitingRoom()
     for number in range(BACKLOG):
         sent = -sent_ago_s(1 + number % 2)
-        room.keep(b'old%d' % number, KeptOpening(None, 0, sent, aim_s))
+        room.keep(b'old%d' % number, KeptOpening(OPENING, 0, sent, aim_s))
     return room
 
 
@@ -58,7 +60,7 @@
         now = step * STEP_S
         while coming and coming[0] <= now:
             sent = coming.pop(0)
-            room.keep(b'new%d' % step, KeptOpening(None, now, sent, aim_s))
+            room.keep(b'new%d' % step, KeptOpening(OPENING, now, sent, aim_s))
         found = room.next(now, WORK_S, 1) if now >= free_at else None
         if found:
             free_at = now + rng.uniform(0.5, 1.5) * WORK_S
@@ -83,7 +85,7 @@
         """Of those that can be in time; few keep their order."""
         room = WaitingRoom()
         for key, sent in ((b'a', 99.97), (b'b', 99.98), (b'c', 99.99)):
-            room.keep(key, KeptOpening(None, 100, sent, AIM_S))
+            room.keep(key, KeptOpening(OPENING, 100, sent, AIM_S))
         order = []
         while found := room.next(100, WORK_S, 1):
             order.append(found[0])
@@ -93,7 +95,7 @@
         """In their order, after those that can be in time."""
         room = WaitingRoom()
         for key, sent in ((b'a', 99.4), (b'b', 99.8), (b'c', 99.99)):
-            room.keep(key, KeptOpening(None, 100, sent, AIM_S))
+            room.keep(key, KeptOpening(OPENING, 100, sent, AIM_S))
         order = []
         while found := room.next(100, WORK_S, 1):
             order.append(found[0])
@@ -103,7 +105,7 @@
         """So that it is there when a slot gets free; no second one."""
         room = WaitingRoom()
         for key, sent in ((b'a', 99.4), (b'b', 99.99)):
-            room.keep(key, KeptOpening(None, 100, sent, AIM_S))
+            room.keep(key, KeptOpening(OPENING, 100, sent, AIM_S))
         self.assertIsNone(room.next(100, WORK_S, -1))
         found = room.next(100, WORK_S, 0)
         self.assertEqual(found and found[0], b'b')
@@ -114,18 +116,18 @@
     def test_what_is_ahead_of_a_new_flow(self) -> None:
         """All, unless it can be in time."""
         room = WaitingRoom()
-        room.keep(b'a', KeptOpening(None, 100, 99.4, AIM_S))
-        room.keep(b'b', KeptOpening(None, 100, 100, AIM_S))
-        new = KeptOpening(None, 100, 100, AIM_S)
-        late = KeptOpening(None, 100, 99.4, AIM_S)
+        room.keep(b'a', KeptOpening(OPENING, 100, 99.4, AIM_S))
+        room.keep(b'b', KeptOpening(OPENING, 100, 100, AIM_S))
+        new = KeptOpening(OPENING, 100, 100, AIM_S)
+        late = KeptOpening(OPENING, 100, 99.4, AIM_S)
         self.assertEqual(room.ahead_of(new, 100, WORK_S), 1)
         self.assertEqual(room.ahead_of(late, 100, WORK_S), 2)
 
     def test_flows_that_clients_gave_up(self) -> None:
         """A host would open them for nobody."""
         room = WaitingRoom()
-        room.keep(b'a', KeptOpening(None, 100, 99.4, AIM_S))
-        room.keep(b'b', KeptOpening(None, 100, 100, AIM_S))
+        room.keep(b'a', KeptOpening(OPENING, 100, 99.4, AIM_S))
+        room.keep(b'b', KeptOpening(OPENING, 100, 100, AIM_S))
         gone = room.drop_given_up(101)
         self.assertEqual([key for key, _ in gone], [b'a'])
         self.assertEqual(len(room), 1)
@@ -134,7 +136,7 @@
         """Beyond some hundreds it says so."""
         room = WaitingRoom()
         while not room.full:
-            room.keep(b'%d' % len(room), KeptOpening(None, 0, 0, AIM_S))
+            room.keep(b'%d' % len(room), KeptOpening(OPENING, 0, 0, AIM_S))
         self.assertLessEqual(len(room), 1000)
         self.assertEqual(len(room.clear()), 256)
         self.assertFalse(room.full)
