--- a/tests/tools/test_start_cost.py
+++ b/tests/tools/test_start_cost.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tools.start_cost import Part, cost, parts
+from tools.start_cost import Part, cost, first_request_s, parts
 
 REPORT = """import time: self [us] | cumulative | imported package
 import time:       152 |        152 |   zlib
@@ -11,7 +11,7 @@
 """
 
 
-class TestStartCost(unittest.TestCase):
+class TestStartCost(unittest.IsolatedAsyncioTestCase):
     """Part by part."""
 
     def test_parts(self) -> None:
@@ -22,3 +22,8 @@
     def test_cost(self) -> None:
         """A module costs more than none."""
         self.assertGreater(cost('import asyncio'), cost('pass'))
+
+    async def test_first_request(self) -> None:
+        """Both programs serve again; the fleet bounds the time."""
+        for role in ('entry', 'sidecar'):
+            self.assertGreater(await first_request_s(role), 0)
