Judge a sidecar's silence by its usual pauses; tell all entries in turn

Change: each turn tells the next 32 entries; a sidecar counts as silent after three times its usual pause where that is longer.

--- a/siskinbank/beliefs/hosts.py
+++ b/siskinbank/beliefs/hosts.py
@@ -18,6 +18,10 @@
 # A host that the store no longer knows leaves after its last word, in
 # seconds: one word missed.
 _LEAVES_S = 0.6
+# A longer pause than this is no usual one, in seconds: a cut or a standstill.
+_LONGEST_PAUSE_S = 2.0
+# What is left of a long pause in the usual one after another word.
+_PAUSE_SHARE = 0.8
 
 
 class HostBelief:
@@ -31,6 +35,7 @@
         heard_first: when the first one came.
         pending: flows placed there since.
         left: it fell silent and is known to be gone.
+        pause_s: the usual pause between its sidecar's words.
     """
 
     __slots__ = (
@@ -38,6 +43,7 @@
         'heard_first',
         'ip',
         'left',
+        'pause_s',
         'packed',
         'pending',
         'status',
@@ -52,6 +58,7 @@
         self.heard_first = heard
         self.pending = 0
         self.left = False
+        self.pause_s: float = 0
 
     def has_left(self, now: float) -> bool:
         """Say whether a host without an entry in the store fell silent."""
@@ -95,6 +102,8 @@
             return True
         before = belief.status
         changed = before.state != status.state or now - belief.heard > SILENT_S
+        pause = min(now - belief.heard, _LONGEST_PAUSE_S)
+        belief.pause_s = max(pause, belief.pause_s * _PAUSE_SHARE)
         belief.status = status
         belief.heard = now
         belief.pending = 0
--- a/siskinbank/entry/flow_searches.py
+++ b/siskinbank/entry/flow_searches.py
@@ -22,6 +22,8 @@
 # answer may be ready: as long as a killed sidecar takes to be back.
 _SILENT_REPEATABLE_S = 1.3
 _SILENT_ONCE_S = 3.0
+# Words missed after which a sidecar that speaks more seldom counts as silent.
+_MISSED_WORDS = 3
 
 
 class Search:
@@ -132,7 +134,11 @@
         return now - search.began > _LONGEST_S
 
 
-def may_still_answer(silent_s: float, repeatable: bool) -> bool:
+def may_still_answer(
+    silent_s: float,
+    repeatable: bool,
+    pause_s: float,
+) -> bool:
     """Say whether a search waits for a host that has not answered.
 
     Load pattern: after a loss of power the store still names hosts that never
@@ -142,6 +148,8 @@
     Args:
         silent_s: how long its sidecar has said nothing.
         repeatable: whether the flow's requests may run more than once.
+        pause_s: the usual pause between its words; it speaks to each of many
+            entries more seldom.
     """
     longest = _SILENT_REPEATABLE_S if repeatable else _SILENT_ONCE_S
-    return silent_s < longest
+    return silent_s < max(longest, pause_s * _MISSED_WORDS)
--- a/siskinbank/relay/reports.py
+++ b/siskinbank/relay/reports.py
@@ -20,7 +20,7 @@
 # Words to the entries, in seconds: a third of the time after which an entry
 # takes a sidecar for silent.
 _STATUS_S = 0.4
-# Words go to this many entries a turn at most.
+# Words go to this many entries a turn at most; the next turn is others'.
 _MOST_ENTRIES = 32
 # Entries not heard of for this long get no more words, in seconds.
 _FORGET_S = 30.0
@@ -43,6 +43,7 @@
         '_host',
         '_node',
         '_pace',
+        '_told',
     )
 
     def __init__(
@@ -59,6 +60,7 @@
         self._count_kept = count_kept
         self._data_centre = messages.digest(node.settings.data_centre)
         self._entries: dict[str, float] = {}
+        self._told = 0
         node.handlers[messages.HELLO] = self._hear_hello
         node.handlers[messages.PEERS] = self._hear_peers
         node.loop.every(_STATUS_S, self.tell)
@@ -74,7 +76,12 @@
     def tell(self) -> None:
         """Tell the entries how the host is."""
         datagram = self._status().pack()
-        for ip in list(self._entries)[:_MOST_ENTRIES]:
+        entries = list(self._entries)
+        if self._told >= len(entries):
+            self._told = 0
+        turn = entries[self._told : self._told + _MOST_ENTRIES]
+        self._told += _MOST_ENTRIES
+        for ip in turn:
             self._node.send(ip, datagram)
 
     def _greet_when_due(self) -> None:
--- a/siskinbank/relay/seeker.py
+++ b/siskinbank/relay/seeker.py
@@ -297,7 +297,8 @@
         host = self._hosts.get(ip)
         heard = host.heard if host else self._started
         silent_s = self._node.loop.now - heard
-        return may_still_answer(silent_s, route.repeatable)
+        pause_s = host.pause_s if host else 0
+        return may_still_answer(silent_s, route.repeatable, pause_s)
 
     def _is_cut_off(self, route: Route) -> bool:
         """Say whether it is rather this process that nobody reaches."""
--- a/tests/choice/test_placement.py
+++ b/tests/choice/test_placement.py
@@ -124,3 +124,13 @@
         self.assertEqual(len(beliefs.addresses(109)), 1)
         beliefs.sweep(200)
         self.assertEqual(len(beliefs), 0)
+
+    def test_the_usual_pause(self) -> None:
+        """Of a sidecar's words; one long one is forgotten."""
+        beliefs = HostBeliefs()
+        now: float = 100
+        for number in range(16):
+            now += 9 if number == 3 else 0.4
+            beliefs.hear('10.0.0.1', Status(1, HERE), now)
+        host = beliefs.get('10.0.0.1')
+        self.assertAlmostEqual(host.pause_s if host else 0, 0.4, delta=0.1)
--- a/tests/entry/test_flow_searches.py
+++ b/tests/entry/test_flow_searches.py
@@ -34,5 +34,10 @@
             (1.4, False, True),
             (3.1, False, False),
         ):
-            found = may_still_answer(silent_s, repeatable)
+            found = may_still_answer(silent_s, repeatable, 0.4)
             self.assertEqual(found, waits, (silent_s, repeatable))
+
+    def test_sidecars_that_speak_seldom(self) -> None:
+        """Load pattern: a hundred entries, each told every 1.2 s."""
+        self.assertTrue(may_still_answer(2.5, True, 1.2))
+        self.assertFalse(may_still_answer(5, True, 1.2))
