Say what waits at a host, when a refusal is final and how to start, once

Read again: requests in progress and on their way were summed in five places (now OwnHost.expected); two functions held the rule that a refusal is final (one calls the other now); the check of the start and tools/start_cost.py each built the interpreter's command; a relayed packet was marked after it had been handed on. Behaviour, bounds and assertions stay as they are.

--- a/siskinbank/admission/arrivals.py
+++ b/siskinbank/admission/arrivals.py
@@ -259,7 +259,7 @@
         reason: why nobody took the flow.
         copy: how many copies of the first packet came before.
     """
-    return reason not in reasons.SHORT or copy >= _LAST_COPY
+    return nobody_is_final([reason], copy)
 
 
 def nobody_is_final(states: list[int], copy: int) -> bool:
--- a/siskinbank/beliefs/own_host.py
+++ b/siskinbank/beliefs/own_host.py
@@ -122,10 +122,13 @@
             return self.proven
         return not self.in_doubt(now)
 
+    def expected(self, now: float) -> int:
+        """Return the requests in progress and those on their way."""
+        return self.busy + self.arriving.count(now)
+
     def may_prove_itself(self, now: float) -> bool:
         """Say whether a host that nobody knows may take one flow."""
-        tried = self.busy + self.arriving.count(now)
-        return self.record is None and not tried
+        return self.record is None and not self.expected(now)
 
     def note_opened(self) -> None:
         """Note that the host took a flow."""
@@ -185,7 +188,7 @@
 
     def is_full(self, now: float) -> bool:
         """Say whether the host would shed another request."""
-        expected = self.busy + self.arriving.count(now)
+        expected = self.expected(now)
         return expected >= self.slots and self.room.is_full(expected, now)
 
     def wait_s(self, now: float, ahead: int = 0) -> float:
@@ -195,8 +198,7 @@
             now: time on the clock that counts suspension.
             ahead: flows that are kept and get a slot before it.
         """
-        busy = self.busy + self.arriving.count(now) + ahead
-        return self.work.wait_s(busy, self.slots)
+        return self.work.wait_s(self.expected(now) + ahead, self.slots)
 
     def reason_against(self, service: int, now: float) -> int:
         """Return why the host takes no flow at this moment, or NONE.
--- a/siskinbank/relay/openings.py
+++ b/siskinbank/relay/openings.py
@@ -204,8 +204,9 @@
     def _free(self, now: float) -> int:
         """Return the slots without a request, below 0 for those that wait."""
         host = self._host
-        expected = host.busy + host.arriving.count(now)
-        return _NO_ROOM if host.is_full(now) else host.slots - expected
+        if host.is_full(now):
+            return _NO_ROOM
+        return host.slots - host.expected(now)
 
     def _look_later(self) -> None:
         if not self._looking:
--- a/siskinbank/relay/reports.py
+++ b/siskinbank/relay/reports.py
@@ -118,7 +118,7 @@
         status = messages.Status(host.service, self._data_centre)
         status.state = host.state(now)
         status.slots = host.slots
-        expected = host.busy + host.arriving.count(now) + self._count_kept()
+        expected = host.expected(now) + self._count_kept()
         status.busy = min(expected, _MOST_COUNT)
         status.flows = min(self._count_flows(), _MOST_COUNT)
         status.version = host.version
--- a/siskinbank/relay/seeker.py
+++ b/siskinbank/relay/seeker.py
@@ -152,6 +152,10 @@
 
     def is_lost(self, key: bytes, ip: str) -> bool:
         """Say whether a flow that a host held has gone with it."""
+        host = self._hosts.get(ip)
+        if host and self._node.loop.now - host.heard < _DOUBT_S:
+            # Nearly every packet: nothing else needs a look.
+            return False
         if self.has_left(ip):
             return True
         route = self._route(key)
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -217,14 +217,11 @@
 
     def _hear_relayed(self, raw: bytes, ip: str) -> None:
         entry, others, packet = messages.read_relayed(raw)
-        whole_packet(packet)
-        datagram = messages.relayed(entry, [], packet)
+        datagram = messages.relayed(entry, [], whole_packet(packet))
         for other in others:
             self._node.send(inet_ntoa(other), datagram)
-        self._take(packet, inet_ntoa(entry), searching=True)
-        waiting = self._waiting.get(packet[FLOW_KEY])
-        if waiting:
-            waiting.relayed = True
+        asker = inet_ntoa(entry)
+        self._take(packet, asker, searching=True, relayed=True)
 
     def _hear_ask(self, raw: bytes, ip: str) -> None:
         unknown: list[bytes] = []
@@ -240,12 +237,19 @@
             kind = messages.NOT_HELD if whole else messages.UNSURE
             self._node.send(ip, messages.pack_keys(kind, unknown))
 
-    def _take(self, packet: bytes, entry: str, searching: bool) -> None:
+    def _take(
+        self,
+        packet: bytes,
+        entry: str,
+        searching: bool,
+        relayed: bool = False,
+    ) -> None:
         key = packet[FLOW_KEY]
         flow = self._flows.get(key)
         if flow is None:
             waiting = Waiting(entry, self._node.loop.now, packet)
             waiting.searching = searching
+            waiting.relayed = relayed
             self._waiting[key] = waiting
         else:
             flow.entry = entry
--- a/tests/relay/test_lean.py
+++ b/tests/relay/test_lean.py
@@ -2,7 +2,6 @@
 
 import os
 import subprocess
-import sys
 import time
 import unittest
 from fcntl import F_SETPIPE_SZ, fcntl
@@ -12,9 +11,8 @@
 from siskinbank.relay.log import Log
 from siskinbank.relay.loop import Loop
 from siskinbank.relay.meters import Meters
-from tools.start_cost import cost
+from tools.start_cost import command, cost
 
-ROOT = Path(__file__).resolve().parents[2]
 # Each of these costs more at start than all the programs' own modules.
 HEAVY = {
     'asyncio',
@@ -139,19 +137,9 @@
         self.assertEqual(meters.value('resets_total'), 3)
 
 
-def _command(code: str) -> list[str]:
-    return [
-        sys.executable,
-        '-S',
-        '-E',
-        '-c',
-        f'import sys; sys.path.insert(0, {str(ROOT)!r}); {code}',
-    ]
-
-
 def _run(code: str) -> str:
     return subprocess.run(
-        _command(code),
+        command(code),
         capture_output=True,
         text=True,
         check=True,
--- a/tools/start_cost.py
+++ b/tools/start_cost.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-__all__ = ('Part', 'cost', 'first_request_s', 'parts')
+__all__ = ('Part', 'command', 'cost', 'first_request_s', 'parts')
 
 _ROOT = Path(__file__).resolve().parent.parent
 # The best of several runs: the others were disturbed.
@@ -35,6 +35,17 @@
     own_us: int
 
 
+def command(code: str, *options: str) -> list[str]:
+    """Return how the lean programs' interpreter is started with some code.
+
+    Args:
+        code: what it runs.
+        options: further options of the interpreter.
+    """
+    path = f'import sys; sys.path.insert(0, {str(_ROOT)!r}); {code}'
+    return [sys.executable, '-S', '-E', *options, '-c', path]
+
+
 def cost(code: str) -> float:
     """Return the processor time of an interpreter with some code, in seconds.
 
@@ -84,14 +95,9 @@
             await fleet.close()
 
 
-def _command(code: str, *options: str) -> list[str]:
-    path = f'import sys; sys.path.insert(0, {str(_ROOT)!r}); {code}'
-    return [sys.executable, '-S', '-E', *options, '-c', path]
-
-
 def _cost_once(code: str) -> float:
     before = os.times()
-    subprocess.run(_command(code), check=True)
+    subprocess.run(command(code), check=True)
     after = os.times()
     used = after.children_user + after.children_system
     return used - before.children_user - before.children_system
@@ -100,7 +106,7 @@
 def _report(role: str = 'entry') -> str:
     code = f'import siskinbank.relay.main, siskinbank.relay.{role}'
     run = subprocess.run(
-        _command(code, '-X', 'importtime'),
+        command(code, '-X', 'importtime'),
         capture_output=True,
         text=True,
         check=True,
