Notice an outage of the store also when a peer read first

Ruled out: an early end of the wait after the return; the wait never began in that process.

Change: every confirmed listing, own or announced, goes through one function that sees the gap. Test: test_return_noticed_by_a_peer, red before.

--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -128,6 +128,17 @@
         ):
             self._follow_operator()
 
+    def note_hosts_read_by_peer(self, confirmed_at: float) -> None:
+        """Record that the store answered a peer with a listing of the hosts.
+
+        Args:
+            confirmed_at: time of the answer, in seconds.
+        """
+        self._store_availability.note_listing(self._node.loop.now, confirmed_at)
+        self.hosts_read_by_peer_at = max(
+            self.hosts_read_by_peer_at, confirmed_at
+        )
+
     def absence_is_reliable(self) -> bool:
         """Return whether a host without a record in the store is gone."""
         return self._store_availability.absence_is_reliable(self._node.loop.now)
@@ -183,9 +194,7 @@
             self._list_hosts(page.changes[-1].key)
             return
         now = self._node.loop.now
-        self._store_availability.note_read(
-            now, max(self.hosts_read_at, self.hosts_read_by_peer_at)
-        )
+        self._store_availability.note_listing(now, now)
         self.hosts = self._decode_hosts(self._listed_changes)
         self.hosts_revision = page.revision
         self.hosts_read_at = now
--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -218,11 +218,7 @@
             self._operator_read_by_peer_at = max(
                 self._operator_read_by_peer_at, confirmed_at
             )
-        confirmed_at = now - announcement.hosts_age_s
-        follower = self._follower
-        follower.hosts_read_by_peer_at = max(
-            follower.hosts_read_by_peer_at, confirmed_at
-        )
+        self._follower.note_hosts_read_by_peer(now - announcement.hosts_age_s)
 
     def _record_contact(self, packed: bytes) -> None:
         now = self._node.loop.now
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -318,7 +318,7 @@
         before = host.record
         if not host.apply_record(record, self._node.loop.now):
             return
-        self._follower.hosts_read_by_peer_at = host.confirmed_at
+        self._follower.note_hosts_read_by_peer(host.confirmed_at)
         restarted = before and record.born_ms not in {0, before.born_ms}
         if before and before.born_ms and restarted:
             self._drop_flows()
--- a/siskinbank/tracking/store_reads.py
+++ b/siskinbank/tracking/store_reads.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+from siskinbank.relay.loop import NEVER
+
 __all__ = (
     'StoreAvailability',
     'hosts_read_age_s',
@@ -58,32 +60,37 @@
     """Availability of the store, to judge whether a missing host is gone.
 
     Load pattern: host records expire during an outage of the store, and are
-    written again within two seconds of its return. If a process did not read
-    for a while because others did, that was no outage.
+    written again within two seconds of its return. Processes notice the return
+    at different times, some only from a peer. If a process did not read for a
+    while because others did, that was no outage.
     """
 
-    __slots__ = ('_returned_at',)
+    __slots__ = ('_confirmed_at', '_returned_at')
 
     def __init__(self) -> None:
-        """Initialize the state before the first read."""
-        self._returned_at: float | None = None
+        """Initialize the state before the first listing."""
+        self._confirmed_at = NEVER
+        self._returned_at = NEVER
 
-    def note_read(self, now: float, confirmed_at: float) -> None:
-        """Record that the hosts were listed.
+    def note_listing(self, now: float, confirmed_at: float) -> None:
+        """Record that the store answered with a listing of the hosts.
 
         Args:
             now: time in seconds.
-            confirmed_at: time when the store confirmed the previous listing, to
-                this process or to another one that announced it.
+            confirmed_at: time of the answer, to this process or to another one
+                that announced it.
         """
-        if self._returned_at is None or now - confirmed_at > _OUTAGE_S:
-            self._returned_at = now
+        if now - confirmed_at > _OUTAGE_S:
+            # Too old to show that the store is available now.
+            return
+        if confirmed_at - self._confirmed_at > _OUTAGE_S:
+            self._returned_at = confirmed_at
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
     def absence_is_reliable(self, now: float) -> bool:
         """Return whether a host without a record in the store is gone."""
         return (
-            self._returned_at is not None
-            and now - self._returned_at > _RECOVERY_S
+            self._returned_at > NEVER and now - self._returned_at > _RECOVERY_S
         )
 
 
--- a/tests/relay/test_gossip.py
+++ b/tests/relay/test_gossip.py
@@ -30,6 +30,7 @@
             hosts_revision=0,
             hosts_read_at=NEVER,
             hosts_read_by_peer_at=NEVER,
+            note_hosts_read_by_peer=float,
             operator_revision=0,
             operator_read_at=NEVER,
             rank=0,
--- a/tests/tracking/test_store_reads.py
+++ b/tests/tracking/test_store_reads.py
@@ -23,19 +23,44 @@
         """Hosts with expired records register again within two seconds."""
         store = StoreAvailability()
         self.assertFalse(store.absence_is_reliable(100))
-        store.note_read(100, -1e9)
+        store.note_listing(100, 100)
         self.assertFalse(store.absence_is_reliable(102))
+        store.note_listing(101.5, 101.5)
         self.assertTrue(store.absence_is_reliable(102.4))
-        store.note_read(110, 105)
+        store.note_listing(110, 110)
         self.assertFalse(store.absence_is_reliable(111))
 
     def test_reads_by_other_processes_count(self) -> None:
         """Their listings show that the store was available."""
         store = StoreAvailability()
-        store.note_read(100, -1e9)
-        store.note_read(140, 139.5)
+        for second in range(100, 140):
+            store.note_listing(second + 0.3, second)
+        store.note_listing(140, 140)
         self.assertTrue(store.absence_is_reliable(140))
 
+    def test_return_noticed_by_a_peer(self) -> None:
+        """Load pattern: the store returns, with all records expired.
+
+        A peer reads it first, and this process soon after; until the hosts have
+        registered again, neither may take them for gone.
+        """
+        store = StoreAvailability()
+        for tenth in range(1000, 1030):
+            store.note_listing(tenth / 10, tenth / 10)
+        self.assertTrue(store.absence_is_reliable(103))
+        store.note_listing(109.1, 109)
+        self.assertFalse(store.absence_is_reliable(109.1))
+        store.note_listing(109.7, 109.7)
+        self.assertFalse(store.absence_is_reliable(109.7))
+        store.note_listing(111.3, 111.3)
+        self.assertTrue(store.absence_is_reliable(111.4))
+
+    def test_old_listings_prove_nothing(self) -> None:
+        """A peer that has not read for long announces its last listing."""
+        store = StoreAvailability()
+        store.note_listing(100, 90)
+        self.assertFalse(store.absence_is_reliable(100))
+
 
 class TestReadAges(unittest.TestCase):
     """One reader at a time, replaced in time."""
