Serve the flows of a leaving host until it ends

The sidecar ended after 0.15 s, its host's flows had no way to it, and entries reset them after 1.3 s of silence (flow.reset reason=host-gone at 18.97 s; the sidecar stopped at 17.19 s). Ruled out: absence in the store as the reason for the reset; the record was there as draining.

--- a/siskinbank/admission/reasons.py
+++ b/siskinbank/admission/reasons.py
@@ -10,6 +10,7 @@
     'FULL',
     'HOST_REFUSED',
     'HOST_SPECIFIC',
+    'LEAVING',
     'NAMES',
     'NONE',
     'OTHER_SERVICE',
@@ -60,6 +61,8 @@
 TRANSIENT = frozenset((COLD, BUSY, HOST_REFUSED, FULL))
 # Reasons that end before a client abandons its first packet.
 SHORT_LIVED = frozenset((COLD, FULL, UNREACHABLE, REFUSING))
+# Reasons announced before a planned end of the host or its sidecar.
+LEAVING = frozenset((DRAINING, STOPPING))
 # Reasons for which hosts other than those asked may accept the flow.
 HOST_SPECIFIC = frozenset(
     (
--- a/siskinbank/entry/flow_searches.py
+++ b/siskinbank/entry/flow_searches.py
@@ -30,6 +30,10 @@
 # takes to restart.
 _MAX_SILENCE_IDEMPOTENT_S = 1.3
 _MAX_SILENCE_ONCE_S = 3.0
+# Longest wait, in seconds, for a host that announced that it leaves, or whose
+# sidecar announced its stop: the host may still serve its flows, which it
+# discards after 15 s idle.
+_MAX_SILENCE_LEAVING_S = 15.0
 # Missed status updates after which a sidecar with a longer interval counts as
 # silent.
 _MISSED_UPDATES = 3
@@ -163,18 +167,24 @@
     silent_s: float,
     idempotent: bool,
     interval_s: float,
+    leaving: bool,
 ) -> bool:
     """Return whether a search waits for a host that has not answered.
 
     Load pattern: after a loss of power the store still lists hosts that never
     return. Each would delay the searches for all lost flows beyond their
-    clients' deadlines.
+    clients' deadlines. In a planned release the sidecar may stop before its
+    host, whose flows must not be reset.
 
     Args:
         silent_s: seconds since the last message from the host's sidecar.
         idempotent: whether the flow's requests may run more than once.
         interval_s: the sidecar's usual interval between status updates in
             seconds; it is longer with many entries.
+        leaving: whether its last status update announced that the host leaves
+            or its sidecar stops.
     """
+    if leaving:
+        return silent_s < _MAX_SILENCE_LEAVING_S
     limit_s = _MAX_SILENCE_IDEMPOTENT_S if idempotent else _MAX_SILENCE_ONCE_S
     return silent_s < max(limit_s, interval_s * _MISSED_UPDATES)
--- a/siskinbank/lab/rig/host.py
+++ b/siskinbank/lab/rig/host.py
@@ -49,19 +49,26 @@
         self._output = output
         self._flows: dict[tuple[tuple[str, int], tuple[str, int]], int] = {}
         self._transport: asyncio.DatagramTransport | None = None
+        self._health_server: asyncio.Server | None = None
 
     async def open(self) -> None:
-        """Open the socket."""
+        """Open the socket for packets and the listener for health checks."""
         loop = asyncio.get_running_loop()
         endpoint = await loop.create_datagram_endpoint(
             lambda: self,
             local_addr=self.address,
         )
         self._transport = endpoint[0]
+        self._health_server = await asyncio.start_server(
+            _close_connection, *self.address
+        )
 
     def close(self) -> None:
-        """Close the socket and lose all flows, as a crash does."""
+        """Close the sockets and lose all flows, as a crash does."""
         self._flows.clear()
+        if self._health_server:
+            self._health_server.close()
+            self._health_server = None
         if self._transport:
             self._transport.close()
             self._transport = None
@@ -133,3 +140,10 @@
     def _send(self, datagram: bytes) -> None:
         if self._transport:
             self._transport.sendto(datagram, self._output)
+
+
+def _close_connection(
+    _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Accept a connection and close it; no caller requests a health check."""
+    writer.close()
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -9,6 +9,7 @@
 
 from _socket import inet_aton, inet_ntoa
 
+from siskinbank.admission import reasons
 from siskinbank.entry.flow_searches import (
     REPEAT_INTERVAL_S,
     FlowSearch,
@@ -317,8 +318,12 @@
         host = self._hosts.get(ip)
         last_seen = host.last_seen if host else self._started
         silent_s = self._node.loop.now - last_seen
-        usual_interval_s = host.usual_interval_s if host else 0
-        return may_still_answer(silent_s, route.idempotent, usual_interval_s)
+        return may_still_answer(
+            silent_s,
+            route.idempotent,
+            host.usual_interval_s if host else 0,
+            leaving=host is not None and host.status.state in reasons.LEAVING,
+        )
 
     def _is_isolated(self, route: Route) -> bool:
         """Return whether this process is isolated from the hosts of a route.
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -28,6 +28,7 @@
 from siskinbank.relay.flow_admission import FlowAdmission, check_packet_header
 from siskinbank.relay.follower import StoreFollower
 from siskinbank.relay.node import Node
+from siskinbank.relay.planned_stop import PlannedStop
 from siskinbank.relay.records import record_for
 from siskinbank.relay.request_tracker import RequestTracker
 from siskinbank.relay.status_reporter import StatusReporter
@@ -51,13 +52,6 @@
 # first packet after 1.4 s.
 _UNANSWERED_TTL_S = 1.5
 _MS = 1000
-# Maximum wait of a planned stop for requests in progress, in seconds; the
-# platform kills the process after six.
-_STOP_TIMEOUT_S = 4.0
-_STOP_CHECK_INTERVAL_S = 0.05
-# Minimum duration of a planned stop, in seconds: time for new flows to go to
-# other hosts.
-_STOP_DELAY_S = 0.15
 
 
 class Sidecar:
@@ -81,7 +75,6 @@
             )
         self._flows: dict[bytes, TrackedFlow] = {}
         self._unanswered: dict[bytes, UnansweredPacket] = {}
-        self._stop_at: float = 0
         self._started = node.loop.now
         service = messages.digest(settings.service or '')
         started_ms = int(time() * _MS)
@@ -111,6 +104,7 @@
             self._unanswered,
             self._deliver,
         )
+        self._planned_stop = PlannedStop(node, self._host, self._flows)
         self._tracker.on_end = self._admission.release
         node.is_ready = lambda: not self._host.stopping
         node.on_stop = self._begin_stop
@@ -297,6 +291,7 @@
         self._node.meters.count('host_unreachable_total')
         if self._host.note_unreachable(self._node.loop.now):
             self._node.log('host.unreachable', flows=len(self._flows))
+        self._planned_stop.note_unreachable()
         flows = list(self._flows.items())
         self._flows.clear()
         for key, flow in flows:
@@ -371,15 +366,8 @@
 
     def _begin_stop(self) -> None:
         self._host.stopping = True
-        self._stop_at = self._node.loop.now + _STOP_TIMEOUT_S
         self._reporter.send_status()
-        self._node.loop.after(_STOP_DELAY_S, self._stop_when_idle)
-
-    def _stop_when_idle(self) -> None:
-        if self._host.busy <= 0 or self._node.loop.now >= self._stop_at:
-            self._node.stop()
-        else:
-            self._node.loop.after(_STOP_CHECK_INTERVAL_S, self._stop_when_idle)
+        self._planned_stop.begin()
 
     def _sweep(self) -> None:
         now = self._node.loop.now
--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -106,6 +106,15 @@
         """Store revision of the record, 0 without one."""
         return self.record.revision if self.record else 0
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the store says that the host drains or has left."""
+        record = self.record
+        return record is not None and (
+            not record.flags & messages.REGISTERED
+            or bool(record.flags & messages.DRAINING)
+        )
+
     def age_ms(self, now: float) -> int:
         """Return the age of the record in milliseconds, -1 without one."""
         return int((now - self.confirmed_at) * 1000) if self.record else -1
@@ -247,12 +256,12 @@
     def _persistent_reason(self, service: int, now: float) -> int:
         if service != self.service:
             return reasons.OTHER_SERVICE
-        # The record is checked first, as its reasons last longest.
+        # Entries must know why the sidecar will be silent.
+        if self.stopping:
+            return reasons.STOPPING
         recorded = _recorded_reason(self.record, service)
         if recorded:
             return recorded
-        if self.stopping:
-            return reasons.STOPPING
         if now - self._unreachable_at < _UNREACHABLE_S:
             return reasons.UNREACHABLE
         if self.refusal_backoff.is_paused(now):
--- a/tests/relay/test_end_to_end.py
+++ b/tests/relay/test_end_to_end.py
@@ -232,6 +232,26 @@
         ]
         self.assertEqual(codes, [0, 0, 0])
 
+    async def test_flows_of_leaving_host_survive_sidecar_stop(self) -> None:
+        """Load pattern: a release stops a sidecar before its draining host.
+
+        The sidecar serves the open flow until the host ends.
+        """
+        client = self.fleet.clients[0]
+        flow = await client.connect(TARGET)
+        body = await client.send_request(flow, 'before')
+        index = int(body.split()[1].removeprefix('i-'))
+        await self.fleet.register(index, draining=True)
+        await asyncio.sleep(_MAX_APPLY_S)
+        sidecar = self.fleet.sidecars[index]
+        sidecar.signal(SIGTERM)
+        await asyncio.sleep(2)
+        after = await client.send_request(flow, 'after')
+        self.assertEqual(after, f'after i-{index}')
+        self.fleet.hosts[index].close()
+        code = await asyncio.to_thread(_wait, sidecar.process)
+        self.assertEqual(code, 0)
+
     async def test_sighup_keeps_processes_serving(self) -> None:
         """All processes reload their settings and go on serving."""
         for program in (*self.fleet.entries, *self.fleet.sidecars):
--- a/tests/tracking/test_own_host.py
+++ b/tests/tracking/test_own_host.py
@@ -125,6 +125,19 @@
         """No new flows from then on."""
         self.host.stopping = True
         self.assertEqual(self.host.state(101), reasons.STOPPING)
+        evacuated = HEALTHY | messages.EVACUATED
+        self.host.apply_record(record(20, 20, evacuated), 102)
+        self.assertEqual(self.host.state(102), reasons.STOPPING)
+
+    def test_leaving(self) -> None:
+        """While it drains, and after its record is gone."""
+        for revision, flags, leaving in (
+            (20, HEALTHY, False),
+            (21, HEALTHY | messages.DRAINING, True),
+            (22, messages.OPERATOR_READ, True),
+        ):
+            self.host.apply_record(record(revision, revision, flags), 101)
+            self.assertEqual(self.host.is_leaving, leaving)
 
 
 class TestRecordWait(unittest.TestCase):
