Search for the host of a flow at the hosts of all services

Cause: an entry without memory of a flow asked the hosts of the services that the route names now. Ruled out: the hosts' answers, which were true.

Change: all hosts are asked; isolation, silent hosts and hosts never seen are judged over all of them too. A packet of a flow whose route is unknown starts a search instead of a reset. The kind download may run again; unknown kinds may not.

Tests: TestFormerServices and test_kinds, red before.

--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -26,6 +26,9 @@
 _MAX_PORT = 65535
 # Higher slot counts are capped at this value.
 _MAX_SLOTS = 65535
+# Kinds of routes whose requests may run more than once. All others, unknown
+# ones too, may run once at most.
+_IDEMPOTENT_KINDS = ('safe', 'download')
 # Used for routes without a time limit: the shortest time limit that users set
 # for their requests.
 _DEFAULT_TIMEOUT_MS = 1500
@@ -194,7 +197,7 @@
     timeout_ms = number_field(document, 'TimeoutMs', _DEFAULT_TIMEOUT_MS)
     route = Route(
         _shares(document),
-        document.get('Kind') == 'safe',
+        document.get('Kind') in _IDEMPOTENT_KINDS,
         number_field(document, 'TargetLatencyMs', timeout_ms) / _MS,
         timeout_ms / _MS,
     )
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -25,7 +25,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from siskinbank.platform.records import Route
     from siskinbank.relay.follower import StoreFollower
     from siskinbank.relay.gossip import Gossip
     from siskinbank.relay.node import Node
@@ -115,14 +114,10 @@
         if self._searches.full:
             self._node.meters.count('searches_refused_total')
             return
-        route = self._route(key)
-        if route is None:
-            self._reset(packet, 'no-route')
-            return
         now = self._node.loop.now
         search = FlowSearch(now, packet)
         self._searches.begin(key, search)
-        hosts = self._hosts_of(route)
+        hosts = self._present_hosts()
         self._node.meters.count('searches_total')
         self._node.log('flow.search', flow=describe_flow(key), asked=len(hosts))
         self._queue_query(key, search, hosts)
@@ -142,10 +137,9 @@
         if search is None:
             return False
         if search.add_absent(ip):
-            route = self._route(key)
-            hosts = self._hosts_of(route) if route else []
+            hosts = self._present_hosts()
             if not search.unanswered(_addresses(hosts)):
-                self._end_if_not_held(key, search, hosts, route)
+                self._end_if_not_held(key, search, hosts)
         return True
 
     def has_left(self, ip: str) -> bool:
@@ -166,12 +160,7 @@
             return False
         if self.has_left(ip):
             return True
-        route = self._route(key)
-        return (
-            route is not None
-            and not self._may_answer(ip, route)
-            and not self._is_isolated(route)
-        )
+        return not self._may_answer(ip, key) and not self._is_isolated()
 
     def _is_unregistered(self, ip: str) -> bool:
         """Return whether an unresponsive host is absent from the store."""
@@ -253,38 +242,38 @@
 
     def _continue_searches(self) -> None:
         now = self._node.loop.now
-        hosts_by_route: dict[Route | None, list[TrackedHost]] = {None: []}
-        for key, search in self._searches.due_for_repeat(now):
-            route = self._route(key)
-            if route not in hosts_by_route:
-                hosts_by_route[route] = self._hosts_of(route) if route else []
-            hosts = hosts_by_route[route]
-            if self._end_if_not_held(key, search, hosts, route):
-                continue
-            if self._searches.is_overdue(search, now):
-                self._searches.end(key)
-                silent = search.unanswered(_addresses(hosts))
-                self._node.log(
-                    'flow.absent',
-                    flow=describe_flow(key),
-                    silent=','.join(silent[:_MAX_LOGGED_HOSTS]) or '-',
-                    count=len(silent),
-                )
-            else:
-                self._queue_query(key, search, hosts)
+        due = self._searches.due_for_repeat(now)
+        if due:
+            hosts = self._present_hosts()
+            for key, search in due:
+                self._continue_search(key, search, hosts)
         self._schedule_round()
 
+    def _continue_search(
+        self, key: bytes, search: FlowSearch, hosts: list[TrackedHost]
+    ) -> None:
+        if self._end_if_not_held(key, search, hosts):
+            return
+        if not self._searches.is_overdue(search, self._node.loop.now):
+            self._queue_query(key, search, hosts)
+            return
+        self._searches.end(key)
+        silent = search.unanswered(_addresses(hosts))
+        self._node.log(
+            'flow.absent',
+            flow=describe_flow(key),
+            silent=','.join(silent[:_MAX_LOGGED_HOSTS]) or '-',
+            count=len(silent),
+        )
+
     def _end_if_not_held(
         self,
         key: bytes,
         search: FlowSearch,
         hosts: list[TrackedHost],
-        route: Route | None,
     ) -> bool:
         """End a search and reset the flow if no host can hold it."""
-        if route and not self._are_unresponsive_hosts_gone(
-            search, hosts, route
-        ):
+        if not self._are_unresponsive_hosts_gone(key, search, hosts):
             return False
         self._searches.end(key)
         self._reset(search.first, 'no-host-holds-it')
@@ -292,9 +281,9 @@
 
     def _are_unresponsive_hosts_gone(
         self,
+        key: bytes,
         search: FlowSearch,
         hosts: list[TrackedHost],
-        route: Route,
     ) -> bool:
         """Return whether all hosts that have not answered are gone.
 
@@ -306,55 +295,51 @@
         unresponsive = search.unanswered(_addresses(hosts))
         possibly_alive = [
             ip
-            for ip in unresponsive + self._never_seen(route)
+            for ip in unresponsive + self._never_seen()
             if not self._is_unregistered(ip)
         ]
         return not possibly_alive or (
-            not self._is_isolated(route)
-            and not any(self._may_answer(ip, route) for ip in possibly_alive)
+            not self._is_isolated()
+            and not any(self._may_answer(ip, key) for ip in possibly_alive)
         )
 
-    def _may_answer(self, ip: str, route: Route) -> bool:
+    def _may_answer(self, ip: str, key: bytes) -> bool:
+        route = self._follower.configuration.routes.get(route_key(key))
         host = self._hosts.get(ip)
         last_seen = host.last_seen if host else self._started
         silent_s = self._node.loop.now - last_seen
         return may_still_answer(
             silent_s,
-            route.idempotent,
+            route is not None and route.idempotent,
             host.usual_interval_s if host else 0,
             leaving=host is not None and host.status.state in reasons.LEAVING,
         )
 
-    def _is_isolated(self, route: Route) -> bool:
-        """Return whether this process is isolated from the hosts of a route.
+    def _is_isolated(self) -> bool:
+        """Return whether this process is isolated from the hosts.
 
         It is if more than half of them are silent or unknown.
         """
         cutoff = self._node.loop.now - SILENT_S
-        hosts = self._hosts_of(route)
+        hosts = self._present_hosts()
         silent = sum(1 for host in hosts if host.last_seen < cutoff)
-        unknown = len(self._never_seen(route))
+        unknown = len(self._never_seen())
         return (silent + unknown) * 2 > len(hosts) + unknown
 
-    def _route(self, key: bytes) -> Route | None:
-        return self._follower.configuration.routes.get(route_key(key))
+    def _present_hosts(self) -> list[TrackedHost]:
+        """Return the hosts that may hold a flow.
 
-    def _hosts_of(self, route: Route) -> list[TrackedHost]:
-        """Return the hosts that may hold flows of a route."""
-        hosts: list[TrackedHost] = []
-        for service, _ in route.shares:
-            hosts.extend(self._hosts.of_service(messages.digest(service)))
-        return [host for host in hosts if not self.has_left(host.ip)]
-
-    def _never_seen(self, route: Route) -> list[str]:
-        """Return the hosts in the store that have sent no status update yet."""
-        services = {service for service, _ in route.shares}
+        A flow stays at its host when a later configuration sends new flows of
+        its route to other services, so these are the hosts of all services.
+        """
         return [
-            ip
-            for ip, record in self._follower.hosts.items()
-            if record.service in services and not self._hosts.get(ip)
+            host for host in self._hosts.all() if not self.has_left(host.ip)
         ]
 
+    def _never_seen(self) -> list[str]:
+        """Return the hosts in the store that have sent no status update yet."""
+        return [ip for ip in self._follower.hosts if not self._hosts.get(ip)]
+
 
 def _addresses(hosts: list[TrackedHost]) -> list[str]:
     return [host.ip for host in hosts]
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -110,6 +110,25 @@
         self.assertFalse(route.idempotent)
         self.assertEqual(warm_ups['matcher'].cold_requests_per_s, 4)
 
+    def test_kinds(self) -> None:
+        """Requests of unknown kinds may run once at most."""
+        document = json.loads(
+            encode_configuration(1, [RouteDocument('a', ('1.2.3.4', 80))]),
+        )
+        for kind, idempotent in (
+            ('safe', True),
+            ('download', True),
+            ('unsafe', False),
+            ('upload', False),
+            ('new-kind', False),
+            (['safe'], False),
+            (None, False),
+        ):
+            document['Routes'][0]['Kind'] = kind
+            _, routes, _ = decode_configuration(json.dumps(document).encode())
+            found = [route.idempotent for route in routes.values()]
+            self.assertEqual(found, [idempotent], kind)
+
     def test_weighted_services(self) -> None:
         """Services are chosen by weight; one of weight 0 gets no flows."""
         document = json.loads(
--- a/tests/relay/test_flow_searcher.py
+++ b/tests/relay/test_flow_searcher.py
@@ -41,6 +41,7 @@
     Attributes:
         sent: datagrams sent, each with its destination address.
         resets: reasons for which flows were reset.
+        routes: the routes in force, by route key.
     """
 
     def __init__(self) -> None:
@@ -63,9 +64,9 @@
             log=self._log,
             send=lambda ip, datagram: self.sent.append((ip, datagram)),
         )
-        route = Route(((SERVICE, 1),), True, 0.25, 2)
+        self.routes = {ROUTE_KEY: Route(((SERVICE, 1),), True, 0.25, 2)}
         follower: Any = SimpleNamespace(
-            configuration=SimpleNamespace(routes={ROUTE_KEY: route}),
+            configuration=SimpleNamespace(routes=self.routes),
             hosts=registered,
             hosts_revision=5,
             hosts_read_at=loop.now,
@@ -151,3 +152,31 @@
             for flow in messages.read_keys(datagram)
         }
         self.assertGreater(len(asked), 220)
+
+
+class TestFormerServices(unittest.TestCase):
+    """Load pattern: an entry starts after a route was changed.
+
+    A flow stays at the host where it was opened, whose service may receive no
+    new flows of its route any more.
+    """
+
+    def ask(self, routes: dict[bytes, Route]) -> set[str]:
+        """Return the hosts asked for a flow whose route has changed."""
+        env = Environment()
+        env.routes.clear()
+        env.routes.update(routes)
+        env.searcher.search(flow_key(1), packet_of(flow_key(1)))
+        self.assertEqual(env.resets, [])
+        return {ip for ip, _ in env.sent}
+
+    def test_services_of_the_route_have_changed(self) -> None:
+        """Replaced, dropped from a split, or with the weight 0."""
+        other = ('catalogue', 1.0)
+        for idempotent in (True, False):
+            route = Route((other,), idempotent, 0.25, 2)
+            self.assertEqual(len(self.ask({ROUTE_KEY: route})), HOSTS)
+
+    def test_route_is_unknown(self) -> None:
+        """The entry has an older or newer configuration than its peers."""
+        self.assertEqual(len(self.ask({})), HOSTS)
