Let one process read the store and keep status updates near

Counted by kind: 120 of 195 MB were replies to hellos of sidecars whose host had no record yet, each to all entries, each with all addresses; 22 MB clients' packets to hosts elsewhere; 16 MB statuses, 13 MB records, 8 MB announcements. Announcements went to the same first 32 peers, so the 27 others read beside the reader, and entries with a silent host read at once.

Change: a hello says what it asks for, and its answer holds just that; the first reader announces what it read to all, others take turns; a digest of the listing lets entries confirm theirs or fetch it from the peer; readers are ordered by hash, so that a lost data centre holds few of them; entries that are no seeds wait 0.2 s at their start for their peers; sidecars read later and rarely; statuses go to entries in the data centre and those with open flows each turn, to others 8 a turn, and announce their interval, in place of one that the entry guessed; any message of a sidecar is a sign of life; a host in the own data centre is preferred up to half a request.

--- a/siskinbank/choice/placement.py
+++ b/siskinbank/choice/placement.py
@@ -10,7 +10,10 @@
 
 from __future__ import annotations
 
-from siskinbank.tracking.hosts import SILENT_S, TrackedHost
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from siskinbank.tracking.hosts import TrackedHost
 
 __all__ = ('MAX_CANDIDATES', 'candidates', 'rank_hosts')
 
@@ -24,9 +27,9 @@
 # Weight of a flow in a host's load relative to one request in progress: a long
 # flow has a request in progress about a tenth of the time.
 _FLOW_WEIGHT = 0.1
-# Cost of another data centre, in requests in progress: the network delay is a
-# twentieth of a usual request's time.
-_REMOTE_WEIGHT = 0.15
+# Cost of another data centre, in requests in progress: bytes between data
+# centres have a price, and the load of distant hosts is known later.
+_REMOTE_WEIGHT = 0.5
 # Cost of a host without a record from the store, in requests in progress: it
 # may have been replaced, but is no worse than a busy host.
 _UNTRUSTED_WEIGHT = 1
@@ -51,7 +54,7 @@
         now: time in seconds, on a clock that runs on during suspension.
     """
     accepting = [host for host in hosts if not host.status.state]
-    responsive = [host for host in accepting if now - host.last_seen < SILENT_S]
+    responsive = [host for host in accepting if not host.is_silent(now)]
     scored = [
         (_score(host, flow_hash, data_centre), index)
         for index, host in enumerate(responsive)
--- a/siskinbank/entry/flow_searches.py
+++ b/siskinbank/entry/flow_searches.py
@@ -179,8 +179,8 @@
     Args:
         silent_s: seconds since the last message from the host's sidecar.
         idempotent: whether the flow's requests may run more than once.
-        interval_s: the sidecar's usual interval between status updates in
-            seconds; it is longer with many entries.
+        interval_s: the announced interval between the sidecar's status updates
+            in seconds; it is longer with many entries.
         leaving: whether its last status update announced that the host leaves
             or its sidecar stops.
     """
--- a/siskinbank/relay/configuration_transfer.py
+++ b/siskinbank/relay/configuration_transfer.py
@@ -18,7 +18,9 @@
 
 # Bytes of configuration per datagram: fits any link without IP fragmentation.
 _PIECE_BYTES = 1100
-# Minimum interval between requests, in seconds: several round trips.
+# Minimum interval between requests, and after the last piece received, in
+# seconds: several round trips. A large configuration takes longer over a
+# low-bandwidth link.
 _REQUEST_INTERVAL_S = 0.1
 
 
@@ -86,6 +88,7 @@
         )
         if version <= known:
             return
+        self._requested_at = self._node.loop.now
         if version > self._pending_version:
             self._pending_version = version
             self._pieces = {}
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from _socket import inet_aton
+from _socket import inet_aton, inet_ntoa
 from zlib import crc32
 
 from siskinbank.admission import reasons
@@ -85,19 +85,19 @@
             node, self._on_hosts_read, self._on_operator_read
         )
         self._transfer = ConfigurationTransfer(
-            node, self._follower, self._on_configuration
+            node, self._follower, self._process_early_packets
         )
         self._gossip = Gossip(node, self._hosts, self._follower, self._transfer)
         self._searcher = FlowSearcher(
             node,
             self._hosts,
             self._follower,
-            self._gossip,
             self._reset,
         )
         self._client_socket = open_udp_socket(
             (settings.ip, settings.packet_port)
         )
+        node.on_message = self._note_message
         node.is_ready = self._is_ready
         node.on_stop = self._begin_stop
         node.handlers[messages.HELD] = self._handle_held
@@ -249,8 +249,10 @@
             return True
         now = self._node.loop.now
         first_status_at = min(host.first_seen for host in self._hosts.all())
-        registered = self._follower.hosts
-        known = bool(registered) and all(map(self._hosts.get, registered))
+        listed = self._follower.listing.addresses
+        known = bool(listed) and all(
+            self._hosts.get(inet_ntoa(packed)) for packed in listed
+        )
         self._discovery_done = (
             known or now - first_status_at > _DISCOVERY_WAIT_S
         )
@@ -289,6 +291,9 @@
 
     # Messages from sidecars.
 
+    def _note_message(self, ip: str) -> None:
+        self._hosts.note_message(ip, self._node.loop.now)
+
     def _handle_held(self, raw: bytes, ip: str) -> None:
         key, number, established = messages.read_flow_note(raw)
         flow = self._flows.get(key)
@@ -340,7 +345,7 @@
 
     def _handle_status(self, raw: bytes, ip: str) -> None:
         status = messages.Status.read(raw)
-        self._gossip.sidecars.add(inet_aton(ip))
+        self._gossip.add_sidecars([inet_aton(ip)])
         if self._hosts.update_status(ip, status, self._node.loop.now):
             self._node.log(
                 'host.changed',
@@ -356,15 +361,13 @@
 
     def _on_hosts_read(self) -> None:
         self._gossip.send_records()
-
-    def _on_configuration(self) -> None:
-        self._gossip.announce_change()
-        self._process_early_packets()
+        self._gossip.announce()
 
     def _on_operator_read(self) -> None:
-        self._on_configuration()
+        self._gossip.announce()
         if self._follower.hosts_revision:
-            self._gossip.send_records()
+            self._gossip.send_changed_records()
+        self._process_early_packets()
 
     def _is_ready(self) -> bool:
         return self._is_discovery_done() and not self._gossip.stopping
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -19,14 +19,12 @@
 from siskinbank.platform.packets import describe_flow, route_key
 from siskinbank.relay import messages
 from siskinbank.relay.loop import NEVER
-from siskinbank.tracking.hosts import SILENT_S
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from siskinbank.relay.follower import StoreFollower
-    from siskinbank.relay.gossip import Gossip
     from siskinbank.relay.node import Node
     from siskinbank.tracking.hosts import HostTable, TrackedHost
 
@@ -36,8 +34,8 @@
 # seconds: one missed update.
 _SUSPECT_AFTER_S = 0.6
 # Maximum age of a listing of the hosts, in seconds, from which the absence of a
-# host is inferred.
-_MAX_LIST_AGE_S = 1.5
+# silent host is inferred: the next reader has replaced a failed one by then.
+_MAX_LIST_AGE_S = 2.0
 # Queries that arise within this time, in seconds, are sent together.
 _BATCH_S = 0.01
 # Pause after a round of queries for each queried host, in seconds: a query and
@@ -58,7 +56,6 @@
 
     __slots__ = (
         '_follower',
-        '_gossip',
         '_hosts',
         '_last_round_at',
         '_node',
@@ -76,7 +73,6 @@
         node: Node,
         hosts: HostTable,
         follower: StoreFollower,
-        gossip: Gossip,
         reset: Callable[[bytes, str], None],
     ) -> None:
         """Initialize the searcher and register its message handlers.
@@ -85,7 +81,6 @@
             node: the process that runs the entry.
             hosts: the known state of the hosts, from their sidecars.
             follower: the state read from the store.
-            gossip: requests a read of the store when a search needs it.
             reset: called to reset the flow of a packet, with the packet and
                 the reason.
         """
@@ -93,7 +88,6 @@
         self._started = node.loop.now
         self._hosts = hosts
         self._follower = follower
-        self._gossip = gossip
         self._reset = reset
         self._searches = FlowSearches()
         self._queries: dict[str, list[bytes]] = {}
@@ -164,13 +158,12 @@
 
     def _is_unregistered(self, ip: str) -> bool:
         """Return whether an unresponsive host is absent from the store."""
-        follower = self._follower
-        if self._node.loop.now - follower.hosts_read_at > _MAX_LIST_AGE_S:
-            # The search needs a fresh listing, even if this process is not the
-            # current reader.
-            self._gossip.request_hosts_read()
-            return False
-        return ip not in follower.hosts and follower.absence_is_reliable()
+        listing = self._follower.listing
+        return (
+            self._node.loop.now - listing.confirmed_at < _MAX_LIST_AGE_S
+            and inet_aton(ip) not in listing.addresses
+            and self._follower.absence_is_reliable()
+        )
 
     def _queue_query(
         self, key: bytes, search: FlowSearch, hosts: list[TrackedHost]
@@ -290,7 +283,7 @@
         A host in the store counts as gone if it can no longer be expected to
         answer and this process is not isolated.
         """
-        if not self._follower.hosts_revision:
+        if not self._follower.listing.known:
             return False
         unresponsive = search.unanswered(_addresses(hosts))
         possibly_alive = [
@@ -311,7 +304,7 @@
         return may_still_answer(
             silent_s,
             route is not None and route.idempotent,
-            host.usual_interval_s if host else 0,
+            host.interval_s if host else 0,
             leaving=host is not None and host.status.state in reasons.LEAVING,
         )
 
@@ -320,9 +313,9 @@
 
         It is if more than half of them are silent or unknown.
         """
-        cutoff = self._node.loop.now - SILENT_S
+        now = self._node.loop.now
         hosts = self._present_hosts()
-        silent = sum(1 for host in hosts if host.last_seen < cutoff)
+        silent = sum(1 for host in hosts if host.is_silent(now))
         unknown = len(self._never_seen())
         return (silent + unknown) * 2 > len(hosts) + unknown
 
@@ -338,7 +331,8 @@
 
     def _never_seen(self) -> list[str]:
         """Return the hosts in the store that have sent no status update yet."""
-        return [ip for ip in self._follower.hosts if not self._hosts.get(ip)]
+        listed = map(inet_ntoa, self._follower.listing.addresses)
+        return [ip for ip in listed if not self._hosts.get(ip)]
 
 
 def _addresses(hosts: list[TrackedHost]) -> list[str]:
--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from _socket import inet_aton
+
 from siskinbank.platform.documents import DocumentError
 from siskinbank.platform.records import HostRecord, decode_host
 from siskinbank.platform.store import (
@@ -19,6 +21,7 @@
 from siskinbank.relay.log import without_spaces
 from siskinbank.relay.loop import NEVER
 from siskinbank.tracking.configuration import Configuration
+from siskinbank.tracking.host_listing import HostListing
 from siskinbank.tracking.store_reads import (
     StoreAvailability,
     pause_after_failures_s,
@@ -72,7 +75,10 @@
         evacuated: names of the data centres evacuated by the operator.
         operator_revision: revision of the last known operator change.
         operator_read_at: time of the store's last response about operator keys.
-        hosts: host records by IP address.
+        hosts: host records by IP address, from the last listing that this
+            process read.
+        hosts_digest: digest of their addresses.
+        listing: addresses of the hosts, from this process or a peer.
         hosts_revision: revision of the last listing of the hosts.
         hosts_read_at: time when that listing was read.
         hosts_read_by_peer_at: time when the store confirmed the newest listing
@@ -80,6 +86,8 @@
         rank: position of this process in the order of readers, from 0.
         hosts_due: returns whether the hosts must be listed now.
         operator_due: returns whether the operator keys must be read now.
+        pause_after_failures_s: returns the pause in seconds after a number of
+            failed calls.
     """
 
     def __init__(
@@ -100,12 +108,17 @@
         self.operator_revision = 0
         self.operator_read_at = NEVER
         self.hosts: dict[str, HostRecord] = {}
+        self.hosts_digest = 0
+        self.listing = HostListing()
         self.hosts_revision = 0
         self.hosts_read_at = NEVER
         self.hosts_read_by_peer_at = NEVER
         self.rank = 0
         self.hosts_due: Callable[[], bool] = bool
         self.operator_due: Callable[[], bool] = bool
+        self.pause_after_failures_s: Callable[[int], float] = lambda failures: (
+            pause_after_failures_s(failures, self.rank)
+        )
         self._node = node
         self._on_hosts = on_hosts
         self._on_operator = on_operator
@@ -198,6 +211,8 @@
         self.hosts = self._decode_hosts(self._listed_changes)
         self.hosts_revision = page.revision
         self.hosts_read_at = now
+        self.listing.replace(map(inet_aton, self.hosts), now)
+        self.hosts_digest = self.listing.digest
         self._listed_changes = []
         self._on_hosts()
 
@@ -319,8 +334,8 @@
         if not connection.failures:
             self._node.log('store.lost', call=call, status=status)
         connection.failures += 1
-        connection.next_attempt = now + pause_after_failures_s(
-            connection.failures, self.rank
+        connection.next_attempt = now + self.pause_after_failures_s(
+            connection.failures
         )
         return False
 
--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -9,8 +9,10 @@
     HELLO_CHECK_INTERVAL_S,
     HelloSchedule,
 )
+from siskinbank.relay.listing_transfer import ListingTransfer
 from siskinbank.relay.loop import NEVER
 from siskinbank.relay.records import record_for
+from siskinbank.relay.rotation import Rotation
 from siskinbank.tracking.store_reads import (
     hosts_read_age_s,
     operator_read_age_s,
@@ -26,24 +28,28 @@
 
 __all__ = ('Gossip',)
 
-# Interval between announcements to other entries, in seconds: four of them fit
-# into the time after which the next reader takes over.
-_ANNOUNCE_INTERVAL_S = 0.25
-# Entries silent for this long, in seconds, are not counted as live.
-_PEER_TIMEOUT_S = 0.9
+# Interval between announcements to the entries whose turn it is, in seconds.
+_ANNOUNCE_INTERVAL_S = 1.0
+# Maximum number of entries per turn; the next turn serves the ones after them.
+_MAX_PEERS_PER_TURN = 32
+# Interval between updates of the order of readers, in seconds.
+_RANK_INTERVAL_S = 0.25
+# Entries silent for this long, in seconds, are not counted as live readers.
+_PEER_TIMEOUT_S = 2.5
 # Entries silent for this long, in seconds, are removed.
 _FORGET_AFTER_S = 60.0
 # Interval between hellos to processes that did not answer, in seconds.
 _HELLO_INTERVAL_S = 1.0
+# Interval between requests for the addresses of other processes, in seconds.
+_PEERS_INTERVAL_S = 5.0
 _SWEEP_INTERVAL_S = 5.0
-# Maximum number of entries that an announcement is sent to.
-_MAX_PEERS_PER_TURN = 32
 # Maximum number of addresses in a list in a message.
 _MAX_ADDRESSES = 250
 # Records older than this, in seconds, are not sent in reply to a hello.
 _MAX_RECORD_AGE_S = 1.5
-
-_HELLO = bytes((messages.HELLO,))
+# Time for which an entry that is no seed waits at its start for what peers have
+# read, in seconds: several round trips.
+_START_WAIT_S = 0.2
 
 
 class Gossip:
@@ -68,45 +74,38 @@
         self._hosts = hosts
         self._follower = follower
         self._configuration_transfer = configuration_transfer
+        self._data_centre = messages.digest(node.settings.data_centre)
         self._last_seen: dict[bytes, float] = {}
         self._stopping_entries: set[bytes] = set()
         self._operator_read_by_peer_at = NEVER
-        self._hosts_read_requested = False
-        self._announced_version = 0
+        self._listing_transfer = ListingTransfer(node, follower.listing)
+        self._announced = Rotation(_MAX_PEERS_PER_TURN)
+        self._listed_entries = Rotation(_MAX_ADDRESSES)
+        self._listed_sidecars = Rotation(_MAX_ADDRESSES)
+        self._greeted_sidecars = Rotation(_MAX_ADDRESSES)
+        self._peers_received_at = NEVER
+        #: Address of the peer that announced the newest listing.
+        self._reader = node.settings.ip
+        self._sent_operator_state = (0, 0)
+        self._reads_from = node.loop.now
+        if node.settings.ip not in node.settings.seeds:
+            self._reads_from += _START_WAIT_S
         follower.hosts_due = self._hosts_due
         follower.operator_due = self._operator_due
         node.handlers[messages.HELLO] = self._handle_hello
         node.handlers[messages.PEERS] = self._handle_peers
         node.handlers[messages.ANNOUNCEMENT] = self._handle_announcement
-        node.loop.every(_ANNOUNCE_INTERVAL_S, self.announce)
+        node.handlers[messages.RECORD_REQUEST] = self._handle_record_request
+        node.loop.every(_ANNOUNCE_INTERVAL_S, self._announce_in_turn)
+        node.loop.every(_RANK_INTERVAL_S, self._update_rank)
         self._hello_schedule = HelloSchedule(node.loop.now, _HELLO_INTERVAL_S)
         node.loop.every(HELLO_CHECK_INTERVAL_S, self._send_hellos_when_due)
         node.loop.every(_SWEEP_INTERVAL_S, self._sweep)
         self._send_hellos()
 
     def announce(self) -> None:
-        """Announce version and ages to other entries; update reader rank."""
-        datagram = self._announcement().pack()
-        for peer in list(self._last_seen)[:_MAX_PEERS_PER_TURN]:
-            self._node.send(inet_ntoa(peer), datagram)
-        readers = [
-            packed
-            for packed in self._live_entries()
-            if packed not in self._stopping_entries
-        ]
-        self._follower.rank = reader_rank(self._node.packed_ip, readers)
-
-    def announce_change(self) -> None:
-        """Announce the configuration at once if its version has changed.
-
-        Load pattern: the store returns after a power failure, with a large
-        configuration. Once one entry has read it, the others fetch it from
-        that entry instead of reading it over a slow link to the store.
-        """
-        version = self._follower.configuration.version
-        if version != self._announced_version:
-            self._announced_version = version
-            self.announce()
+        """Announce version and ages to all other entries."""
+        self._send_announcement(list(self._last_seen))
 
     def send_records(self) -> None:
         """Send each sidecar the record of its host."""
@@ -118,41 +117,56 @@
             if record:
                 self._node.send(ip, record.pack())
 
+    def send_changed_records(self) -> None:
+        """Send the records if the operator has changed anything."""
+        follower = self._follower
+        state = (follower.operator_revision, follower.configuration.version)
+        if state != self._sent_operator_state:
+            self._sent_operator_state = state
+            self.send_records()
+
     def add_sidecars(self, sidecars: list[bytes]) -> None:
         """Add sidecars and send a hello to the new ones."""
         for packed in sidecars:
             if packed not in self.sidecars:
                 self.sidecars.add(packed)
-                self._node.send(inet_ntoa(packed), _HELLO)
+                self._send_hello(inet_ntoa(packed), 0)
 
-    def request_hosts_read(self) -> None:
-        """Request an early read of the hosts, at any rank of this entry."""
-        self._hosts_read_requested = True
+    def _announce_in_turn(self) -> None:
+        self._send_announcement(self._announced.next(list(self._last_seen)))
+
+    def _send_announcement(self, peers: list[bytes]) -> None:
+        datagram = self._announcement().pack()
+        for peer in peers:
+            self._node.send(inet_ntoa(peer), datagram)
+
+    def _update_rank(self) -> None:
+        readers = [
+            packed
+            for packed in self._live_entries()
+            if packed not in self._stopping_entries
+        ]
+        self._follower.rank = reader_rank(self._node.packed_ip, readers)
 
     def _hosts_due(self) -> bool:
         follower = self._follower
-        last_confirmed = follower.hosts_read_at
-        if not follower.hosts_revision:
-            return True
-        max_age_s = hosts_read_age_s(follower.rank)
-        if self._hosts_read_requested:
-            max_age_s = hosts_read_age_s(0)
-        else:
-            last_confirmed = max(last_confirmed, follower.hosts_read_by_peer_at)
-        due = self._node.loop.now - last_confirmed > max_age_s
-        if due:
-            self._hosts_read_requested = False
-        return due
+        now = self._node.loop.now
+        if now < self._reads_from:
+            return False
+        last_confirmed = max(
+            follower.hosts_read_at, follower.hosts_read_by_peer_at
+        )
+        return now - last_confirmed > hosts_read_age_s(follower.rank)
 
     def _operator_due(self) -> bool:
         follower = self._follower
-        if not follower.operator_revision:
-            return True
+        now = self._node.loop.now
+        if now < self._reads_from:
+            return False
         last_confirmed = max(
             follower.operator_read_at, self._operator_read_by_peer_at
         )
-        age = self._node.loop.now - last_confirmed
-        return age >= operator_read_age_s(follower.rank)
+        return now - last_confirmed >= operator_read_age_s(follower.rank)
 
     def _send_hellos_when_due(self) -> None:
         if self._hello_schedule.is_due(self._node.loop.now):
@@ -160,47 +174,78 @@
 
     def _send_hellos(self) -> None:
         now = self._node.loop.now
-        starting = self._hello_schedule.is_starting(now)
+        flags = 0
+        if now - self._peers_received_at > _PEERS_INTERVAL_S:
+            flags = messages.WANTS_PEERS
         for seed in self._node.settings.seeds:
             packed = inet_aton(seed)
-            silent = (
-                now - self._last_seen.get(packed, NEVER) > _HELLO_INTERVAL_S
-            )
-            if packed != self._node.packed_ip and (silent or not starting):
-                self._node.send(seed, _HELLO)
-        for packed in list(self.sidecars)[:_MAX_ADDRESSES]:
+            last_seen = self._last_seen.get(packed, NEVER)
+            silent = now - last_seen > _PEER_TIMEOUT_S
+            if packed != self._node.packed_ip and (flags or silent):
+                self._send_hello(seed, flags)
+        if not self._last_seen:
+            # Seeds may be down; sidecars know other entries.
+            flags = messages.WANTS_PEERS
+        for packed in self._greeted_sidecars.next(list(self.sidecars)):
             ip = inet_ntoa(packed)
             host = self._hosts.get(ip)
-            if host is None or now - host.last_seen > _HELLO_INTERVAL_S:
-                self._node.send(ip, _HELLO)
+            if host is None or host.is_silent(now):
+                self._send_hello(ip, flags & messages.WANTS_PEERS)
+
+    def _send_hello(self, ip: str, flags: int) -> None:
+        self._node.send(ip, messages.pack_hello(flags, self._data_centre))
 
     def _handle_hello(self, raw: bytes, ip: str) -> None:
-        from_sidecar = len(raw) > 1
-        if from_sidecar:
-            self.sidecars.add(inet_aton(ip))
-        else:
+        flags, _ = messages.read_hello(raw)
+        if flags & messages.WANTS_PEERS:
+            self._send_peers(ip, bool(flags & messages.FROM_SIDECAR))
+        if not flags & messages.FROM_SIDECAR:
             self._record_contact(inet_aton(ip))
-        now = self._node.loop.now
-        entries = [*self._live_entries(), self._node.packed_ip]
+            self._node.send(ip, self._announcement().pack())
+            return
+        self.sidecars.add(inet_aton(ip))
+        if flags & messages.WANTS_RECORD and not self._send_record(ip):
+            request = messages.pack_record_request(inet_aton(ip))
+            self._node.send(self._reader, request)
+
+    def _handle_record_request(self, raw: bytes, ip: str) -> None:
+        self._send_record(inet_ntoa(messages.read_record_request(raw)))
+
+    def _send_record(self, ip: str) -> bool:
+        """Send a sidecar the record of its host; return whether it is known."""
+        record = record_for(self._follower, ip, self._node.loop.now)
+        if record is None or record.age_s > _MAX_RECORD_AGE_S:
+            return False
+        self._node.send(ip, record.pack())
+        return True
+
+    def _send_peers(self, ip: str, to_sidecar: bool) -> None:
+        """Send addresses of entries, and to entries also those of sidecars."""
+        # Entries that only others have heard of are not passed on: dead ones
+        # would be listed forever.
+        entries = [
+            packed
+            for packed, last_seen in self._last_seen.items()
+            if last_seen > NEVER
+        ]
+        entries.append(self._node.packed_ip)
+        sidecars: list[bytes] = []
+        if not to_sidecar:
+            sidecars = self._hosts.addresses(self._node.loop.now)
         reply = messages.pack_addresses(
             messages.PEERS,
-            entries[:_MAX_ADDRESSES],
-            self._hosts.addresses(now)[:_MAX_ADDRESSES],
+            self._listed_entries.next(entries),
+            self._listed_sidecars.next(sidecars),
         )
         self._node.send(ip, reply)
-        if not from_sidecar:
-            self._node.send(ip, self._announcement().pack())
-            return
-        record = record_for(self._follower, ip, now)
-        if record and record.age_s < _MAX_RECORD_AGE_S:
-            self._node.send(ip, record.pack())
 
     def _handle_peers(self, raw: bytes, ip: str) -> None:
         entries, sidecars = messages.read_peers(raw)
+        self._peers_received_at = self._node.loop.now
         for packed in entries:
             if packed not in self._last_seen and packed != self._node.packed_ip:
                 self._last_seen[packed] = NEVER
-                self._node.send(inet_ntoa(packed), _HELLO)
+                self._send_hello(inet_ntoa(packed), 0)
         self.add_sidecars(sidecars)
 
     def _handle_announcement(self, raw: bytes, ip: str) -> None:
@@ -218,7 +263,13 @@
             self._operator_read_by_peer_at = max(
                 self._operator_read_by_peer_at, confirmed_at
             )
-        self._follower.note_hosts_read_by_peer(now - announcement.hosts_age_s)
+        confirmed_at = now - announcement.hosts_age_s
+        if confirmed_at > self._follower.hosts_read_by_peer_at:
+            self._reader = ip
+        self._follower.note_hosts_read_by_peer(confirmed_at)
+        self._listing_transfer.note_announced(
+            announcement.hosts_digest, confirmed_at, ip
+        )
 
     def _record_contact(self, packed: bytes) -> None:
         now = self._node.loop.now
@@ -242,13 +293,14 @@
         announcement.version = follower.configuration.version
         announcement.operator_age_s = now - follower.operator_read_at
         announcement.hosts_age_s = now - follower.hosts_read_at
+        announcement.hosts_digest = follower.hosts_digest
         return announcement
 
     def _sweep(self) -> None:
         now = self._node.loop.now
         self._hosts.sweep(now)
-        stored = {inet_aton(ip) for ip in self._follower.hosts}
-        self.sidecars &= stored.union(self._hosts.addresses(now))
+        listed = self._follower.listing.addresses
+        self.sidecars &= listed.union(self._hosts.addresses(now))
         cutoff = now - _FORGET_AFTER_S
         silent = [
             packed
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -28,10 +28,14 @@
     'FLOW_NOTE_BYTES',
     'FLOW_QUERY',
     'FORWARD',
+    'FROM_SIDECAR',
     'HELD',
     'HELD_UNKNOWN',
     'HELLO',
+    'LISTING',
+    'LISTING_REQUEST',
     'MAX_KEYS',
+    'MAX_LISTED',
     'MAX_RELAYED',
     'MAX_WAIT_MS',
     'NOT_HELD',
@@ -41,6 +45,7 @@
     'PEERS',
     'QUEUED',
     'RECORD',
+    'RECORD_REQUEST',
     'REFUSED',
     'REGISTERED',
     'RELAYED',
@@ -48,18 +53,26 @@
     'SEARCH',
     'STATUS',
     'Status',
+    'WANTS_PEERS',
+    'WANTS_RECORD',
     'digest',
     'pack_addresses',
     'pack_flow_note',
     'pack_forward',
+    'pack_hello',
     'pack_keys',
+    'pack_listing',
     'pack_piece',
+    'pack_record_request',
     'pack_relayed',
     'pack_search',
     'read_flow_note',
+    'read_hello',
     'read_keys',
+    'read_listing',
     'read_peers',
     'read_piece',
+    'read_record_request',
     'read_relayed',
     'unpack_addresses',
     'wait_ms',
@@ -99,6 +112,15 @@
 # A packet of a flow whose host is searched for, to be forwarded to other hosts.
 RELAYED = 18
 
+# Request for the addresses of the hosts in the last listing of the store, and a
+# piece of them.
+LISTING_REQUEST = 19
+LISTING = 20
+
+# Request to the reader of the store to send a sidecar the record of its host;
+# the address of the sidecar follows.
+RECORD_REQUEST = 21
+
 # Flags of a record: the host is in the store, is draining, is in an evacuated
 # data centre; the operator keys have been read.
 REGISTERED = 1
@@ -117,13 +139,25 @@
 # Maximum number of hosts to which one sidecar forwards a packet: this takes the
 # sidecar a few ms.
 MAX_RELAYED = 64
+# Maximum number of addresses in one piece of a listing: fits any link without
+# fragmentation.
+MAX_LISTED = 270
 _MS_PER_S = 1000
 _MAX_AGE_MS = 0xFFFFFFFF
+_MAX_INTERVAL_MS = 0xFFFF
 
+# Flags of a hello: the sender is a sidecar; it asks for the addresses of other
+# processes; it asks for the record of its host.
+FROM_SIDECAR = 1
+WANTS_PEERS = 2
+WANTS_RECORD = 4
+
+_HELLO = Struct('!BBI')
+_LISTING = Struct('!BIIHH')
 _OPENING_HEADER = Struct('!BBIQ4sHH4sHB')
 _FLOW_NOTE = Struct('!B12sIB')
-_STATUS = Struct('!BIIBHHHQIB')
-_ANNOUNCEMENT = Struct('!BBQII')
+_STATUS = Struct('!BIIBHHHQIBH')
+_ANNOUNCEMENT = Struct('!BBQIII')
 _RECORD = Struct('!BBIIHQQIIQQ')
 _PIECE = Struct('!BQHH')
 _RELAYED = Struct('!B4sB')
@@ -328,12 +362,15 @@
             milliseconds.
         trusted: whether there is no reason to prefer other hosts, see
             ``OwnHost.is_trusted``.
+        interval_ms: time until the next status update to the same entry, in
+            milliseconds.
     """
 
     __slots__ = (
         'busy',
         'data_centre',
         'flows',
+        'interval_ms',
         'record_age_ms',
         'service',
         'slots',
@@ -353,6 +390,7 @@
         self.version = 0
         self.record_age_ms = _MAX_AGE_MS
         self.trusted = False
+        self.interval_ms = 0
 
     @classmethod
     def read(cls, raw: bytes) -> Status:
@@ -370,8 +408,9 @@
             status.flows,
             status.version,
             status.record_age_ms,
-        ) = fields[3:-1]
-        status.trusted = bool(fields[-1])
+        ) = fields[3:-2]
+        status.trusted = bool(fields[-2])
+        status.interval_ms = fields[-1]
         return status
 
     def pack(self) -> bytes:
@@ -387,6 +426,7 @@
             self.version,
             min(self.record_age_ms, _MAX_AGE_MS),
             self.trusted,
+            min(self.interval_ms, _MAX_INTERVAL_MS),
         )
 
 
@@ -398,10 +438,12 @@
         version: version of the configuration in force.
         operator_age_s: seconds since the store confirmed the operator keys.
         hosts_age_s: seconds since the store confirmed the host records.
+        hosts_digest: digest of the addresses in that listing.
     """
 
     __slots__ = (
         'hosts_age_s',
+        'hosts_digest',
         'operator_age_s',
         'stopping',
         'version',
@@ -413,6 +455,7 @@
         self.version = 0
         self.operator_age_s = _MAX_AGE_MS / _MS_PER_S
         self.hosts_age_s = _MAX_AGE_MS / _MS_PER_S
+        self.hosts_digest = 0
 
     @classmethod
     def read(cls, raw: bytes) -> Announcement:
@@ -427,6 +470,7 @@
         announcement.version = fields[2]
         announcement.operator_age_s = fields[3] / _MS_PER_S
         announcement.hosts_age_s = fields[4] / _MS_PER_S
+        announcement.hosts_digest = fields[5]
         return announcement
 
     def pack(self) -> bytes:
@@ -437,6 +481,7 @@
             self.version,
             _to_thousandths(self.operator_age_s),
             _to_thousandths(self.hosts_age_s),
+            self.hosts_digest,
         )
 
 
@@ -545,6 +590,76 @@
     )
 
 
+def pack_hello(flags: int, data_centre: int) -> bytes:
+    """Return a HELLO datagram.
+
+    Args:
+        flags: bit mask of FROM_SIDECAR, WANTS_PEERS and WANTS_RECORD.
+        data_centre: digest of the sender's data centre.
+    """
+    return _HELLO.pack(HELLO, flags, data_centre)
+
+
+def read_hello(raw: bytes) -> tuple[int, int]:
+    """Return flags and data centre of a HELLO datagram.
+
+    Raises:
+        DatagramError: the datagram is truncated.
+    """
+    _, flags, data_centre = _unpack(_HELLO, raw)
+    return flags, data_centre
+
+
+def pack_record_request(sidecar: bytes) -> bytes:
+    """Return a RECORD_REQUEST datagram for a sidecar's packed address."""
+    return bytes((RECORD_REQUEST,)) + sidecar
+
+
+def read_record_request(raw: bytes) -> bytes:
+    """Return the sidecar's packed address of a RECORD_REQUEST datagram.
+
+    Raises:
+        DatagramError: the datagram is truncated.
+    """
+    if len(raw) <= _ADDRESS_BYTES:
+        raise DatagramError(f'datagram of {len(raw)} bytes is too short')
+    return raw[1 : 1 + _ADDRESS_BYTES]
+
+
+def pack_listing(
+    digest_of_all: int,
+    age_s: float,
+    index: int,
+    count: int,
+    addresses: list[bytes],
+) -> bytes:
+    """Return a datagram with one piece of a listing of the hosts.
+
+    Args:
+        digest_of_all: digest of all addresses in the listing.
+        age_s: seconds since the store confirmed it.
+        index: number of the piece, from 0.
+        count: number of pieces.
+        addresses: the addresses in this piece, MAX_LISTED at most.
+    """
+    head = _LISTING.pack(
+        LISTING, digest_of_all, _to_thousandths(age_s), index, count
+    )
+    return head + b''.join(addresses)
+
+
+def read_listing(raw: bytes) -> tuple[int, float, int, int, list[bytes]]:
+    """Return digest, age, index, count and addresses of a listing's piece.
+
+    Raises:
+        DatagramError: the datagram is truncated.
+    """
+    _, digest_of_all, age_ms, index, count = _unpack(_LISTING, raw)
+    whole = len(raw) - (len(raw) - _LISTING.size) % _ADDRESS_BYTES
+    addresses = unpack_addresses(raw[_LISTING.size : whole])
+    return digest_of_all, age_ms / _MS_PER_S, index, count, addresses
+
+
 def pack_piece(version: int, index: int, count: int, piece: bytes) -> bytes:
     """Return a datagram with one piece of a configuration."""
     return _PIECE.pack(CONFIGURATION, version, index, count) + piece
--- a/siskinbank/relay/node.py
+++ b/siskinbank/relay/node.py
@@ -60,6 +60,7 @@
         settings: settings in force.
         packed_ip: IP address of this process as 4 bytes.
         handlers: handlers of peer messages, by message kind.
+        on_message: called with the sender's IP address before each handler.
         is_ready: returns whether the readiness probe succeeds.
         on_stop: called on SIGTERM; stops the process by default.
     """
@@ -81,6 +82,7 @@
         self.settings = read_settings(path)
         self.packed_ip = inet_aton(self.settings.ip)
         self.handlers: dict[int, Handler] = {}
+        self.on_message: Callable[[str], object] = bool
         self.is_ready: Callable[[], bool] = bool
         self.on_stop: Callable[[], None] = self.stop
         self._path = path
@@ -181,6 +183,7 @@
         if handler is None:
             self.meters.count('peer_datagrams_refused_total')
             return
+        self.on_message(sender)
         try:
             handler(datagram, sender)
         except DatagramError as error:
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -34,7 +34,10 @@
 from siskinbank.relay.status_reporter import StatusReporter
 from siskinbank.sidecar.tracked_flows import TrackedFlow, UnansweredPacket
 from siskinbank.tracking.own_host import OwnHost
-from siskinbank.tracking.store_reads import sidecar_should_read
+from siskinbank.tracking.store_reads import (
+    sidecar_pause_after_failures_s,
+    sidecar_should_read,
+)
 
 __all__ = ('Sidecar',)
 
@@ -85,6 +88,7 @@
         )
         self._follower.hosts_due = self._hosts_due
         self._follower.operator_due = self._operator_due
+        self._follower.pause_after_failures_s = sidecar_pause_after_failures_s
         self._outbound_socket = open_udp_socket(settings.outbound_address)
         self._client_socket = open_udp_socket(
             (settings.ip, settings.packet_port)
@@ -93,7 +97,7 @@
         self._reporter = StatusReporter(
             node,
             self._host,
-            self._flows.__len__,
+            self._flows,
             lambda: self._admission.count_in_time(),
         )
         self._admission = FlowAdmission(
@@ -341,7 +345,11 @@
         return self._should_read_store(self._follower.hosts_read_at)
 
     def _operator_due(self) -> bool:
-        return self._should_read_store(self._follower.operator_read_at)
+        # The hosts are read first, so that a store that is down gets one call.
+        return (
+            self._follower.hosts_read_at > self._host.confirmed_at
+            and self._should_read_store(self._follower.operator_read_at)
+        )
 
     def _should_read_store(self, own_read_at: float) -> bool:
         """Return whether to read the store, as no entry sends records."""
--- a/siskinbank/relay/status_reporter.py
+++ b/siskinbank/relay/status_reporter.py
@@ -10,12 +10,14 @@
     HelloSchedule,
 )
 from siskinbank.relay.loop import NEVER
+from siskinbank.relay.rotation import Rotation
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from siskinbank.relay.node import Node
+    from siskinbank.sidecar.tracked_flows import TrackedFlow
     from siskinbank.tracking.own_host import OwnHost
 
 __all__ = ('StatusReporter',)
@@ -23,40 +25,55 @@
 # Interval of status updates, in seconds: a third of the time after which an
 # entry treats a sidecar as silent.
 _STATUS_INTERVAL_S = 0.4
-# Maximum number of entries per turn; the next turn updates the entries after
-# them.
-_MAX_ENTRIES_PER_TURN = 32
+# Maximum numbers of entries per turn: of those with open flows at the host, of
+# the others in its data centre, and of the rest. The next turn updates the ones
+# after them.
+_MAX_USING_PER_TURN = 16
+_MAX_LOCAL_PER_TURN = 16
+_MAX_REMOTE_PER_TURN = 8
 # An entry without a message for this time, in seconds, gets no more updates.
 _ENTRY_TTL_S = 30.0
-# Interval of hellos, in seconds, while the sidecar has no entries or no record
-# of its host.
+# Interval of hellos, in seconds, while the sidecar lacks the addresses of the
+# entries or the record of its host.
 _HELLO_INTERVAL_S = 0.5
+# Interval between requests for the addresses of entries, in seconds.
+_PEERS_INTERVAL_S = 10.0
 _SWEEP_INTERVAL_S = 5.0
+_MS = 1000
 # Largest count that fits into a status message.
 _MAX_COUNT = 0xFFFF
 
-_SIDECAR_HELLO = bytes((messages.HELLO, 1))
-
 
 class StatusReporter:
-    """Sends status updates and hellos to the entries."""
+    """Sends status updates and hellos to the entries.
+
+    Load pattern: hundreds of hosts before dozens of entries in several data
+    centres. An entry places flows near itself, so it needs the load of distant
+    hosts less often than that of hosts that it uses.
+    """
 
     __slots__ = (
-        '_count_flows',
+        '_asked_entries',
         '_count_queued',
         '_data_centre',
         '_entries',
+        '_flows',
         '_hello_schedule',
         '_host',
-        '_next_entry',
+        '_last_using',
+        '_local_entries',
+        '_local_turn',
         '_node',
+        '_peers_received_at',
+        '_remote_turn',
+        '_using_turn',
     )
 
     def __init__(
         self,
         node: Node,
         host: OwnHost,
-        count_flows: Callable[[], int],
+        flows: dict[bytes, TrackedFlow],
         count_queued: Callable[[], int],
     ) -> None:
         """Initialize the reporter, send hellos and start the timers.
@@ -64,17 +81,23 @@
         Args:
             node: the process that runs the sidecar.
             host: the known state of the host.
-            count_flows: returns the number of flows that the host holds.
+            flows: the flows that the host holds, by flow key.
             count_queued: returns the number of queued flows that precede a new
                 one.
         """
         self._node = node
         self._host = host
-        self._count_flows = count_flows
+        self._flows = flows
         self._count_queued = count_queued
         self._data_centre = messages.digest(node.settings.data_centre)
         self._entries: dict[str, float] = {}
-        self._next_entry = 0
+        self._local_entries: set[str] = set()
+        self._last_using: set[str] = set()
+        self._using_turn = Rotation(_MAX_USING_PER_TURN)
+        self._local_turn = Rotation(_MAX_LOCAL_PER_TURN)
+        self._remote_turn = Rotation(_MAX_REMOTE_PER_TURN)
+        self._asked_entries = Rotation(1)
+        self._peers_received_at = NEVER
         node.handlers[messages.HELLO] = self._handle_hello
         node.handlers[messages.PEERS] = self._handle_peers
         node.loop.every(_STATUS_INTERVAL_S, self.send_status)
@@ -89,15 +112,43 @@
 
     def send_status(self) -> None:
         """Send a status update to the entries of this turn."""
-        datagram = self._status().pack()
-        entries = list(self._entries)
-        if self._next_entry >= len(entries):
-            self._next_entry = 0
-        turn = entries[
-            self._next_entry : self._next_entry + _MAX_ENTRIES_PER_TURN
-        ]
-        self._next_entry += _MAX_ENTRIES_PER_TURN
-        for ip in turn:
+        using = {flow.entry for flow in self._flows.values()}
+        using.intersection_update(self._entries)
+        others = [ip for ip in self._entries if ip not in using]
+        local = [ip for ip in others if ip in self._local_entries]
+        remote = [ip for ip in others if ip not in self._local_entries]
+        # These get updates less often from now on.
+        ended = [ip for ip in self._last_using if ip in remote]
+        self._last_using = using
+        status = self._status()
+        self._send_turn(status, self._using_turn, list(using))
+        self._send_turn(status, self._local_turn, local)
+        self._send_turn(status, self._remote_turn, remote)
+        self._send_to(status, ended)
+
+    def _send_turn(
+        self,
+        status: messages.Status,
+        rotation: Rotation,
+        entries: list[str],
+    ) -> None:
+        status.interval_ms = self._interval_ms(rotation, len(entries))
+        self._send_to(status, rotation.next(entries))
+
+    def _send_first_status(self, ip: str) -> None:
+        """Send a status update to one entry outside its turn."""
+        is_local = ip in self._local_entries
+        rotation = self._local_turn if is_local else self._remote_turn
+        status = self._status()
+        status.interval_ms = self._interval_ms(rotation, len(self._entries))
+        self._send_to(status, [ip])
+
+    def _interval_ms(self, rotation: Rotation, count: int) -> int:
+        return int(rotation.turns(count) * _STATUS_INTERVAL_S * _MS)
+
+    def _send_to(self, status: messages.Status, entries: list[str]) -> None:
+        datagram = status.pack()
+        for ip in entries:
             self._node.send(ip, datagram)
 
     def _send_hellos_when_due(self) -> None:
@@ -105,29 +156,49 @@
             self._send_hellos()
 
     def _send_hellos(self) -> None:
-        if self._host.record and self._entries:
+        age_s = self._node.loop.now - self._peers_received_at
+        wants_peers = age_s > _PEERS_INTERVAL_S
+        if not wants_peers and self._host.record:
             return
-        for ip in set(self._entries).union(self._node.settings.seeds):
-            self._node.send(ip, _SIDECAR_HELLO)
+        receivers = set(self._next_asked_entry())
+        if self._peers_received_at == NEVER:
+            receivers.update(self._node.settings.seeds)
+        for ip in receivers:
+            self._send_hello(ip, wants_peers)
+
+    def _next_asked_entry(self) -> list[str]:
+        return self._asked_entries.next(list(self._entries))
+
+    def _send_hello(self, ip: str, wants_peers: bool) -> None:
+        flags = messages.FROM_SIDECAR
+        if wants_peers:
+            flags |= messages.WANTS_PEERS
+        if self._host.record is None:
+            flags |= messages.WANTS_RECORD
+        self._node.send(ip, messages.pack_hello(flags, self._data_centre))
 
     def _handle_hello(self, raw: bytes, ip: str) -> None:
+        flags, data_centre = messages.read_hello(raw)
         self.note_entry(ip)
-        self._node.send(ip, self._status().pack())
-        # Seeds may be down, so entries also discover each other through
-        # sidecars.
-        entries = [inet_aton(entry) for entry in self._entries]
-        peers = messages.pack_addresses(messages.PEERS, entries, [])
-        self._node.send(ip, peers)
+        if data_centre == self._data_centre:
+            self._local_entries.add(ip)
+        self._send_first_status(ip)
+        if flags & messages.WANTS_PEERS:
+            # Seeds may be down, so entries also discover each other through
+            # sidecars.
+            entries = list(map(inet_aton, self._entries))
+            peers = messages.pack_addresses(messages.PEERS, entries, [])
+            self._node.send(ip, peers)
 
     def _handle_peers(self, raw: bytes, ip: str) -> None:
         self.note_entry(ip)
-        status = self._status().pack()
+        self._peers_received_at = self._node.loop.now
         entries, _ = messages.read_peers(raw)
-        addresses = [inet_ntoa(packed) for packed in entries]
-        for entry in addresses:
-            if entry not in self._entries:
-                self.note_entry(entry)
-                self._node.send(entry, status)
+        for entry in map(inet_ntoa, entries):
+            is_new = entry not in self._entries
+            self.note_entry(entry)
+            if is_new:
+                self._send_first_status(entry)
 
     def _status(self) -> messages.Status:
         now = self._node.loop.now
@@ -137,7 +208,7 @@
         status.slots = host.slots
         request_count = host.request_count(now) + self._count_queued()
         status.busy = min(request_count, _MAX_COUNT)
-        status.flows = min(self._count_flows(), _MAX_COUNT)
+        status.flows = min(len(self._flows), _MAX_COUNT)
         status.version = host.version
         status.trusted = host.is_trusted(now)
         if host.record:
@@ -151,3 +222,4 @@
         ]
         for ip in silent:
             self._entries.pop(ip, NEVER)
+            self._local_entries.discard(ip)
--- a/siskinbank/tracking/hosts.py
+++ b/siskinbank/tracking/hosts.py
@@ -7,22 +7,21 @@
 from siskinbank.admission import reasons
 from siskinbank.relay.messages import Status
 
-__all__ = ('SILENT_S', 'HostTable', 'TrackedHost')
+__all__ = ('HostTable', 'TrackedHost')
 
 # A sidecar without a status update for this long, in seconds, counts as silent:
-# three missed ones, as it sends one every 0.4 s.
-SILENT_S = 1.3
+# three missed ones, as it sends one every 0.4 s to entries that use its host.
+_SILENT_S = 1.3
+# Missed status updates after which a sidecar counts as silent that announced a
+# longer interval.
+_MISSED_UPDATES = 3
+_MS = 1000
 # A host without an update for this long, in seconds, is removed: the longest
 # lifetime of a flow on the platform.
 _EXPIRY_S = 60.0
 # A host that is no longer in the store counts as gone this long after its last
 # update, in seconds: one missed update.
 _GONE_AFTER_S = 0.6
-# Maximum of the usual interval, in seconds: longer intervals come from a
-# network partition or a stalled process.
-_MAX_INTERVAL_S = 2.0
-# Factor by which the usual interval decays with each update.
-_INTERVAL_DECAY = 0.8
 
 
 class TrackedHost:
@@ -32,12 +31,10 @@
         ip: IP address as text.
         packed: IP address as 4 bytes.
         status: last status from its sidecar.
-        last_seen: time when that status was received, in seconds.
+        last_seen: time of the last message from its sidecar, in seconds.
         first_seen: time when the first status was received, in seconds.
         pending: number of flows placed there since the last status.
         left: whether it is silent and known to be gone.
-        usual_interval_s: usual interval between its sidecar's updates, in
-            seconds: the longest recent one, which decays with each update.
     """
 
     __slots__ = (
@@ -48,7 +45,6 @@
         'packed',
         'pending',
         'status',
-        'usual_interval_s',
     )
 
     def __init__(self, ip: str, status: Status, last_seen: float) -> None:
@@ -60,7 +56,16 @@
         self.first_seen = last_seen
         self.pending = 0
         self.left = False
-        self.usual_interval_s: float = 0
+
+    @property
+    def interval_s(self) -> float:
+        """Interval until the next status update, in seconds."""
+        return self.status.interval_ms / _MS
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether status updates are missing."""
+        limit_s = max(_SILENT_S, self.interval_s * _MISSED_UPDATES)
+        return now - self.last_seen > limit_s
 
     def has_left(self, now: float) -> bool:
         """Return whether the host is silent and has no record in the store."""
@@ -103,13 +108,7 @@
             self._index()
             return True
         previous = host.status
-        changed = (
-            previous.state != status.state or now - host.last_seen > SILENT_S
-        )
-        interval_s = min(now - host.last_seen, _MAX_INTERVAL_S)
-        host.usual_interval_s = max(
-            interval_s, host.usual_interval_s * _INTERVAL_DECAY
-        )
+        changed = previous.state != status.state or host.is_silent(now)
         host.status = status
         host.last_seen = now
         host.pending = 0
@@ -119,6 +118,13 @@
             return True
         return changed
 
+    def note_message(self, ip: str, now: float) -> None:
+        """Record that a message from the sidecar at an address was received."""
+        host = self._by_ip.get(ip)
+        if host:
+            host.last_seen = now
+            host.left = False
+
     def add_stall(self, stalled_s: float) -> None:
         """Add the time of a stall, in which no packets could be received."""
         for host in self._by_ip.values():
@@ -141,7 +147,7 @@
         return [
             host.packed
             for host in self._by_ip.values()
-            if now - host.last_seen < SILENT_S
+            if not host.is_silent(now)
         ]
 
     def _index(self) -> None:
--- a/siskinbank/tracking/store_reads.py
+++ b/siskinbank/tracking/store_reads.py
@@ -4,12 +4,14 @@
 rate limit, while a change must be in force everywhere within about three
 seconds, even if the last reader has failed, is partitioned, or is refused by
 the store. Every process receives the age of the newest data. The process with
-the lowest address reads as soon as a read is due; the next ones read only if it
+the lowest rank reads as soon as a read is due; the next ones read only if it
 did not.
 """
 
 from __future__ import annotations
 
+from zlib import crc32
+
 from siskinbank.relay.loop import NEVER
 
 __all__ = (
@@ -18,6 +20,7 @@
     'operator_read_age_s',
     'pause_after_failures_s',
     'reader_rank',
+    'sidecar_pause_after_failures_s',
     'sidecar_should_read',
 )
 
@@ -35,10 +38,10 @@
 # A sidecar reads the store itself when the newest record from an entry is
 # older than this, in seconds.
 _SIDECAR_READ_AGE_S = 2.1
-# Age of the newest record that a sidecar assumes at its start, in seconds. It
-# then waits about a second before it reads, as entries that start at the same
-# time read first.
-_ASSUMED_START_AGE_S = 1.1
+# A sidecar that has just started reads the store itself this much later, in
+# seconds: entries that started at the same time send no records until the hosts
+# have had the time to register.
+_START_GRACE_S = 1.5
 
 # Hosts whose records expired during an outage of the store are registered again
 # within two seconds of its return. Until this time after its return, in
@@ -54,6 +57,9 @@
 _FIRST_PAUSE_S = 0.1
 _MAX_PAUSE_S = 0.8
 _MAX_PAUSE_OTHERS_S = 1.6
+# Pause of a sidecar after a failed call, in seconds: there are many of them, and
+# they read the store only if no entry can.
+_SIDECAR_PAUSE_S = 3.2
 
 
 class StoreAvailability:
@@ -95,8 +101,13 @@
 
 
 def reader_rank(own: bytes, others: list[bytes]) -> int:
-    """Return the rank of an address among the live readers, from 0."""
-    return sum(1 for other in others if other < own)
+    """Return the rank of an address among the live readers, from 0.
+
+    The order is that of a hash, so that the first readers are spread over the
+    data centres, whose addresses are contiguous.
+    """
+    own_hash = crc32(own)
+    return sum(1 for other in others if crc32(other) < own_hash)
 
 
 def hosts_read_age_s(rank: int) -> float:
@@ -132,10 +143,15 @@
             entry.
         own_read_at: time when the sidecar last read the store itself.
     """
-    newest = max(confirmed_at, own_read_at, started - _ASSUMED_START_AGE_S)
+    newest = max(confirmed_at, own_read_at, started + _START_GRACE_S)
     return now - newest > _SIDECAR_READ_AGE_S
 
 
+def sidecar_pause_after_failures_s(failures: int) -> float:
+    """Return the pause of a sidecar in seconds after failed calls."""
+    return _SIDECAR_PAUSE_S if failures else 0
+
+
 def pause_after_failures_s(failures: int, rank: int) -> float:
     """Return the pause in seconds after consecutive failed calls."""
     if not failures:
