Order what is known of the store by era and revision

Cause: in a drill the store may come back from an older copy; revisions go back and are given out again. The newest revision won everywhere, so a drain, an evacuation or a record of the new history was refused as older, and a watch from a revision that was given out again missed changes.

Change: platform/store.py reads Store-Era from every answer; StorePosition (era, revision) is the one type that compares; reader, records to sidecars and announcements carry it. In a new era all is listed again, absence proves nothing for 2.3 s, sidecars keep drains and evacuations for 5 s and ignore records of earlier incarnations; what was read in an earlier era counts no more; the configuration never goes back, as before. The HTTP client hands over responses with their headers.

The model (real followers, random schedules of calls, answers, copies and changes) also found that the page of the operator's items was taken for the whole listing, and a page that can't be read was asked for again at once; both are mended here, as they share the code.

--- a/siskinbank/lab/rig/store.py
+++ b/siskinbank/lab/rig/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from siskinbank.platform.encoding import (
     Item,
@@ -9,8 +10,9 @@
     encode_page,
     read_store_call,
 )
+from siskinbank.platform.store import ERA_HEADER
 
-__all__ = ('StoreStandIn',)
+__all__ = ('StoreCopy', 'StoreStandIn')
 
 _PAGE_SIZE = 50
 _OK = 200
@@ -19,6 +21,19 @@
 _UNAVAILABLE = 503
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The state of a store at some moment.
+
+    Attributes:
+        revision: its revision.
+        items: its items by key.
+    """
+
+    revision: int
+    items: dict[str, Item]
+
+
 class StoreStandIn:
     """Serves items by key and the history of their changes.
 
@@ -27,6 +42,7 @@
         busy: returns whether calls from an address are refused.
         delay_s: delay of each answer in seconds.
         calls: number of calls received.
+        era: number of the era in all answers.
     """
 
     def __init__(self) -> None:
@@ -35,6 +51,7 @@
         self.busy: Callable[[str], bool] = lambda ip: False
         self.delay_s: float = 0
         self.calls = 0
+        self.era = 1
         self._revision = 1
         self._items: dict[str, Item] = {}
         self._history: list[Item] = []
@@ -71,6 +88,24 @@
         self._history.clear()
         self._oldest_revision = self._revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the items, to come back from later."""
+        return StoreCopy(self._revision, dict(self._items))
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone.
+
+        Connections are closed, and revisions are given out again.
+        """
+        self.era += 1
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = [
+            item for item in self._history if item.revision <= copy.revision
+        ]
+        for writer in self._writers:
+            writer.close()
+
     async def _serve(
         self,
         reader: asyncio.StreamReader,
@@ -105,7 +140,11 @@
         status, body = _UNAVAILABLE, b'{}'
         if not self.busy(ip):
             status, body = await self._result(read_store_call(path))
-        head = f'HTTP/1.1 {status} -\r\nContent-Length: {len(body)}\r\n\r\n'
+        head = (
+            f'HTTP/1.1 {status} -\r\n'
+            f'{ERA_HEADER}: {self.era}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
         writer.write(head.encode() + body)
         await writer.drain()
 
@@ -128,7 +167,7 @@
 
     async def _watch(self, call: StoreCall) -> tuple[int, bytes]:
         after = int(call.after)
-        if after < self._oldest_revision:
+        if not self._oldest_revision <= after <= self._revision:
             return _GONE, b'{}'
         try:
             async with asyncio.timeout(call.wait_s), self._changed:
--- a/siskinbank/platform/store.py
+++ b/siskinbank/platform/store.py
@@ -15,6 +15,7 @@
 __all__ = (
     'CONFIGURATION_KEY',
     'Change',
+    'ERA_HEADER',
     'EVACUATIONS_PREFIX',
     'HOSTS_PREFIX',
     'OPERATOR_PREFIX',
@@ -22,6 +23,7 @@
     'key_path',
     'page_path',
     'read_change',
+    'read_era',
     'read_page',
     'read_watch',
     'watch_path',
@@ -32,6 +34,9 @@
 # Key prefix of all keys that the operator writes.
 OPERATOR_PREFIX = 'op/'
 CONFIGURATION_KEY = 'op/config'
+# Header of all responses of the store, with the number of its era: it rises by
+# one when the store comes back from an older copy.
+ERA_HEADER = 'Store-Era'
 EVACUATIONS_PREFIX = 'op/evacuate/'
 
 # Characters of a key that are not percent-encoded in a query.
@@ -110,6 +115,11 @@
     )
 
 
+def read_era(header: str) -> int:
+    """Return the era in a header, 0 if the store does not state it."""
+    return int(header) if header.isascii() and header.isdecimal() else 0
+
+
 def read_change(body: bytes) -> Change:
     """Decode the response with one item.
 
--- a/siskinbank/relay/catalogue.py
+++ b/siskinbank/relay/catalogue.py
@@ -22,6 +22,7 @@
     'store.regained': 'R201',
     'store.compacted': 'R202',
     'record.refused': 'R203',
+    'store.era': 'R204',
     'configuration.taken': 'R210',
     'configuration.refused': 'R211',
     'evacuation.changed': 'R212',
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -365,7 +365,7 @@
 
     def _on_operator_read(self) -> None:
         self._gossip.announce()
-        if self._follower.hosts_revision:
+        if self._follower.hosts_position:
             self._gossip.send_changed_records()
         self._process_early_packets()
 
--- a/siskinbank/relay/flow_admission.py
+++ b/siskinbank/relay/flow_admission.py
@@ -261,7 +261,7 @@
             flows=len(self._flows),
             hops=opening.hops,
             version=opening.version,
-            revision=host.revision,
+            revision=host.position,
             age_ms=host.age_ms(now),
         )
         self._deliver(opening.packet)
@@ -283,7 +283,7 @@
             busy=host.busy,
             wait_ms=int(host.wait_s(self._node.loop.now) * _MS),
             hops=opening.hops,
-            revision=host.revision,
+            revision=host.position,
             age_ms=host.age_ms(self._node.loop.now),
         )
         if can_forward:
--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -8,20 +8,24 @@
 from siskinbank.platform.records import HostRecord, decode_host
 from siskinbank.platform.store import (
     CONFIGURATION_KEY,
+    ERA_HEADER,
     EVACUATIONS_PREFIX,
     HOSTS_PREFIX,
     OPERATOR_PREFIX,
     Change,
+    Page,
     page_path,
+    read_era,
     read_page,
     read_watch,
     watch_path,
 )
-from siskinbank.relay.http import Client
+from siskinbank.relay.http import Client, Response
 from siskinbank.relay.log import without_spaces
 from siskinbank.relay.loop import NEVER
 from siskinbank.tracking.configuration import Configuration
 from siskinbank.tracking.host_listing import HostListing
+from siskinbank.tracking.store_position import StorePosition
 from siskinbank.tracking.store_reads import (
     StoreAvailability,
     pause_after_failures_s,
@@ -65,6 +69,30 @@
         self.next_attempt = NEVER
 
 
+class _Listing:
+    """A listing in progress, which may have several pages.
+
+    Attributes:
+        changes: the items of the pages so far.
+        era: era of the store at its begin.
+        revision: revision of the store at the first page: what was written
+            while the other pages were read may be missing.
+    """
+
+    __slots__ = ('changes', 'era', 'revision')
+
+    def __init__(self, era: int) -> None:
+        self.changes: list[Change] = []
+        self.era = era
+        self.revision = 0
+
+    def add(self, page: Page) -> str:
+        """Add a page; return the key after which the listing goes on, if any."""
+        self.revision = self.revision or page.revision
+        self.changes.extend(page.changes)
+        return page.changes[-1].key if page.more and page.changes else ''
+
+
 class StoreFollower:
     """State read from the store by this process.
 
@@ -73,13 +101,13 @@
     Attributes:
         configuration: configuration in force, from the store or from peers.
         evacuated: names of the data centres evacuated by the operator.
-        operator_revision: revision of the last known operator change.
+        era: newest era of the store that this process has heard of.
+        operator_position: position of the last known operator change.
         operator_read_at: time of the store's last response about operator keys.
         hosts: host records by IP address, from the last listing that this
             process read.
-        hosts_digest: digest of their addresses.
         listing: addresses of the hosts, from this process or a peer.
-        hosts_revision: revision of the last listing of the hosts.
+        hosts_position: position of the last listing of the hosts.
         hosts_read_at: time when that listing was read.
         hosts_read_by_peer_at: time when the store confirmed the newest listing
             that a peer announced.
@@ -105,12 +133,13 @@
         """
         self.configuration = Configuration()
         self.evacuated: frozenset[str] = frozenset()
-        self.operator_revision = 0
+        self.era = 0
+        self.operator_position = StorePosition()
         self.operator_read_at = NEVER
         self.hosts: dict[str, HostRecord] = {}
-        self.hosts_digest = 0
+        self._hosts_digest = 0
         self.listing = HostListing()
-        self.hosts_revision = 0
+        self.hosts_position = StorePosition()
         self.hosts_read_at = NEVER
         self.hosts_read_by_peer_at = NEVER
         self.rank = 0
@@ -126,15 +155,20 @@
         self._hosts_connection = _StoreConnection(Client(node.loop, store))
         self._operator_connection = _StoreConnection(Client(node.loop, store))
         self._has_operator_listing = False
-        self._listed_changes: list[Change] = []
+        self._hosts_listing = _Listing(0)
+        self._operator_listing = _Listing(0)
         self._store_availability = StoreAvailability()
         node.loop.every(_CHECK_INTERVAL_S, self.check)
 
+    @property
+    def hosts_digest(self) -> int:
+        """Digest of the addresses in the last listing of this process."""
+        return self._hosts_digest
+
     def check(self) -> None:
         """Send the requests that are due."""
         if self._can_send_request(self._hosts_connection) and self.hosts_due():
-            self._listed_changes = []
-            self._list_hosts('')
+            self._begin_hosts_listing()
         if (
             self._can_send_request(self._operator_connection)
             and self.operator_due()
@@ -152,6 +186,22 @@
             self.hosts_read_by_peer_at, confirmed_at
         )
 
+    def note_era(self, era: int, source: str) -> None:
+        """Record the era of the store; in a new one all is read again.
+
+        Args:
+            era: number of the era, 0 if it was not stated.
+            source: ``store`` or the address of the peer that announced it.
+        """
+        if era <= self.era:
+            return
+        before, self.era = self.era, era
+        if self.hosts_position or self.operator_position:
+            self._has_operator_listing = False
+            self._store_availability.note_new_era(self._node.loop.now)
+            self._node.log('store.era', era=era, before=before, source=source)
+            self._node.meters.count('store_eras_total')
+
     def absence_is_reliable(self) -> bool:
         """Return whether a host without a record in the store is gone."""
         return self._store_availability.absence_is_reliable(self._node.loop.now)
@@ -185,6 +235,10 @@
             and self._node.loop.now >= connection.next_attempt
         )
 
+    def _begin_hosts_listing(self) -> None:
+        self._hosts_listing = _Listing(self.era)
+        self._list_hosts('')
+
     def _list_hosts(self, after: str) -> None:
         self._node.meters.count('store_calls_total')
         self._hosts_connection.client.get(
@@ -193,27 +247,26 @@
             self._on_hosts_page,
         )
 
-    def _on_hosts_page(self, status: int, body: bytes) -> None:
-        connection = self._hosts_connection
-        if not self._record_response(connection, status, 'hosts'):
+    def _on_hosts_page(self, response: Response) -> None:
+        page = self._read(self._hosts_connection, response, 'hosts', read_page)
+        if page is None:
             return
-        try:
-            page = read_page(body)
-        except DocumentError as error:
-            self._log_refusal('record.refused', 'hosts', error)
+        listing = self._hosts_listing
+        if listing.era != self.era:
+            # The pages before this one are of the era before.
+            self._begin_hosts_listing()
             return
-        self._listed_changes.extend(page.changes)
-        if page.more and page.changes:
-            self._list_hosts(page.changes[-1].key)
+        after = listing.add(page)
+        if after:
+            self._list_hosts(after)
             return
         now = self._node.loop.now
         self._store_availability.note_listing(now, now)
-        self.hosts = self._decode_hosts(self._listed_changes)
-        self.hosts_revision = page.revision
+        self.hosts = self._decode_hosts(listing.changes)
+        self.hosts_position = StorePosition(listing.era, listing.revision)
         self.hosts_read_at = now
         self.listing.replace(map(inet_aton, self.hosts), now)
-        self.hosts_digest = self.listing.digest
-        self._listed_changes = []
+        self._hosts_digest = self.listing.digest
         self._on_hosts()
 
     def _decode_hosts(self, changes: list[Change]) -> dict[str, HostRecord]:
@@ -232,65 +285,74 @@
         return hosts
 
     def _follow_operator(self) -> None:
-        self._node.meters.count('store_calls_total')
-        client = self._operator_connection.client
         if not self._has_operator_listing:
-            client.get(
-                page_path(OPERATOR_PREFIX),
-                _REQUEST_TIMEOUT_S,
-                self._on_operator_page,
-            )
+            self._operator_listing = _Listing(self.era)
+            self._list_operator('')
             return
+        self._node.meters.count('store_calls_total')
         path = watch_path(
-            OPERATOR_PREFIX, self.operator_revision, _WATCH_DURATION_S
+            OPERATOR_PREFIX, self.operator_position.revision, _WATCH_DURATION_S
         )
-        client.get(
+        self._operator_connection.client.get(
             path,
             _WATCH_DURATION_S + _REQUEST_TIMEOUT_S,
             self._on_operator_watch,
         )
 
-    def _on_operator_page(self, status: int, body: bytes) -> None:
-        if not self._record_response(
-            self._operator_connection, status, 'operator'
-        ):
+    def _list_operator(self, after: str) -> None:
+        self._node.meters.count('store_calls_total')
+        self._operator_connection.client.get(
+            page_path(OPERATOR_PREFIX, after),
+            _REQUEST_TIMEOUT_S,
+            self._on_operator_page,
+        )
+
+    def _on_operator_page(self, response: Response) -> None:
+        page = self._read(
+            self._operator_connection, response, 'operator', read_page
+        )
+        if page is None:
             return
-        try:
-            page = read_page(body)
-        except DocumentError as error:
-            self._log_refusal('record.refused', 'operator', error)
+        listing = self._operator_listing
+        if listing.era != self.era:
+            self._follow_operator()
+            return
+        after = listing.add(page)
+        if after:
+            self._list_operator(after)
             return
         self._has_operator_listing = True
-        self.operator_revision = page.revision
-        present = {change.key for change in page.changes}
+        self.operator_position = StorePosition(listing.era, listing.revision)
+        present = {change.key for change in listing.changes}
         self._set_evacuated(
             key for key in present if key.startswith(EVACUATIONS_PREFIX)
         )
-        self._apply_operator_changes(page.changes)
+        self._apply_operator_changes(listing.changes)
         self.check()
 
-    def _on_operator_watch(self, status: int, body: bytes) -> None:
-        if status == _GONE:
-            # The store has compacted the revision to continue from:
-            # list all keys again.
+    def _on_operator_watch(self, response: Response) -> None:
+        if response.status == _GONE:
+            # The store has compacted the revision to continue from, or has
+            # come back from a copy without it: list all keys again.
+            self.note_era(_era_of(response), 'store')
             self._has_operator_listing = False
-            self._node.log('store.compacted', revision=self.operator_revision)
+            self._node.log('store.compacted', revision=self.operator_position)
             self._follow_operator()
             return
-        if not self._record_response(
-            self._operator_connection, status, 'watch'
-        ):
+        page = self._read(
+            self._operator_connection, response, 'watch', read_watch
+        )
+        if page is None:
             return
-        try:
-            page = read_watch(body)
-        except DocumentError as error:
-            self._log_refusal('record.refused', 'operator', error)
+        if not self._has_operator_listing:
+            # The changes are those of another history.
+            self._follow_operator()
             return
         # An empty response does not advance the revision: a watch may miss
         # changes for a while, and they are still read from the old revision on.
         for change in page.changes:
-            self.operator_revision = max(
-                self.operator_revision, change.revision
+            self.operator_position = self.operator_position.advance(
+                change.revision
             )
         self._apply_operator_changes(page.changes)
         self.check()
@@ -317,28 +379,48 @@
             self._node.log(
                 'evacuation.changed',
                 out=','.join(sorted(names)) or '-',
-                revision=self.operator_revision,
+                revision=self.operator_position,
             )
 
-    def _record_response(
-        self, connection: _StoreConnection, status: int, call: str
-    ) -> bool:
-        now = self._node.loop.now
-        if status == _OK:
-            if connection.failures:
-                self._node.log('store.regained', call=call)
-            connection.failures = 0
-            connection.next_attempt = now
-            return True
+    def _read(
+        self,
+        connection: _StoreConnection,
+        response: Response,
+        call: str,
+        decode: Callable[[bytes], Page],
+    ) -> Page | None:
+        """Return the page in a response, None if there is none to be used."""
+        era = _era_of(response)
+        self.note_era(era, 'store')
+        if response.status != _OK or 0 < era < self.era:
+            self._note_failure(connection, call, response.status, era)
+            return None
+        try:
+            page = decode(response.body)
+        except DocumentError as error:
+            self._log_refusal('record.refused', call, error)
+            self._note_failure(connection, call, response.status, era)
+            return None
+        if connection.failures:
+            self._node.log('store.regained', call=call)
+        connection.failures = 0
+        connection.next_attempt = self._node.loop.now
+        return page
+
+    def _note_failure(
+        self, connection: _StoreConnection, call: str, status: int, era: int
+    ) -> None:
         self._node.meters.count('store_failures_total')
         if not connection.failures:
-            self._node.log('store.lost', call=call, status=status)
+            self._node.log('store.lost', call=call, status=status, era=era)
         connection.failures += 1
-        connection.next_attempt = now + self.pause_after_failures_s(
-            connection.failures
-        )
-        return False
+        pause_s = self.pause_after_failures_s(connection.failures)
+        connection.next_attempt = self._node.loop.now + pause_s
 
     def _log_refusal(self, event: str, source: str, error: Exception) -> None:
         self._node.meters.count('records_refused_total')
         self._node.log(event, source=source, reason=without_spaces(error))
+
+
+def _era_of(response: Response) -> int:
+    return read_era(response.header(ERA_HEADER))
--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -86,7 +86,7 @@
         self._peers_received_at = NEVER
         #: Address of the peer that announced the newest listing.
         self._reader = node.settings.ip
-        self._sent_operator_state = (0, 0)
+        self._sent_operator_state = ('', 0)
         self._reads_from = node.loop.now
         if node.settings.ip not in node.settings.seeds:
             self._reads_from += _START_WAIT_S
@@ -120,7 +120,10 @@
     def send_changed_records(self) -> None:
         """Send the records if the operator has changed anything."""
         follower = self._follower
-        state = (follower.operator_revision, follower.configuration.version)
+        state = (
+            str(follower.operator_position),
+            follower.configuration.version,
+        )
         if state != self._sent_operator_state:
             self._sent_operator_state = state
             self.send_records()
@@ -256,17 +259,27 @@
             self._stopping_entries.add(packed)
         else:
             self._stopping_entries.discard(packed)
-        now = self._node.loop.now
         self._configuration_transfer.fetch_if_newer(announcement.version, ip)
-        if announcement.version == self._follower.configuration.version:
+        if announcement.era < self._follower.era:
+            # What the peer has read may be undone.
+            return
+        self._follower.note_era(announcement.era, ip)
+        self._note_read_by_peer(announcement, ip)
+
+    def _note_read_by_peer(
+        self, announcement: messages.Announcement, ip: str
+    ) -> None:
+        follower = self._follower
+        now = self._node.loop.now
+        if announcement.version == follower.configuration.version:
             confirmed_at = now - announcement.operator_age_s
             self._operator_read_by_peer_at = max(
                 self._operator_read_by_peer_at, confirmed_at
             )
         confirmed_at = now - announcement.hosts_age_s
-        if confirmed_at > self._follower.hosts_read_by_peer_at:
+        if confirmed_at > follower.hosts_read_by_peer_at:
             self._reader = ip
-        self._follower.note_hosts_read_by_peer(confirmed_at)
+        follower.note_hosts_read_by_peer(confirmed_at)
         self._listing_transfer.note_announced(
             announcement.hosts_digest, confirmed_at, ip
         )
@@ -294,6 +307,7 @@
         announcement.operator_age_s = now - follower.operator_read_at
         announcement.hosts_age_s = now - follower.hosts_read_at
         announcement.hosts_digest = follower.hosts_digest
+        announcement.era = follower.era
         return announcement
 
     def _sweep(self) -> None:
--- a/siskinbank/relay/http.py
+++ b/siskinbank/relay/http.py
@@ -26,10 +26,9 @@
 
     from siskinbank.relay.loop import Loop, Timer
 
-    #: Called with status and body; status 0 means that there is no response.
-    ResponseCallback = Callable[[int, bytes], None]
+    ResponseCallback = Callable[['Response'], None]
 
-__all__ = ('Client', 'Server')
+__all__ = ('Client', 'Response', 'Server')
 
 _NONBLOCKING_TCP = SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC
 _READ_BYTES = 65536
@@ -48,6 +47,27 @@
 _HEAD_END = b'\r\n\r\n'
 
 
+class Response:
+    """The response to a request.
+
+    Attributes:
+        status: status code, 0 if there is no response.
+        body: the body.
+    """
+
+    __slots__ = ('_head', 'body', 'status')
+
+    def __init__(self, head: bytes = b'', body: bytes = b'') -> None:
+        """Create a response; without arguments one that was not received."""
+        self.status = _status(head)
+        self.body = body
+        self._head = head
+
+    def header(self, name: str) -> str:
+        """Return the value of a header, empty without one."""
+        return _header(self._head, name.lower().encode())
+
+
 class Client:
     """HTTP client with one persistent connection and one request at a time."""
 
@@ -84,7 +104,7 @@
         Args:
             path: path and query.
             timeout: seconds until the connection is abandoned.
-            on_response: called once with status and body.
+            on_response: called once with the response.
         """
         self._on_response = on_response
         self._received = b''
@@ -94,7 +114,7 @@
         try:
             self._send(request)
         except OSError:
-            self._finish(0, b'')
+            self._finish(Response())
 
     def close(self) -> None:
         """Close the connection; a pending request gets no response."""
@@ -129,14 +149,14 @@
             if unsent:
                 self._cancel_connect_timer()
                 if connection.getsockopt(SOL_SOCKET, SO_ERROR):
-                    self._finish(0, b'')
+                    self._finish(Response())
                     return
                 self._loop.watch_writing(connection.fileno(), writing=False)
                 try:
                     connection.send(unsent.pop())
                 except OSError:
                     # The peer reset the connection after it was opened.
-                    self._finish(0, b'')
+                    self._finish(Response())
                 return
             self._read(connection)
 
@@ -147,34 +167,34 @@
         if received is None:
             return
         if not received:
-            self._finish(0, b'')
+            self._finish(Response())
             return
         self._received += received
         message = _split_message(self._received)
         if message:
             head, body = message
-            self._finish(_status(head), body)
+            self._finish(Response(head, body))
         elif len(self._received) > _MAX_RESPONSE_BYTES:
-            self._finish(0, b'')
+            self._finish(Response())
 
     def _expire(self) -> None:
-        self._finish(0, b'')
+        self._finish(Response())
 
     def _cancel_connect_timer(self) -> None:
         if self._connect_timer is not None:
             self._loop.cancel(self._connect_timer)
             self._connect_timer = None
 
-    def _finish(self, status: int, body: bytes) -> None:
+    def _finish(self, response: Response) -> None:
         self._cancel_connect_timer()
         if self._timer is not None:
             self._loop.cancel(self._timer)
             self._timer = None
-        if not status:
+        if not response.status:
             self.close()
         on_response, self._on_response = self._on_response, None
         if on_response is not None:
-            on_response(status, body)
+            on_response(response)
 
 
 class Server:
@@ -290,11 +310,16 @@
 
 
 def _content_length(head: bytes) -> int:
-    for line in head.split(b'\r\n'):
-        name, _, length = line.partition(b':')
-        if name.lower() == b'content-length' and length.strip().isdigit():
-            return int(length)
-    return 0
+    length = _header(head, b'content-length')
+    return int(length) if length.isdecimal() else 0
+
+
+def _header(head: bytes, lower_name: bytes) -> str:
+    for line in head.split(b'\r\n')[1:]:
+        name, _, text = line.partition(b':')
+        if name.lower() == lower_name:
+            return text.strip().decode('latin-1')
+    return ''
 
 
 def _status(head: bytes) -> int:
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -12,6 +12,8 @@
 from struct import error as StructError
 from zlib import crc32
 
+from siskinbank.tracking.store_position import StorePosition
+
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from typing import Any
@@ -157,8 +159,8 @@
 _OPENING_HEADER = Struct('!BBIQ4sHH4sHB')
 _FLOW_NOTE = Struct('!B12sIB')
 _STATUS = Struct('!BIIBHHHQIBH')
-_ANNOUNCEMENT = Struct('!BBQIII')
-_RECORD = Struct('!BBIIHQQIIQQ')
+_ANNOUNCEMENT = Struct('!BBQIIII')
+_RECORD = Struct('!BBIIHIQQIIIQQ')
 _PIECE = Struct('!BQHH')
 _RELAYED = Struct('!B4sB')
 
@@ -439,9 +441,11 @@
         operator_age_s: seconds since the store confirmed the operator keys.
         hosts_age_s: seconds since the store confirmed the host records.
         hosts_digest: digest of the addresses in that listing.
+        era: newest era of the store that the entry has heard of.
     """
 
     __slots__ = (
+        'era',
         'hosts_age_s',
         'hosts_digest',
         'operator_age_s',
@@ -456,6 +460,7 @@
         self.operator_age_s = _MAX_AGE_MS / _MS_PER_S
         self.hosts_age_s = _MAX_AGE_MS / _MS_PER_S
         self.hosts_digest = 0
+        self.era = 0
 
     @classmethod
     def read(cls, raw: bytes) -> Announcement:
@@ -470,7 +475,7 @@
         announcement.version = fields[2]
         announcement.operator_age_s = fields[3] / _MS_PER_S
         announcement.hosts_age_s = fields[4] / _MS_PER_S
-        announcement.hosts_digest = fields[5]
+        announcement.hosts_digest, announcement.era = fields[5:7]
         return announcement
 
     def pack(self) -> bytes:
@@ -482,6 +487,7 @@
             _to_thousandths(self.operator_age_s),
             _to_thousandths(self.hosts_age_s),
             self.hosts_digest,
+            self.era,
         )
 
 
@@ -493,11 +499,12 @@
         service: digest of the service in the host's record.
         age_s: seconds since the store confirmed the record.
         slots: number of requests that the host processes concurrently.
-        revision: store revision of the read.
+        position: position of the store at the read of the hosts.
         born_ms: start of the host's incarnation, 0 if unknown.
         cold_s: remaining warm-up time of the host, in seconds.
         cold_per_s: requests a second that a cold host of the service accepts.
-        operator_revision: store revision of the operator keys.
+        operator_position: position of the store at the read of the operator
+            keys.
         version: version of the configuration in force.
     """
 
@@ -507,8 +514,8 @@
         'cold_per_s',
         'cold_s',
         'flags',
-        'operator_revision',
-        'revision',
+        'operator_position',
+        'position',
         'service',
         'slots',
         'version',
@@ -520,11 +527,11 @@
         self.service = 0
         self.age_s: float = 0
         self.slots = 1
-        self.revision = 0
+        self.position = StorePosition()
         self.born_ms = 0
         self.cold_s: float = 0
         self.cold_per_s: float = 0
-        self.operator_revision = 0
+        self.operator_position = StorePosition()
         self.version = 0
 
     @classmethod
@@ -538,10 +545,13 @@
         record = cls()
         record.flags, record.service = fields[1:3]
         record.age_s = fields[3] / _MS_PER_S
-        record.slots, record.revision, record.born_ms = fields[4:7]
-        record.cold_s = fields[7] / _MS_PER_S
-        record.cold_per_s = fields[8] / _MS_PER_S
-        record.operator_revision, record.version = fields[9:11]
+        record.slots = fields[4]
+        record.position = StorePosition(*fields[5:7])
+        record.born_ms = fields[7]
+        record.cold_s = fields[8] / _MS_PER_S
+        record.cold_per_s = fields[9] / _MS_PER_S
+        record.operator_position = StorePosition(*fields[10:12])
+        record.version = fields[12]
         return record
 
     def pack(self) -> bytes:
@@ -552,11 +562,13 @@
             self.service,
             _to_thousandths(self.age_s),
             self.slots,
-            self.revision,
+            self.position.era,
+            self.position.revision,
             self.born_ms,
             _to_thousandths(self.cold_s),
             _to_thousandths(self.cold_per_s),
-            self.operator_revision,
+            self.operator_position.era,
+            self.operator_position.revision,
             self.version,
         )
 
--- a/siskinbank/relay/records.py
+++ b/siskinbank/relay/records.py
@@ -26,12 +26,12 @@
     if host is None and not follower.absence_is_reliable():
         return None
     record = messages.Record()
-    record.revision = follower.hosts_revision
+    record.position = follower.hosts_position
     record.age_s = now - follower.hosts_read_at
     record.version = follower.configuration.version
-    if follower.operator_revision:
+    if follower.operator_position:
         record.flags |= messages.OPERATOR_READ
-        record.operator_revision = follower.operator_revision
+        record.operator_position = follower.operator_position
     if host is None:
         return record
     record.flags |= messages.REGISTERED
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -328,7 +328,7 @@
             flags=record.flags,
             born_ms=record.born_ms,
             source=source,
-            revision=record.revision,
+            revision=record.position,
             age_ms=int(record.age_s * 1000),
             cold_ms=int(record.cold_s * 1000),
             cold_per_s=record.cold_per_s,
@@ -360,7 +360,7 @@
 
     def _on_store_read(self) -> None:
         follower = self._follower
-        if not follower.hosts_revision or not follower.operator_revision:
+        if not follower.hosts_position or not follower.operator_position:
             return
         ip = self._node.settings.ip
         record = record_for(follower, ip, self._node.loop.now)
--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -12,6 +12,7 @@
 )
 from siskinbank.relay import messages
 from siskinbank.relay.loop import NEVER
+from siskinbank.tracking.store_position import StorePosition
 
 __all__ = ('OwnHost',)
 
@@ -20,6 +21,10 @@
 # After a start or a stall, the sidecar waits this long for a record from the
 # store, in seconds, before it uses the old state again.
 _RECORD_WAIT_S = 0.5
+# After the store came back from an older copy, what it held since that copy is
+# written again within this time, in seconds: hosts write every second, and the
+# platform allows the operator this time for an evacuation.
+_SETTLING_S = 5.0
 # After this time, in seconds, a sidecar has seen all flows of its host: hosts
 # discard flows that are idle for 15 s.
 _OBSERVED_S = 18.0
@@ -51,8 +56,8 @@
         '_cold',
         '_cold_until',
         '_observed_since',
-        '_operator_revision',
         '_record_wait_until',
+        '_settled_at',
         '_started_ms',
         '_unreachable_at',
         'busy',
@@ -92,7 +97,7 @@
         self._cold_until = NEVER
         self._unreachable_at = NEVER
         self._record_wait_until = now + _RECORD_WAIT_S
-        self._operator_revision = 0
+        self._settled_at = NEVER
         self._started_ms = started_ms
         self._observed_since = now
 
@@ -102,9 +107,9 @@
         return self.record.slots if self.record else 1
 
     @property
-    def revision(self) -> int:
-        """Store revision of the record, 0 without one."""
-        return self.record.revision if self.record else 0
+    def position(self) -> StorePosition:
+        """Position of the record in the history of the store."""
+        return self.record.position if self.record else StorePosition()
 
     @property
     def is_leaving(self) -> bool:
@@ -167,26 +172,20 @@
     def apply_record(self, record: messages.Record, now: float) -> bool:
         """Apply a record unless it is older; return whether it was applied.
 
-        The host records and the operator keys have separate revisions: a
+        The host records and the operator keys have separate positions: a
         reader may have a newer state of the one and an older state of the
         other.
         """
         previous = self.record
         self.version = max(self.version, record.version)
-        if previous and record.revision < previous.revision:
-            return False
-        if previous and record.operator_revision < self._operator_revision:
-            operator_flags = messages.EVACUATED | messages.OPERATOR_READ
-            record.flags = (
-                record.flags & ~operator_flags | previous.flags & operator_flags
-            )
-            record.cold_per_s = previous.cold_per_s
-            record.operator_revision = self._operator_revision
-        self._operator_revision = record.operator_revision
-        if previous and record.born_ms not in {0, previous.born_ms}:
-            self._unreachable_at = NEVER
-            self._observed_since = now
-            self.refusal_backoff.note_accepted()
+        if previous:
+            self._note_era(previous, record, now)
+            settling = now < self._settled_at
+            if _is_outdated(previous, record, settling):
+                return False
+            if settling:
+                _keep_restrictions(previous, record)
+            self._merge(previous, record, now)
         self.record = record
         self.confirmed_at = now - record.age_s
         self._cold_until = now + record.cold_s if record.cold_s else NEVER
@@ -253,6 +252,27 @@
         self._cold.note(now)
         self.expected_requests.add(key, now)
 
+    def _note_era(
+        self, previous: messages.Record, record: messages.Record, now: float
+    ) -> None:
+        """Note that the store came back from an older copy."""
+        is_new = (
+            previous.position.era < record.position.era
+            or previous.operator_position.era < record.operator_position.era
+        )
+        if is_new:
+            self._settled_at = now + _SETTLING_S
+
+    def _merge(
+        self, previous: messages.Record, record: messages.Record, now: float
+    ) -> None:
+        if record.operator_position.is_before(previous.operator_position):
+            _keep_operator_state(previous, record)
+        if record.born_ms not in {0, previous.born_ms}:
+            self._unreachable_at = NEVER
+            self._observed_since = now
+            self.refusal_backoff.note_accepted()
+
     def _persistent_reason(self, service: int, now: float) -> int:
         if service != self.service:
             return reasons.OTHER_SERVICE
@@ -269,6 +289,39 @@
         return reasons.NONE
 
 
+def _is_outdated(
+    previous: messages.Record, record: messages.Record, settling: bool
+) -> bool:
+    """Return whether a record is of an earlier state than the known one."""
+    # A copy of the store may have the record of an earlier incarnation.
+    earlier_incarnation = 0 < record.born_ms < previous.born_ms
+    return record.position.is_before(previous.position) or (
+        settling and earlier_incarnation
+    )
+
+
+def _keep_restrictions(
+    previous: messages.Record, record: messages.Record
+) -> None:
+    """Keep the flags that the copy may lack and that are set again soon."""
+    kept = previous.flags & messages.EVACUATED
+    if record.born_ms in {0, previous.born_ms}:
+        kept |= previous.flags & messages.DRAINING
+    record.flags |= kept
+
+
+def _keep_operator_state(
+    previous: messages.Record, record: messages.Record
+) -> None:
+    """Keep what the operator set, as the reader has an older state of it."""
+    operator_flags = messages.EVACUATED | messages.OPERATOR_READ
+    record.flags = (
+        record.flags & ~operator_flags | previous.flags & operator_flags
+    )
+    record.cold_per_s = previous.cold_per_s
+    record.operator_position = previous.operator_position
+
+
 def _recorded_reason(record: messages.Record | None, service: int) -> int:
     if record is None:
         return reasons.NONE
--- a/siskinbank/tracking/store_reads.py
+++ b/siskinbank/tracking/store_reads.py
@@ -93,6 +93,14 @@
             self._returned_at = confirmed_at
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
+    def note_new_era(self, now: float) -> None:
+        """Record that the store came back from an older copy.
+
+        Records that hosts wrote since that copy are missing until they are
+        written again.
+        """
+        self._returned_at = now
+
     def absence_is_reliable(self, now: float) -> bool:
         """Return whether a host without a record in the store is gone."""
         return (
--- a/tests/relay/test_end_to_end.py
+++ b/tests/relay/test_end_to_end.py
@@ -202,6 +202,40 @@
         )
         await self.eventually(lambda: _serves(self.fleet.clients[0], new))
 
+    async def test_store_returns_from_an_older_copy(self) -> None:
+        """A route is published again, at a revision given out before."""
+        new = (TARGET[0], 8443)
+        copy = self.fleet.store.copy()
+        for _ in range(5):
+            await self.fleet.register(0)
+        await asyncio.sleep(1)
+        await self.fleet.store.restore(copy)
+        await self.fleet.publish(
+            [RouteDocument('matcher', TARGET), RouteDocument('matcher', new)],
+        )
+
+        async def is_applied() -> bool:
+            served = [await _serves(one, new) for one in self.fleet.clients]
+            logs = [entry.log for entry in self.fleet.entries]
+            return all(served) and 'store.era era=2 before=1' in ''.join(logs)
+
+        await self.eventually(is_applied)
+
+    async def test_evacuation_in_the_new_era(self) -> None:
+        """Its revision is lower than that of the records before."""
+        copy = self.fleet.store.copy()
+        for _ in range(9):
+            await self.fleet.register(1)
+        await asyncio.sleep(1)
+        await self.fleet.store.restore(copy)
+        await self.fleet.evacuate('a')
+        await asyncio.sleep(_MAX_APPLY_S)
+        before = [len(host.accepted) for host in self.fleet.hosts]
+        for number in range(20):
+            await self.fleet.clients[number % 2].request(TARGET, f'e-{number}')
+        after = [len(host.accepted) for host in self.fleet.hosts]
+        self.assertEqual((after[0], after[2]), (before[0], before[2]))
+
     async def test_malformed_packets_are_dropped(self) -> None:
         """Packets are too short, have wrong lengths or invalid flags."""
         client = self.fleet.clients[0]
--- a/tests/relay/test_gossip.py
+++ b/tests/relay/test_gossip.py
@@ -9,6 +9,7 @@
 from siskinbank.relay.loop import NEVER, Loop
 from siskinbank.tracking.host_listing import HostListing
 from siskinbank.tracking.hosts import HostTable
+from siskinbank.tracking.store_position import StorePosition
 
 OWN = '10.0.0.1'
 OTHERS = ('10.0.0.2', '10.0.0.3')
@@ -35,13 +36,15 @@
             configuration=SimpleNamespace(version=0, warm_ups={}),
             hosts={},
             hosts_digest=0,
-            hosts_revision=0,
+            hosts_position=StorePosition(),
+            era=0,
+            note_era=self._note_era,
             hosts_read_at=NEVER,
             hosts_read_by_peer_at=NEVER,
             listing=HostListing(),
             note_hosts_read_by_peer=self._note_hosts_read_by_peer,
             absence_is_reliable=lambda: True,
-            operator_revision=0,
+            operator_position=StorePosition(),
             operator_read_at=NEVER,
             evacuated=frozenset(),
             rank=0,
@@ -91,6 +94,9 @@
     def _note_hosts_read_by_peer(self, confirmed_at: float) -> None:
         self.follower.hosts_read_by_peer_at = confirmed_at
 
+    def _note_era(self, era: int, _source: str) -> None:
+        self.follower.era = max(self.follower.era, era)
+
     def _log(self, event: str, **_inputs: object) -> None:
         """Discard the event."""
 
@@ -167,6 +173,19 @@
             context.receive(datagram, OTHERS[0])
         self.assertEqual(context.follower.listing.addresses, set(hosts))
 
+    def test_eras(self) -> None:
+        """A peer tells of a new era; what was read before counts no more."""
+        context = GossipContext()
+        context.announce_listing(HOST)
+        announcement = messages.Announcement()
+        announcement.era = 2
+        context.receive(announcement.pack(), OTHERS[1])
+        self.assertEqual(context.follower.era, 2)
+        context.sent.clear()
+        context.loop.now += 1
+        context.announce_listing(HOST, OTHER_HOST)
+        self.assertEqual(context.sent, [])
+
     def test_old_listing_is_not_fetched(self) -> None:
         """A peer that could not read for long has announced it."""
         context = GossipContext()
--- a/tests/relay/test_loop.py
+++ b/tests/relay/test_loop.py
@@ -7,7 +7,7 @@
 import unittest
 from collections.abc import Callable
 
-from siskinbank.relay.http import Client, Server
+from siskinbank.relay.http import Client, Response, Server
 from siskinbank.relay.loop import Loop
 
 _RESET = struct.pack('ii', 1, 0)
@@ -79,7 +79,7 @@
         loop = Loop()
         client = Client(loop, listener.getsockname())
         responses: list[int] = []
-        client.get('/', 0.3, lambda status, body: responses.append(status))
+        client.get('/', 0.3, lambda response: responses.append(response.status))
         run_until(loop, lambda: bool(responses))
         client.close()
         return responses[0]
@@ -127,7 +127,7 @@
         responses: list[int] = []
         started = time.monotonic()
         client.get(
-            '/', _TEST_TIMEOUT_S, lambda status, body: responses.append(status)
+            '/', _TEST_TIMEOUT_S, lambda found: responses.append(found.status)
         )
         run_until(loop, lambda: bool(responses))
         self.assertEqual(responses, [0])
@@ -163,11 +163,14 @@
                 bad[-2].close()
                 run_until(loop, _after(0.02))
         client = Client(loop, address)
-        responses: list[tuple[int, bytes]] = []
-        client.get('/ready', 1, lambda *answer: responses.append(answer))
+        responses: list[Response] = []
+        client.get('/ready', 1, responses.append)
         run_until(loop, lambda: bool(responses))
-        self.assertEqual(responses, [(503, b'not yet')])
-        client.get('/other', 1, lambda *answer: responses.append(answer))
+        self.assertEqual(responses[0].status, 503)
+        self.assertEqual(responses[0].body, b'not yet')
+        self.assertEqual(responses[0].header('Content-type'), 'text/plain')
+        self.assertEqual(responses[0].header('Store-Era'), '')
+        client.get('/other', 1, responses.append)
         run_until(loop, lambda: len(responses) > 1)
 
 
--- /dev/null
+++ b/tests/relay/test_store_eras.py
@@ -0,0 +1,304 @@
+"""Random schedules of a store that comes back from older copies.
+
+The followers are the real ones; store and time are stand-ins. Thousands of
+schedules replace an exhaustive search, as the number of orders in which calls,
+answers and changes may happen is too large for one.
+"""
+
+import random
+import unittest
+from types import SimpleNamespace
+from typing import Any
+
+from siskinbank.platform.encoding import (
+    HostDocument,
+    Item,
+    RouteDocument,
+    encode_configuration,
+    encode_page,
+    read_store_call,
+)
+from siskinbank.platform.store import (
+    CONFIGURATION_KEY,
+    EVACUATIONS_PREFIX,
+    HOSTS_PREFIX,
+)
+from siskinbank.relay.follower import StoreFollower
+from siskinbank.relay.http import Response
+from siskinbank.relay.loop import NEVER
+from siskinbank.tracking.host_listing import HostListing
+
+SCHEDULES = 2000
+STEPS = 120
+# Limit of the platform for a change to be in force, in seconds.
+MAX_APPLY_S = 3
+_PAGE_SIZE = 2
+_STEP_S = 0.05
+
+
+class ModelStore:
+    """A store with eras and revisions.
+
+    Attributes:
+        era: number of the era.
+        items: the items by key.
+        revision: revision of the last change.
+    """
+
+    def __init__(self) -> None:
+        """Create a store with a first configuration."""
+        self.era = 1
+        self.revision = 1
+        self.items: dict[str, Item] = {}
+        self._history: list[Item] = []
+        self._copies: list[tuple[int, dict[str, Item]]] = []
+
+    def put(self, key: str, content: bytes | None) -> None:
+        """Write or remove an item."""
+        self.revision += 1
+        item = Item(key, content, self.revision)
+        self.items[key] = item
+        if content is None:
+            self.items.pop(key)
+        self._history.append(item)
+
+    def copy(self) -> None:
+        """Keep a copy to come back from."""
+        self._copies.append((self.revision, dict(self.items)))
+
+    def restore(self, rng: random.Random) -> None:
+        """Come back from one of the copies."""
+        if not self._copies:
+            return
+        self.revision, items = rng.choice(self._copies)
+        self.items = dict(items)
+        self._copies = [
+            copy for copy in self._copies if copy[0] <= self.revision
+        ]
+        self._history = [
+            item for item in self._history if item.revision <= self.revision
+        ]
+        self.era += 1
+
+    def answer(self, path: str) -> Response:
+        """Return the response to a call at this moment."""
+        call = read_store_call(path)
+        if call.kind == 'watch':
+            after = int(call.after)
+            if after > self.revision:
+                return self._response(410, b'{}')
+            found = [
+                item
+                for item in self._history
+                if item.revision > after and item.key.startswith(call.prefix)
+            ]
+            return self._response(
+                200, encode_page(found, self.revision, watch=True)
+            )
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(call.prefix) and key > call.after
+        )
+        page = [self.items[key] for key in keys[:_PAGE_SIZE]]
+        more = len(keys) > _PAGE_SIZE
+        return self._response(200, encode_page(page, self.revision, more=more))
+
+    def _response(self, status: int, body: bytes) -> Response:
+        head = f'HTTP/1.1 {status} -\r\nStore-Era: {self.era}'
+        return Response(head.encode(), body)
+
+
+class ModelClient:
+    """A connection whose answers arrive some time after they were given."""
+
+    def __init__(self, store: ModelStore) -> None:
+        """Create a connection without a request."""
+        self._store = store
+        self._path = ''
+        self._on_response: Any = None
+        self._response: Response | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in progress."""
+        return self._on_response is not None
+
+    def get(self, path: str, _timeout: float, on_response: Any) -> None:
+        """Send a request."""
+        self._path = path
+        self._on_response = on_response
+        self._response = None
+
+    def step(self) -> None:
+        """Let the store answer, or else let its answer arrive."""
+        if self._on_response is None:
+            return
+        if self._response is None:
+            self._response = self._store.answer(self._path)
+            return
+        on_response, self._on_response = self._on_response, None
+        on_response(self._response)
+
+
+class Schedule:
+    """One follower and one store in a random order of events.
+
+    Attributes:
+        store: the store.
+        follower: the follower.
+        versions: versions of the configuration that were in force.
+    """
+
+    def __init__(self, seed: int) -> None:
+        """Create the parts; the seed determines all that happens."""
+        self._rng = random.Random(seed)
+        self.store = ModelStore()
+        self._version = 1
+        self._evacuated: set[str] = set()
+        self._hosts: set[int] = {1, 2, 3}
+        self._loop = SimpleNamespace(now=100.0, every=lambda *_: None)
+        node: Any = SimpleNamespace(
+            loop=self._loop,
+            settings=SimpleNamespace(store=('127.0.0.1', 1)),
+            meters=SimpleNamespace(count=lambda *_: None),
+            log=lambda *_, **_fields: None,
+        )
+        self.follower = StoreFollower(node, bool, bool)
+        self.follower.hosts_due = lambda: True
+        self.follower.operator_due = lambda: True
+        self._clients = [ModelClient(self.store), ModelClient(self.store)]
+        self.follower._hosts_connection.client = self._clients[0]  # type: ignore[assignment]  # noqa: SLF001
+        self.follower._operator_connection.client = self._clients[1]  # type: ignore[assignment]  # noqa: SLF001
+        self.versions: list[int] = []
+        self.write_all()
+
+    def run(self) -> None:
+        """Run the random part, then the time in which all must be settled."""
+        events = (
+            self.store.copy,
+            self.publish,
+            self.evacuate,
+            self.change_hosts,
+            self.restore,
+        )
+        for _ in range(STEPS):
+            if not self._rng.randrange(5):
+                self._rng.choice(events)()
+            self.advance()
+        self.write_all()
+        for _ in range(int(MAX_APPLY_S / _STEP_S)):
+            self.advance()
+
+    def advance(self) -> None:
+        """Let a little time pass."""
+        self._loop.now += _STEP_S
+        self.follower.check()
+        for client in self._clients:
+            if self._rng.randrange(3):
+                client.step()
+        self.versions.append(self.follower.configuration.version)
+
+    def write_all(self) -> None:
+        """Write what operator and hosts hold again."""
+        content = encode_configuration(
+            self._version, [RouteDocument('a', ('1.2.3.4', 80))]
+        )
+        self.store.put(CONFIGURATION_KEY, content)
+        for name in ('x', 'y'):
+            key = f'{EVACUATIONS_PREFIX}{name}'
+            self.store.put(key, b'{}' if name in self._evacuated else None)
+        for number in range(1, 9):
+            self._write_host(number)
+
+    def publish(self) -> None:
+        """Publish a newer configuration."""
+        self._version += self._rng.randint(1, 3)
+        self.write_all()
+
+    def evacuate(self) -> None:
+        """Evacuate a data centre or take it back."""
+        name = self._rng.choice('xy')
+        self._evacuated ^= {name}
+        key = f'{EVACUATIONS_PREFIX}{name}'
+        self.store.put(key, b'{}' if name in self._evacuated else None)
+
+    def change_hosts(self) -> None:
+        """Let a host register or leave."""
+        number = self._rng.randint(1, 8)
+        self._hosts ^= {number}
+        self._write_host(number)
+
+    def restore(self) -> None:
+        """Come back from a copy; what was written since is missing at first."""
+        self.store.restore(self._rng)
+
+    def _write_host(self, number: int) -> None:
+        document = HostDocument('a', (f'10.0.0.{number}', 80), 'x')
+        content = document.encode() if number in self._hosts else None
+        self.store.put(f'{HOSTS_PREFIX}i-{number}', content)
+
+
+class TestSchedules(unittest.TestCase):
+    """Followers of a store that comes back from older copies."""
+
+    def test_followers_agree_with_the_store(self) -> None:
+        """Once operator and hosts have written again, within the limit."""
+        eras = 0
+        for seed in range(SCHEDULES):
+            schedule = Schedule(seed)
+            schedule.run()
+            follower, store = schedule.follower, schedule.store
+            eras += store.era - 1
+            with self.subTest(seed=seed):
+                self.assertEqual(follower.era, store.era)
+                evacuated = {
+                    EVACUATIONS_PREFIX + name for name in follower.evacuated
+                }
+                expected = {
+                    key
+                    for key in store.items
+                    if key.startswith(EVACUATIONS_PREFIX)
+                }
+                self.assertEqual(evacuated, expected)
+                hosts = [
+                    key for key in store.items if key.startswith(HOSTS_PREFIX)
+                ]
+                self.assertEqual(len(follower.hosts), len(hosts))
+                versions = schedule.versions
+                self.assertEqual(versions, sorted(versions))
+                self.assertEqual(versions[-1], schedule._version)  # noqa: SLF001
+        # The schedules do what they are for.
+        self.assertGreater(eras, SCHEDULES)
+
+    def test_unreadable_pages_are_not_read_at_once(self) -> None:
+        """Pauses grow as after other failures."""
+        schedule = Schedule(2)
+        calls = 0
+
+        def answer(_path: str) -> Response:
+            nonlocal calls
+            calls += 1
+            return Response(b'HTTP/1.1 200 OK', b'no document')
+
+        schedule.store.answer = answer  # type: ignore[method-assign]
+        for _ in range(int(10 / _STEP_S)):
+            schedule.advance()
+        # Two connections with a call a second each, and the first attempts.
+        self.assertLess(calls, 35)
+
+    def test_absence_proves_nothing_in_a_new_era(self) -> None:
+        """Hosts that registered since the copy are missing for a while."""
+        schedule = Schedule(1)
+        for _ in range(80):
+            schedule.advance()
+        self.assertTrue(schedule.follower.absence_is_reliable())
+        schedule.store.copy()
+        schedule.store.restore(random.Random(1))
+        for _ in range(10):
+            schedule.advance()
+        self.assertEqual(schedule.follower.era, 2)
+        self.assertFalse(schedule.follower.absence_is_reliable())
+        listing = schedule.follower.listing
+        self.assertIsInstance(listing, HostListing)
+        self.assertGreater(listing.confirmed_at, NEVER)
--- a/tests/tracking/test_own_host.py
+++ b/tests/tracking/test_own_host.py
@@ -5,6 +5,7 @@
 from siskinbank.admission import reasons
 from siskinbank.relay import messages
 from siskinbank.tracking.own_host import OwnHost
+from siskinbank.tracking.store_position import StorePosition
 
 SERVICE = messages.digest('matcher')
 OTHER = messages.digest('catalogue')
@@ -15,14 +16,15 @@
     revision: int = 10,
     operator_revision: int = 10,
     flags: int = HEALTHY,
+    era: int = 1,
 ) -> messages.Record:
     """Return the store's record of a healthy host."""
     found = messages.Record()
     found.flags = flags
     found.service = SERVICE
     found.slots = 2
-    found.revision = revision
-    found.operator_revision = operator_revision
+    found.position = StorePosition(era, revision)
+    found.operator_position = StorePosition(era, operator_revision)
     found.born_ms = 7
     return found
 
@@ -194,3 +196,63 @@
         restarted.born_ms = 8
         host.apply_record(restarted, 120)
         self.assertFalse(host.has_observed_all_flows(121))
+
+
+class TestOlderCopy(unittest.TestCase):
+    """Load pattern: the store comes back from a copy some seconds old."""
+
+    def setUp(self) -> None:
+        """Create a host that drains in an evacuated data centre."""
+        self.host = OwnHost(SERVICE, 100, 50_000)
+        self.flags = HEALTHY | messages.DRAINING | messages.EVACUATED
+        self.host.apply_record(record(90, 90, self.flags), 100)
+
+    def flags_at(self, now: float, found: messages.Record) -> int:
+        """Apply a record and return the flags in force."""
+        self.host.apply_record(found, now)
+        return self.host.record.flags if self.host.record else 0
+
+    def test_revisions_given_out_again(self) -> None:
+        """A change in the new era has a lower revision and applies."""
+        drained = record(40, 40, HEALTHY | messages.DRAINING, era=2)
+        self.assertTrue(self.host.apply_record(drained, 101))
+        self.assertEqual(self.host.position.era, 2)
+
+    def test_late_records_of_the_old_era(self) -> None:
+        """From a slow reader, with a higher revision."""
+        self.host.apply_record(record(40, 40, era=2), 101)
+        self.assertFalse(self.host.apply_record(record(91, 91), 102))
+        # A reader that has listed the hosts, but not yet the operator's keys.
+        mixed = record(41, 95, era=2)
+        mixed.operator_position = StorePosition(1, 95)
+        self.host.apply_record(mixed, 110)
+        found = self.host.record
+        self.assertEqual(found and found.operator_position.era, 2)
+
+    def test_restrictions_outlast_the_copy(self) -> None:
+        """Until they were written again, or had the time to be."""
+        self.assertEqual(self.flags_at(101, record(40, 40, era=2)), self.flags)
+        self.assertEqual(self.flags_at(105, record(41, 41, era=2)), self.flags)
+        self.assertEqual(self.flags_at(106.5, record(42, 42, era=2)), HEALTHY)
+
+    def test_restrictions_written_again(self) -> None:
+        """They then end only as in any era."""
+        self.flags_at(101, record(40, 40, era=2))
+        again = record(44, 44, self.flags, era=2)
+        self.assertEqual(self.flags_at(103, again), self.flags)
+        again = record(45, 45, self.flags, era=2)
+        self.assertEqual(self.flags_at(107, again), self.flags)
+        self.assertEqual(self.flags_at(108, record(46, 46, era=2)), HEALTHY)
+
+    def test_earlier_incarnation_in_the_copy(self) -> None:
+        """The host has started since; it does not lose its flows."""
+        earlier = record(40, 40, era=2)
+        earlier.born_ms = 3
+        self.assertFalse(self.host.apply_record(earlier, 101))
+
+    def test_second_change_of_era(self) -> None:
+        """Restrictions are kept from the first one on."""
+        self.flags_at(101, record(40, 40, era=2))
+        self.assertEqual(self.flags_at(104, record(20, 20, era=3)), self.flags)
+        self.assertEqual(self.flags_at(108, record(21, 21, era=3)), self.flags)
+        self.assertEqual(self.flags_at(109.5, record(22, 22, era=3)), HEALTHY)
--- a/tests/tracking/test_store_reads.py
+++ b/tests/tracking/test_store_reads.py
@@ -62,6 +62,16 @@
         store.note_listing(100, 90)
         self.assertFalse(store.absence_is_reliable(100))
 
+    def test_not_after_a_return_from_a_copy(self) -> None:
+        """Records written since the copy are missing for a while."""
+        store = StoreAvailability()
+        for tenth in range(1000, 1030):
+            store.note_listing(tenth / 10, tenth / 10)
+        store.note_new_era(103)
+        store.note_listing(103.1, 103.1)
+        self.assertFalse(store.absence_is_reliable(105))
+        self.assertTrue(store.absence_is_reliable(105.4))
+
 
 class TestReadAges(unittest.TestCase):
     """One reader at a time, replaced in time."""
