Find the hosts again after all processes were killed

Cause: entries that are no seeds asked the seeds for addresses while these had just started themselves, took the empty answer and asked again 5 s later; with the listing from a peer nobody told them of the hosts either.

Change: seeds are asked every 0.3 s during startup; hosts in a peer's listing are greeted; an entry that has heard no peer waits 0.05 s, not 0.2 s, before it reads (after a loss of power others start before the seeds).

Tests: TestDiscovery and the new test of reads, red before.

--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -7,6 +7,7 @@
 from siskinbank.relay import messages
 from siskinbank.relay.hello_schedule import (
     HELLO_CHECK_INTERVAL_S,
+    STARTUP_PEERS_INTERVAL_S,
     HelloSchedule,
 )
 from siskinbank.relay.listing_transfer import ListingTransfer
@@ -47,8 +48,10 @@
 _MAX_ADDRESSES = 250
 # Records older than this, in seconds, are not sent in reply to a hello.
 _MAX_RECORD_AGE_S = 1.5
-# Time for which an entry that is no seed waits at its start for what peers have
-# read, in seconds: several round trips.
+# Time for which an entry that is no seed waits at its start for a first peer,
+# and for what peers have read if there are any, in seconds: a few round trips,
+# and those that a transfer takes on a busy machine.
+_FIRST_PEER_WAIT_S = 0.05
 _START_WAIT_S = 0.2
 
 
@@ -78,7 +81,9 @@
         self._last_seen: dict[bytes, float] = {}
         self._stopping_entries: set[bytes] = set()
         self._operator_read_by_peer_at = NEVER
-        self._listing_transfer = ListingTransfer(node, follower.listing)
+        self._listing_transfer = ListingTransfer(
+            node, follower.listing, self._add_listed_sidecars
+        )
         self._announced = Rotation(_MAX_PEERS_PER_TURN)
         self._listed_entries = Rotation(_MAX_ADDRESSES)
         self._listed_sidecars = Rotation(_MAX_ADDRESSES)
@@ -87,9 +92,9 @@
         #: Address of the peer that announced the newest listing.
         self._reader = node.settings.ip
         self._sent_operator_state = ('', 0)
-        self._reads_from = node.loop.now
-        if node.settings.ip not in node.settings.seeds:
-            self._reads_from += _START_WAIT_S
+        self._started = node.loop.now
+        self._is_seed = node.settings.ip in node.settings.seeds
+        node.loop.after(_FIRST_PEER_WAIT_S, follower.check)
         follower.hosts_due = self._hosts_due
         follower.operator_due = self._operator_due
         node.handlers[messages.HELLO] = self._handle_hello
@@ -109,7 +114,7 @@
 
     def send_records(self) -> None:
         """Send each sidecar the record of its host."""
-        self.add_sidecars(list(map(inet_aton, self._follower.hosts)))
+        self._add_listed_sidecars()
         now = self._node.loop.now
         for packed in self.sidecars:
             ip = inet_ntoa(packed)
@@ -135,6 +140,9 @@
                 self.sidecars.add(packed)
                 self._send_hello(inet_ntoa(packed), 0)
 
+    def _add_listed_sidecars(self) -> None:
+        self.add_sidecars(list(self._follower.listing.addresses))
+
     def _announce_in_turn(self) -> None:
         self._send_announcement(self._announced.next(list(self._last_seen)))
 
@@ -151,10 +159,18 @@
         ]
         self._follower.rank = reader_rank(self._node.packed_ip, readers)
 
+    def _is_waiting_for_peers(self) -> bool:
+        """Return whether peers may still send what they have read."""
+        if self._is_seed:
+            return False
+        any_heard = any(seen > NEVER for seen in self._last_seen.values())
+        wait_s = _START_WAIT_S if any_heard else _FIRST_PEER_WAIT_S
+        return self._node.loop.now - self._started < wait_s
+
     def _hosts_due(self) -> bool:
         follower = self._follower
         now = self._node.loop.now
-        if now < self._reads_from:
+        if self._is_waiting_for_peers():
             return False
         last_confirmed = max(
             follower.hosts_read_at, follower.hosts_read_by_peer_at
@@ -164,7 +180,7 @@
     def _operator_due(self) -> bool:
         follower = self._follower
         now = self._node.loop.now
-        if now < self._reads_from:
+        if self._is_waiting_for_peers():
             return False
         last_confirmed = max(
             follower.operator_read_at, self._operator_read_by_peer_at
@@ -177,23 +193,27 @@
 
     def _send_hellos(self) -> None:
         now = self._node.loop.now
-        flags = 0
-        if now - self._peers_received_at > _PEERS_INTERVAL_S:
-            flags = messages.WANTS_PEERS
+        starting = self._hello_schedule.is_starting(now)
+        interval_s = STARTUP_PEERS_INTERVAL_S if starting else _PEERS_INTERVAL_S
+        wants_peers = now - self._peers_received_at > interval_s
+        self._greet_seeds(messages.WANTS_PEERS if wants_peers else 0)
+        # Seeds may be down; sidecars know other entries.
+        self._greet_sidecars(0 if self._last_seen else messages.WANTS_PEERS)
+
+    def _greet_seeds(self, flags: int) -> None:
         for seed in self._node.settings.seeds:
             packed = inet_aton(seed)
             last_seen = self._last_seen.get(packed, NEVER)
-            silent = now - last_seen > _PEER_TIMEOUT_S
+            silent = self._node.loop.now - last_seen > _PEER_TIMEOUT_S
             if packed != self._node.packed_ip and (flags or silent):
                 self._send_hello(seed, flags)
-        if not self._last_seen:
-            # Seeds may be down; sidecars know other entries.
-            flags = messages.WANTS_PEERS
+
+    def _greet_sidecars(self, flags: int) -> None:
         for packed in self._greeted_sidecars.next(list(self.sidecars)):
             ip = inet_ntoa(packed)
             host = self._hosts.get(ip)
-            if host is None or host.is_silent(now):
-                self._send_hello(ip, flags & messages.WANTS_PEERS)
+            if host is None or host.is_silent(self._node.loop.now):
+                self._send_hello(ip, flags)
 
     def _send_hello(self, ip: str, flags: int) -> None:
         self._node.send(ip, messages.pack_hello(flags, self._data_centre))
--- a/siskinbank/relay/hello_schedule.py
+++ b/siskinbank/relay/hello_schedule.py
@@ -7,11 +7,18 @@
 
 from __future__ import annotations
 
-__all__ = ('HELLO_CHECK_INTERVAL_S', 'HelloSchedule')
+__all__ = (
+    'HELLO_CHECK_INTERVAL_S',
+    'HelloSchedule',
+    'STARTUP_PEERS_INTERVAL_S',
+)
 
 # Interval at which it is checked whether a hello is due, and interval of hellos
 # during startup, in seconds: half of a client's first retransmission timeout.
 HELLO_CHECK_INTERVAL_S = 0.1
+# Interval between requests for the addresses of other processes during startup,
+# in seconds. A peer that has just started itself knows few of them.
+STARTUP_PEERS_INTERVAL_S = 0.3
 # Duration of the startup phase, in seconds: the slowest start of a peer.
 _STARTUP_S = 2.0
 
--- a/siskinbank/relay/listing_transfer.py
+++ b/siskinbank/relay/listing_transfer.py
@@ -8,6 +8,8 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from siskinbank.relay.node import Node
     from siskinbank.tracking.host_listing import HostListing
 
@@ -25,17 +27,24 @@
 class ListingTransfer:
     """Fetches listings that a peer has read, and serves the own one."""
 
-    __slots__ = ('_listing', '_node', '_pieces', '_requested_at')
+    __slots__ = ('_listing', '_node', '_on_change', '_pieces', '_requested_at')
 
-    def __init__(self, node: Node, listing: HostListing) -> None:
+    def __init__(
+        self,
+        node: Node,
+        listing: HostListing,
+        on_change: Callable[[], None],
+    ) -> None:
         """Initialize the transfer and register its message handlers.
 
         Args:
             node: the process that runs the entry.
             listing: the newest listing known here.
+            on_change: called after a listing of a peer was applied.
         """
         self._node = node
         self._listing = listing
+        self._on_change = on_change
         self._requested_at = NEVER
         self._pieces: dict[int, dict[int, list[bytes]]] = {}
         node.handlers[messages.LISTING_REQUEST] = self._handle_request
@@ -92,3 +101,4 @@
         found = [packed for piece in pieces.values() for packed in piece]
         if digest_of_addresses(found) == digest:
             self._listing.replace(found, self._node.loop.now - age_s)
+            self._on_change()
--- a/siskinbank/relay/status_reporter.py
+++ b/siskinbank/relay/status_reporter.py
@@ -7,6 +7,7 @@
 from siskinbank.relay import messages
 from siskinbank.relay.hello_schedule import (
     HELLO_CHECK_INTERVAL_S,
+    STARTUP_PEERS_INTERVAL_S,
     HelloSchedule,
 )
 from siskinbank.relay.loop import NEVER
@@ -156,8 +157,10 @@
             self._send_hellos()
 
     def _send_hellos(self) -> None:
-        age_s = self._node.loop.now - self._peers_received_at
-        wants_peers = age_s > _PEERS_INTERVAL_S
+        now = self._node.loop.now
+        starting = self._hello_schedule.is_starting(now)
+        interval_s = STARTUP_PEERS_INTERVAL_S if starting else _PEERS_INTERVAL_S
+        wants_peers = now - self._peers_received_at > interval_s
         if not wants_peers and self._host.record:
             return
         receivers = set(self._next_asked_entry())
--- a/tests/relay/test_gossip.py
+++ b/tests/relay/test_gossip.py
@@ -7,7 +7,10 @@
 from siskinbank.relay import messages
 from siskinbank.relay.gossip import Gossip
 from siskinbank.relay.loop import NEVER, Loop
-from siskinbank.tracking.host_listing import HostListing
+from siskinbank.tracking.host_listing import (
+    HostListing,
+    digest_of_addresses,
+)
 from siskinbank.tracking.hosts import HostTable
 from siskinbank.tracking.store_position import StorePosition
 
@@ -48,6 +51,7 @@
             operator_read_at=NEVER,
             evacuated=frozenset(),
             rank=0,
+            check=bool,
         )
         self._node: Any = SimpleNamespace(
             loop=self.loop,
@@ -242,6 +246,42 @@
         self.assertNotIn(bytes((10, 0, 9, 9)), entries)
 
 
+class TestDiscovery(unittest.TestCase):
+    """Load pattern: all processes were killed and start at the same time.
+
+    The seeds know nobody yet when the others ask them.
+    """
+
+    def receivers(self, context: GossipContext, flags: int) -> set[str]:
+        """Return the receivers of hellos with certain flags."""
+        return {
+            ip
+            for ip, datagram in context.sent
+            if datagram[0] == messages.HELLO
+            and messages.read_hello(datagram)[0] == flags
+        }
+
+    def test_seeds_are_asked_again(self) -> None:
+        """They have learned more since the first answer."""
+        context = GossipContext()
+        context.run(0.15)
+        empty = messages.pack_addresses(messages.PEERS, [], [])
+        context.receive(empty, OTHERS[0])
+        context.sent.clear()
+        context.run(0.6)
+        asked = self.receivers(context, messages.WANTS_PEERS)
+        self.assertEqual(asked, set(OTHERS))
+
+    def test_listed_hosts_are_greeted(self) -> None:
+        """Their sidecars then send their status."""
+        context = GossipContext()
+        listing = messages.pack_listing(
+            digest_of_addresses([HOST]), 0.1, 0, 1, [HOST]
+        )
+        context.receive(listing, OTHERS[0])
+        self.assertEqual(self.receivers(context, 0), {'10.0.2.1'})
+
+
 class TestReads(unittest.TestCase):
     """Load pattern: all entries start at once, or one of them restarts."""
 
@@ -250,8 +290,18 @@
         context = GossipContext()
         self.assertFalse(context.follower.hosts_due())
         self.assertFalse(context.follower.operator_due())
-        context.loop.now += 0.3
+        context.loop.now += 0.1
+        self.assertFalse(context.follower.hosts_due())
+        context.loop.now += 0.2
+        self.assertTrue(context.follower.hosts_due())
+
+    def test_entry_without_peers_reads_soon(self) -> None:
+        """Load pattern: after a loss of power the seeds start later."""
+        context = GossipContext(())
+        self.assertFalse(context.follower.hosts_due())
+        context.loop.now += 0.06
         self.assertTrue(context.follower.hosts_due())
+        self.assertTrue(context.follower.operator_due())
 
     def test_entry_does_not_read_beside_a_reader(self) -> None:
         """A restarted entry leaves the reads to the one that reads already."""
