Close a connection to the store on bytes that no request waits for

Change: bytes after a response, or without a request in progress, close the connection; the next request opens another one. Test: test_second_copy_of_a_response, red before.

--- a/siskinbank/relay/http.py
+++ b/siskinbank/relay/http.py
@@ -166,13 +166,18 @@
         received = _receive(connection)
         if received is None:
             return
-        if not received:
+        if not received or not self.busy:
+            # Without a request in progress this is the end of the connection,
+            # or a second copy of a response, which another request must not
+            # get.
             self._finish(Response())
             return
         self._received += received
         message = _split_message(self._received)
         if message:
-            head, body = message
+            head, body, rest = message
+            if rest:
+                self.close()
             self._finish(Response(head, body))
         elif len(self._received) > _MAX_RESPONSE_BYTES:
             self._finish(Response())
@@ -300,13 +305,15 @@
         return b''
 
 
-def _split_message(received: bytes) -> tuple[bytes, bytes] | None:
-    """Return head and body, or None while they are incomplete."""
+def _split_message(received: bytes) -> tuple[bytes, bytes, bytes] | None:
+    """Return head, body and what follows, or None while incomplete."""
     head, found, rest = received.partition(_HEAD_END)
     if not found:
         return None
     length = _content_length(head)
-    return (head, rest[:length]) if len(rest) >= length else None
+    if len(rest) < length:
+        return None
+    return head, rest[:length], rest[length:]
 
 
 def _content_length(head: bytes) -> int:
--- a/tests/relay/test_loop.py
+++ b/tests/relay/test_loop.py
@@ -133,6 +133,39 @@
         self.assertEqual(responses, [0])
         self.assertLess(time.monotonic() - started, 0.9)
 
+    def test_second_copy_of_a_response(self) -> None:
+        """It arrives late, and must not be taken for the next response.
+
+        It comes with the first response, or alone before the next request; the
+        connection is closed then.
+        """
+        copy = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1'
+        for parts in ((copy + copy,), (copy, copy)):
+            self.assertEqual(self.bodies_after(parts), [b'1', b'2'])
+
+    def bodies_after(self, parts: tuple[bytes, ...]) -> list[bytes]:
+        """Return the bodies of two responses, the first one sent in parts."""
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+
+        def serve() -> None:
+            _serve_once(listener, parts)
+            second = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2'
+            _serve_once(listener, (second,))
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        loop = Loop()
+        client = Client(loop, listener.getsockname())
+        found: list[Response] = []
+        for count in (1, 2):
+            client.get('/', 1, found.append)
+            run_until(loop, _has_length(found, count))
+            run_until(loop, _after(0.1))
+        client.close()
+        thread.join()
+        return [response.body for response in found]
+
     def test_incomplete_response_times_out(self) -> None:
         """The request is abandoned after its timeout."""
 
@@ -174,6 +207,20 @@
         run_until(loop, lambda: len(responses) > 1)
 
 
+def _serve_once(listener: socket.socket, parts: tuple[bytes, ...]) -> None:
+    """Answer one request on a new connection, and close it."""
+    connection, _ = listener.accept()
+    with connection:
+        connection.recv(1000)
+        for part in parts:
+            connection.send(part)
+            time.sleep(0.05)
+
+
+def _has_length(found: list[Response], count: int) -> Callable[[], bool]:
+    return lambda: len(found) >= count
+
+
 def _after(seconds: float) -> Callable[[], bool]:
     deadline = time.monotonic() + seconds
     return lambda: time.monotonic() > deadline
