Begin a planned stop once, and name a refused metrics port

Cause: a second SIGTERM during a stop began it anew, and a sidecar could wait past the grace period. A metrics port that can't be bound was logged as packet.refused; it has its own event R112 now.

--- a/siskinbank/relay/catalogue.py
+++ b/siskinbank/relay/catalogue.py
@@ -17,6 +17,7 @@
     'process.fault': 'R104',
     'settings.reload': 'R110',
     'settings.refused': 'R111',
+    'metrics.refused': 'R112',
     'log.dropped': 'R120',
     'store.lost': 'R200',
     'store.regained': 'R201',
--- a/siskinbank/relay/node.py
+++ b/siskinbank/relay/node.py
@@ -87,6 +87,7 @@
         self.on_stop: Callable[[], None] = self.stop
         self._path = path
         self._stop_requested = False
+        self._stopping = False
         self._reload_requested = False
         self._peer_socket = open_udp_socket(
             (self.settings.ip, self.settings.peer_port)
@@ -206,7 +207,7 @@
                 {METRICS_PATH: lambda: (200, self.meters.text())},
             )
         except OSError as error:
-            self.log('packet.refused', reason=without_spaces(error))
+            self.log('metrics.refused', reason=without_spaces(error))
             return
         self._servers.append(server)
 
@@ -220,8 +221,8 @@
         if self._reload_requested:
             self._reload_requested = False
             self.reload()
-        if self._stop_requested:
-            self._stop_requested = False
+        if self._stop_requested and not self._stopping:
+            self._stopping = True
             self.log('process.stopping', instance=self.settings.instance)
             self.on_stop()
 
