Refuse malformed settings and messages without an unexpected error

Cause: an empty InternalPortRange was an IndexError, digits such as superscript two a ValueError from int(), ports and booleans out of range were taken; a list of addresses cut off in a message ended its handler with an OSError, and the datagrams behind it waited for the next turn. Change: one function reads a port and one an address; incomplete addresses are left out; HeartbeatMs, which nothing used, is not read any more.

--- a/siskinbank/platform/documents.py
+++ b/siskinbank/platform/documents.py
@@ -6,18 +6,23 @@
 from __future__ import annotations
 
 from _json import make_scanner
+from _socket import AF_INET, inet_pton
 
 __all__ = (
     'DocumentError',
     'decode',
     'integer_field',
     'number_field',
+    'port_number',
+    'split_address',
     'text_field',
 )
 
 
 # Maximum of all numbers in documents: counts, times and revisions.
 _MAX_NUMBER = 1 << 62
+_MAX_PORT = 0xFFFF
+_MAX_PORT_DIGITS = 5
 
 
 class DocumentError(ValueError):
@@ -93,3 +98,32 @@
     if not 0 <= value <= _MAX_NUMBER:
         raise DocumentError(f'{name} is out of range')
     return float(value)
+
+
+def port_number(value: object) -> int:
+    """Return a port given as a number or as decimal digits.
+
+    Raises:
+        DocumentError: the value is not a port.
+    """
+    if isinstance(value, str) and value.isascii() and value.isdecimal():
+        value = int(value) if len(value) <= _MAX_PORT_DIGITS else 0
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise DocumentError(f'{value!r} is not a port')
+    if not 0 < value <= _MAX_PORT:
+        raise DocumentError(f'port {value} is out of range')
+    return value
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Return IPv4 address and port of an address with a port.
+
+    Raises:
+        DocumentError: the text is not such an address.
+    """
+    ip, _, port = text.rpartition(':')
+    try:
+        inet_pton(AF_INET, ip)
+    except (OSError, ValueError):
+        raise DocumentError(f'{text!r} is not an IPv4 address') from None
+    return ip, port_number(port)
--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -9,6 +9,8 @@
     decode,
     integer_field,
     number_field,
+    port_number,
+    split_address,
     text_field,
 )
 
@@ -23,7 +25,6 @@
 _MS = 1000
 # Resolution of the weighted choice of a service.
 _WEIGHT_STEPS = 1 << 16
-_MAX_PORT = 65535
 # Higher slot counts are capped at this value.
 _MAX_SLOTS = 65535
 # Kinds of routes whose requests may run more than once. All others, unknown
@@ -65,7 +66,7 @@
             DocumentError: the document does not describe a usable host.
         """
         self.service = text_field(document, 'Service')
-        self.ip = _host_ip(text_field(document, 'Address'))
+        self.ip = split_address(text_field(document, 'Address'))[0]
         self.data_centre = text_field(document, 'Zone')
         self.slots = min(max(1, integer_field(document, 'Slots')), _MAX_SLOTS)
         state = text_field(document, 'State')
@@ -190,9 +191,7 @@
 
 def _parse_route(document: dict[str, object]) -> tuple[bytes, Route]:
     # `Host` is the service's address, `Prefix` its port between slashes.
-    port = text_field(document, 'Prefix').strip('/')
-    if not port.isdigit() or int(port) > _MAX_PORT:
-        raise DocumentError(f'Prefix {port!r} holds no port')
+    port = port_number(text_field(document, 'Prefix').strip('/'))
     address = _pack_ip(text_field(document, 'Host'))
     timeout_ms = number_field(document, 'TimeoutMs', _DEFAULT_TIMEOUT_MS)
     route = Route(
@@ -201,7 +200,7 @@
         number_field(document, 'TargetLatencyMs', timeout_ms) / _MS,
         timeout_ms / _MS,
     )
-    return address + int(port).to_bytes(2, 'big'), route
+    return address + port.to_bytes(2, 'big'), route
 
 
 def _shares(document: dict[str, object]) -> tuple[tuple[str, float], ...]:
@@ -223,14 +222,6 @@
     return text_field(document, 'Name'), warm_up
 
 
-def _host_ip(address: str) -> str:
-    ip, _, port = address.rpartition(':')
-    if not port.isdigit():
-        raise DocumentError(f'Address {address!r} has no port')
-    _pack_ip(ip)
-    return ip
-
-
 def _pack_ip(ip: str) -> bytes:
     try:
         return inet_pton(AF_INET, ip)
--- a/siskinbank/platform/settings.py
+++ b/siskinbank/platform/settings.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from siskinbank.platform.documents import DocumentError, decode, text_field
+from siskinbank.platform.documents import (
+    DocumentError,
+    decode,
+    port_number,
+    split_address,
+    text_field,
+)
 
 __all__ = ('READY_PATH', 'SETTINGS_VARIABLE', 'Settings', 'read_settings')
 
@@ -29,12 +35,10 @@
         service: service of that host, or None at an entry.
         seeds: IP addresses of entries that are contacted first.
         store: address of the platform's store.
-        heartbeat_s: interval at which hosts write their records, in seconds.
     """
 
     __slots__ = (
         'data_centre',
-        'heartbeat_s',
         'host_address',
         'instance',
         'ip',
@@ -59,8 +63,8 @@
         self.data_centre = text_field(document, 'Zone')
         # The platform has one field for the packet address of entries and
         # sidecars; clients use the same port, but not the same address.
-        self.packet_port = _parse_address(text_field(listen, 'DatagramAddr'))[1]
-        self.ready_address = _parse_address(text_field(listen, 'ReadyAddr'))
+        self.packet_port = split_address(text_field(listen, 'DatagramAddr'))[1]
+        self.ready_address = split_address(text_field(listen, 'ReadyAddr'))
         self.peer_port = _first_port(document)
         self.outbound_address = _optional_address_field(listen, 'outbound')
         # `app` is the address of the host of this sidecar.
@@ -70,11 +74,7 @@
         self.seeds = _seeds(document)
         # `platform` holds only the address of the store.
         store = _object_field(document, 'platform')
-        self.store = _parse_address(text_field(store, 'Address'))
-        heartbeat_ms = document.get('HeartbeatMs')
-        self.heartbeat_s = (
-            heartbeat_ms / 1000 if isinstance(heartbeat_ms, int) else 1.0
-        )
+        self.store = split_address(text_field(store, 'Address'))
 
 
 def read_settings(path: str) -> Settings:
@@ -95,26 +95,19 @@
     return value
 
 
-def _parse_address(text: str) -> tuple[str, int]:
-    ip, _, port = text.rpartition(':')
-    if not ip or not port.isdigit():
-        raise DocumentError(f'{text!r} is not an address with a port')
-    return ip, int(port)
-
-
 def _optional_address_field(
     document: dict[str, object],
     name: str,
 ) -> tuple[str, int] | None:
     value = document.get(name)
-    return _parse_address(value) if isinstance(value, str) else None
+    return split_address(value) if isinstance(value, str) else None
 
 
 def _first_port(document: dict[str, object]) -> int:
     ports = document.get('InternalPortRange')
-    if not isinstance(ports, list) or not isinstance(ports[0], int):
+    if not isinstance(ports, list) or not ports:
         raise DocumentError('InternalPortRange is not a list of ports')
-    return ports[0]
+    return port_number(ports[0])
 
 
 def _seeds(document: dict[str, object]) -> tuple[str, ...]:
@@ -124,5 +117,5 @@
     if not isinstance(value, list):
         return ()
     return tuple(
-        _parse_address(seed)[0] for seed in value if isinstance(seed, str)
+        split_address(seed)[0] for seed in value if isinstance(seed, str)
     )
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -588,18 +588,16 @@
 
 
 def unpack_addresses(raw: bytes) -> list[bytes]:
-    """Split concatenated addresses."""
-    steps = range(0, len(raw), _ADDRESS_BYTES)
+    """Split concatenated addresses; an incomplete last one is left out."""
+    steps = range(0, len(raw) - _ADDRESS_BYTES + 1, _ADDRESS_BYTES)
     return [raw[step : step + _ADDRESS_BYTES] for step in steps]
 
 
 def read_peers(raw: bytes) -> tuple[list[bytes], list[bytes]]:
     """Return the addresses of entries and of sidecars in a PEERS datagram."""
     split = 3 + int.from_bytes(raw[1:3], 'big') * _ADDRESS_BYTES
-    whole = len(raw) - len(raw[split + 2 :]) % _ADDRESS_BYTES
-    return unpack_addresses(raw[3:split]), unpack_addresses(
-        raw[split + 2 : whole]
-    )
+    entries = unpack_addresses(raw[3:split])
+    return entries, unpack_addresses(raw[split + 2 :])
 
 
 def pack_hello(flags: int, data_centre: int) -> bytes:
@@ -667,8 +665,7 @@
         DatagramError: the datagram is truncated.
     """
     _, digest_of_all, age_ms, index, count = _unpack(_LISTING, raw)
-    whole = len(raw) - (len(raw) - _LISTING.size) % _ADDRESS_BYTES
-    addresses = unpack_addresses(raw[_LISTING.size : whole])
+    addresses = unpack_addresses(raw[_LISTING.size :])
     return digest_of_all, age_ms / _MS_PER_S, index, count, addresses
 
 
