Refuse pages that answer another request

Cause: a second copy of a response that arrives after the next request was sent is taken for the answer to that one; the connection can't tell. The keys can: a page holds keys of its prefix after the one asked for. Change: other pages are refused, the connection is closed and the listing begins again. A listing takes the era of its first page, so that the first one of a process is not read twice. Tests: test_page_of_another_request, red before.

--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -73,24 +73,44 @@
     """A listing in progress, which may have several pages.
 
     Attributes:
+        prefix: prefix of the listed keys.
         changes: the items of the pages so far.
-        era: era of the store at its begin.
+        era: era of the store at the first page.
         revision: revision of the store at the first page: what was written
             while the other pages were read may be missing.
     """
 
-    __slots__ = ('changes', 'era', 'revision')
+    __slots__ = ('_after', 'changes', 'era', 'prefix', 'revision')
 
-    def __init__(self, era: int) -> None:
+    def __init__(self, prefix: str) -> None:
+        self.prefix = prefix
+        self._after = ''
         self.changes: list[Change] = []
-        self.era = era
+        self.era = 0
         self.revision = 0
 
+    def is_of_era(self, era: int) -> bool:
+        """Return whether the next page, of this era, belongs to the listing."""
+        if not self.revision:
+            self.era = era
+        return self.era == era
+
     def add(self, page: Page) -> str:
-        """Add a page; return the key after which the listing goes on, if any."""
+        """Add a page; return the key after which the listing goes on, if any.
+
+        Raises:
+            DocumentError: the page answers another request.
+        """
+        for change in page.changes:
+            key = change.key
+            if not key.startswith(self.prefix) or key <= self._after:
+                raise DocumentError(f'{key} was not asked for')
         self.revision = self.revision or page.revision
         self.changes.extend(page.changes)
-        return page.changes[-1].key if page.more and page.changes else ''
+        if not page.more or not page.changes:
+            return ''
+        self._after = page.changes[-1].key
+        return self._after
 
 
 class StoreFollower:
@@ -155,8 +175,8 @@
         self._hosts_connection = _StoreConnection(Client(node.loop, store))
         self._operator_connection = _StoreConnection(Client(node.loop, store))
         self._has_operator_listing = False
-        self._hosts_listing = _Listing(0)
-        self._operator_listing = _Listing(0)
+        self._hosts_listing = _Listing(HOSTS_PREFIX)
+        self._operator_listing = _Listing(OPERATOR_PREFIX)
         self._store_availability = StoreAvailability()
         node.loop.every(_CHECK_INTERVAL_S, self.check)
 
@@ -236,7 +256,7 @@
         )
 
     def _begin_hosts_listing(self) -> None:
-        self._hosts_listing = _Listing(self.era)
+        self._hosts_listing = _Listing(HOSTS_PREFIX)
         self._list_hosts('')
 
     def _list_hosts(self, after: str) -> None:
@@ -252,11 +272,13 @@
         if page is None:
             return
         listing = self._hosts_listing
-        if listing.era != self.era:
+        if not listing.is_of_era(self.era):
             # The pages before this one are of the era before.
             self._begin_hosts_listing()
             return
-        after = listing.add(page)
+        after = self._add_page(self._hosts_connection, listing, page)
+        if after is None:
+            return
         if after:
             self._list_hosts(after)
             return
@@ -286,7 +308,7 @@
 
     def _follow_operator(self) -> None:
         if not self._has_operator_listing:
-            self._operator_listing = _Listing(self.era)
+            self._operator_listing = _Listing(OPERATOR_PREFIX)
             self._list_operator('')
             return
         self._node.meters.count('store_calls_total')
@@ -314,10 +336,12 @@
         if page is None:
             return
         listing = self._operator_listing
-        if listing.era != self.era:
+        if not listing.is_of_era(self.era):
             self._follow_operator()
             return
-        after = listing.add(page)
+        after = self._add_page(self._operator_connection, listing, page)
+        if after is None:
+            return
         if after:
             self._list_operator(after)
             return
@@ -407,6 +431,19 @@
         connection.next_attempt = self._node.loop.now
         return page
 
+    def _add_page(
+        self, connection: _StoreConnection, listing: _Listing, page: Page
+    ) -> str | None:
+        """Add a page; return the key to go on after, None if it is refused."""
+        try:
+            return listing.add(page)
+        except DocumentError as error:
+            # Responses and requests do not match on this connection.
+            connection.client.close()
+            self._log_refusal('record.refused', listing.prefix, error)
+            self._note_failure(connection, listing.prefix, _OK, listing.era)
+            return None
+
     def _note_failure(
         self, connection: _StoreConnection, call: str, status: int, era: int
     ) -> None:
--- a/tests/relay/test_loop.py
+++ b/tests/relay/test_loop.py
@@ -134,24 +134,29 @@
         self.assertLess(time.monotonic() - started, 0.9)
 
     def test_second_copy_of_a_response(self) -> None:
-        """It arrives late, and must not be taken for the next response.
+        """A part of it arrives late, and the rest with the next response.
 
-        It comes with the first response, or alone before the next request; the
-        connection is closed then.
+        The next request goes over another connection.
         """
         copy = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1'
-        for parts in ((copy + copy,), (copy, copy)):
-            self.assertEqual(self.bodies_after(parts), [b'1', b'2'])
-
-    def bodies_after(self, parts: tuple[bytes, ...]) -> list[bytes]:
-        """Return the bodies of two responses, the first one sent in parts."""
+        second = copy[:-1] + b'2'
         listener = socket.create_server(('127.0.0.1', 0))
         self.addCleanup(listener.close)
 
         def serve() -> None:
-            _serve_once(listener, parts)
-            second = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2'
-            _serve_once(listener, (second,))
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(1000)
+                connection.send(copy)
+                time.sleep(0.05)
+                connection.send(copy[:20])
+                if connection.recv(1000):
+                    connection.send(copy[20:] + second)
+                    return
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(1000)
+                connection.send(second)
 
         thread = threading.Thread(target=serve)
         thread.start()
@@ -164,7 +169,7 @@
             run_until(loop, _after(0.1))
         client.close()
         thread.join()
-        return [response.body for response in found]
+        self.assertEqual([one.body for one in found], [b'1', b'2'])
 
     def test_incomplete_response_times_out(self) -> None:
         """The request is abandoned after its timeout."""
@@ -207,16 +212,6 @@
         run_until(loop, lambda: len(responses) > 1)
 
 
-def _serve_once(listener: socket.socket, parts: tuple[bytes, ...]) -> None:
-    """Answer one request on a new connection, and close it."""
-    connection, _ = listener.accept()
-    with connection:
-        connection.recv(1000)
-        for part in parts:
-            connection.send(part)
-            time.sleep(0.05)
-
-
 def _has_length(found: list[Response], count: int) -> Callable[[], bool]:
     return lambda: len(found) >= count
 
--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -130,6 +130,9 @@
         self._on_response = on_response
         self._response = None
 
+    def close(self) -> None:
+        """Close the connection; the next request opens another one."""
+
     def step(self) -> None:
         """Let the store answer, or else let its answer arrive."""
         if self._on_response is None:
@@ -148,6 +151,7 @@
         store: the store.
         follower: the follower.
         versions: versions of the configuration that were in force.
+        refusals: what was refused.
     """
 
     def __init__(self, seed: int) -> None:
@@ -162,8 +166,9 @@
             loop=self._loop,
             settings=SimpleNamespace(store=('127.0.0.1', 1)),
             meters=SimpleNamespace(count=lambda *_: None),
-            log=lambda *_, **_fields: None,
+            log=self._log,
         )
+        self.refusals: list[object] = []
         self.follower = StoreFollower(node, bool, bool)
         self.follower.hosts_due = lambda: True
         self.follower.operator_due = lambda: True
@@ -233,6 +238,10 @@
         """Come back from a copy; what was written since is missing at first."""
         self.store.restore(self._rng)
 
+    def _log(self, event: str, **fields: object) -> None:
+        if event == 'record.refused':
+            self.refusals.append(fields['source'])
+
     def _write_host(self, number: int) -> None:
         document = HostDocument('a', (f'10.0.0.{number}', 80), 'x')
         content = document.encode() if number in self._hosts else None
@@ -287,6 +296,29 @@
         # Two connections with a call a second each, and the first attempts.
         self.assertLess(calls, 35)
 
+    def test_page_of_another_request(self) -> None:
+        """A second copy of the first page comes in place of the second one.
+
+        It is refused, and the hosts are listed again.
+        """
+        schedule = Schedule(3)
+        answers = schedule.store.answer
+        first: list[Response] = []
+
+        def answer(path: str) -> Response:
+            call = read_store_call(path)
+            if call.prefix != HOSTS_PREFIX or len(first) > 1:
+                return answers(path)
+            first.append(answers(path))
+            return first[0]
+
+        schedule.store.answer = answer  # type: ignore[method-assign]
+        for _ in range(int(MAX_APPLY_S / _STEP_S)):
+            schedule.advance()
+        self.assertEqual(len(first), 2)
+        self.assertEqual(len(schedule.follower.hosts), 3)
+        self.assertEqual(schedule.refusals, ['servers/'])
+
     def test_absence_proves_nothing_in_a_new_era(self) -> None:
         """Hosts that registered since the copy are missing for a while."""
         schedule = Schedule(1)
