Leave hosts out of searches whose stopping sidecars say they ended

Cause: silence after an announced stop excused a host for 15 s in all searches. Ruled out: the store, back at 38.0; drains alone (without the excuse for drains: the same).

Change: a stopping sidecar asks its host's port; if nothing listens, it tells all entries that the host ended (ENDED), which then count it as left. Only a sidecar that stops beside a running host is excused, not a host that drains.

Tests: TestEndedHosts, test_planned_stop_after_the_end_of_the_host, red before.

--- a/siskinbank/admission/reasons.py
+++ b/siskinbank/admission/reasons.py
@@ -6,11 +6,11 @@
     'BUSY',
     'COLD',
     'DRAINING',
+    'ENDED',
     'EVACUATED',
     'FULL',
     'HOST_REFUSED',
     'HOST_SPECIFIC',
-    'LEAVING',
     'NAMES',
     'NONE',
     'OTHER_SERVICE',
@@ -40,6 +40,8 @@
 FULL = 10
 # The host refuses every first packet at present.
 REFUSING = 11
+# The sidecar stops, and its host has ended and holds no flows any more.
+ENDED = 12
 
 NAMES = (
     'none',
@@ -54,6 +56,7 @@
     'host-refused',
     'full',
     'host-refusing',
+    'host-ended',
 )
 
 # Reasons that may no longer hold at the next packet; the others hold until the
@@ -61,8 +64,6 @@
 TRANSIENT = frozenset((COLD, BUSY, HOST_REFUSED, FULL))
 # Reasons that end before a client abandons its first packet.
 SHORT_LIVED = frozenset((COLD, FULL, UNREACHABLE, REFUSING))
-# Reasons announced before a planned end of the host or its sidecar.
-LEAVING = frozenset((DRAINING, STOPPING))
 # Reasons for which hosts other than those asked may accept the flow.
 HOST_SPECIFIC = frozenset(
     (
@@ -74,6 +75,7 @@
         UNREGISTERED,
         HOST_REFUSED,
         REFUSING,
+        ENDED,
     ),
 )
 
--- a/siskinbank/entry/flow_searches.py
+++ b/siskinbank/entry/flow_searches.py
@@ -30,10 +30,9 @@
 # takes to restart.
 _MAX_SILENCE_IDEMPOTENT_S = 1.3
 _MAX_SILENCE_ONCE_S = 3.0
-# Longest wait, in seconds, for a host that announced that it leaves, or whose
-# sidecar announced its stop: the host may still serve its flows, which it
-# discards after 15 s idle.
-_MAX_SILENCE_LEAVING_S = 15.0
+# Longest wait, in seconds, for a host whose sidecar announced its stop: the host
+# may still serve its flows, which it discards after 15 s idle.
+_MAX_SILENCE_STOPPED_S = 15.0
 # Missed status updates after which a sidecar with a longer interval counts as
 # silent.
 _MISSED_UPDATES = 3
@@ -167,7 +166,7 @@
     silent_s: float,
     idempotent: bool,
     interval_s: float,
-    leaving: bool,
+    stopping: bool,
 ) -> bool:
     """Return whether a search waits for a host that has not answered.
 
@@ -181,10 +180,10 @@
         idempotent: whether the flow's requests may run more than once.
         interval_s: the announced interval between the sidecar's status updates
             in seconds; it is longer with many entries.
-        leaving: whether its last status update announced that the host leaves
-            or its sidecar stops.
+        stopping: whether its last status update announced a planned stop of
+            the sidecar beside a host that still runs.
     """
-    if leaving:
-        return silent_s < _MAX_SILENCE_LEAVING_S
+    if stopping:
+        return silent_s < _MAX_SILENCE_STOPPED_S
     limit_s = _MAX_SILENCE_IDEMPOTENT_S if idempotent else _MAX_SILENCE_ONCE_S
     return silent_s < max(limit_s, interval_s * _MISSED_UPDATES)
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -137,13 +137,14 @@
         return True
 
     def has_left(self, ip: str) -> bool:
-        """Return whether a host is silent and has no record in the store."""
+        """Return whether a host has ended, or is silent and unregistered."""
         host = self._hosts.get(ip)
         now = self._node.loop.now
-        if host is None or now - host.last_seen < _SUSPECT_AFTER_S:
+        if host is None:
             return False
-        if not host.has_left(now):
-            host.left = self._is_unregistered(ip)
+        if host.has_left(now) or now - host.last_seen < _SUSPECT_AFTER_S:
+            return host.left
+        host.left = self._is_unregistered(ip)
         return host.left
 
     def is_lost(self, key: bytes, ip: str) -> bool:
@@ -305,7 +306,7 @@
             silent_s,
             route is not None and route.idempotent,
             host.interval_s if host else 0,
-            leaving=host is not None and host.status.state in reasons.LEAVING,
+            stopping=host is not None and host.status.state == reasons.STOPPING,
         )
 
     def _is_isolated(self) -> bool:
--- a/siskinbank/relay/planned_stop.py
+++ b/siskinbank/relay/planned_stop.py
@@ -7,6 +7,7 @@
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from siskinbank.relay.node import Node
+    from siskinbank.relay.status_reporter import StatusReporter
     from siskinbank.sidecar.tracked_flows import TrackedFlow
     from siskinbank.tracking.own_host import OwnHost
 
@@ -32,16 +33,25 @@
     """Stops a sidecar once its host no longer needs it.
 
     Load pattern: in a release a sidecar may be stopped before its draining
-    host, whose open flows reach it through this sidecar only.
+    host, whose open flows reach it through this sidecar only. If the host has
+    ended, entries that search for its flows are told so.
     """
 
-    __slots__ = ('_flows', '_host', '_node', '_serves_leaving_host', '_stop_at')
+    __slots__ = (
+        '_flows',
+        '_host',
+        '_is_host_running',
+        '_node',
+        '_reporter',
+        '_stop_at',
+    )
 
     def __init__(
         self,
         node: Node,
         host: OwnHost,
         flows: dict[bytes, TrackedFlow],
+        reporter: StatusReporter,
     ) -> None:
         """Initialize the stop, which ``begin`` starts.
 
@@ -49,30 +59,33 @@
             node: the process that runs the sidecar.
             host: the known state of the host.
             flows: the flows that the host holds, by flow key.
+            reporter: sends status updates to the entries.
         """
         self._node = node
         self._host = host
         self._flows = flows
+        self._reporter = reporter
         self._stop_at: float = 0
-        self._serves_leaving_host = False
+        self._is_host_running = True
 
     def begin(self) -> None:
-        """Start to wait; the process stops at the end."""
-        now = self._node.loop.now
-        self._stop_at = now + _STOP_TIMEOUT_S
-        self._node.loop.after(_STOP_DELAY_S, self._stop_when_idle)
+        """Announce the stop and start to wait; the process stops at the end."""
+        self._host.stopping = True
+        self._reporter.send_status_to_all()
+        timeout_s = _STOP_TIMEOUT_S
         if self._host.is_leaving:
-            self._stop_at = now + _LEAVING_STOP_TIMEOUT_S
-            self._serves_leaving_host = True
-            self._check_host()
+            timeout_s = _LEAVING_STOP_TIMEOUT_S
+        self._stop_at = self._node.loop.now + timeout_s
+        self._node.loop.after(_STOP_DELAY_S, self._stop_when_idle)
+        self._check_host()
 
     def note_unreachable(self) -> None:
         """Record that nothing listens on the port of the host."""
-        self._serves_leaving_host = False
+        self._is_host_running = False
 
     def _check_host(self) -> None:
         address = self._node.settings.host_address
-        if address and self._serves_leaving_host:
+        if address and self._is_host_running:
             check_listener(
                 self._node.loop,
                 address,
@@ -81,12 +94,18 @@
             )
 
     def _note_host_check(self, listening: bool) -> None:
-        self._serves_leaving_host = listening
-        self._node.loop.after(_HOST_CHECK_INTERVAL_S, self._check_host)
+        if listening:
+            self._node.loop.after(_HOST_CHECK_INTERVAL_S, self._check_host)
+            return
+        self._is_host_running = False
+        self._host.note_unreachable(self._node.loop.now)
+        self._reporter.send_status_to_all()
 
     def _stop_when_idle(self) -> None:
         in_use = self._host.busy > 0 or (
-            self._serves_leaving_host and self._has_open_flows()
+            self._host.is_leaving
+            and self._is_host_running
+            and self._has_open_flows()
         )
         if in_use and self._node.loop.now < self._stop_at:
             self._node.loop.after(_STOP_CHECK_INTERVAL_S, self._stop_when_idle)
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -108,10 +108,12 @@
             self._unanswered,
             self._deliver,
         )
-        self._planned_stop = PlannedStop(node, self._host, self._flows)
+        self._planned_stop = PlannedStop(
+            node, self._host, self._flows, self._reporter
+        )
         self._tracker.on_end = self._admission.release
         node.is_ready = lambda: not self._host.stopping
-        node.on_stop = self._begin_stop
+        node.on_stop = self._planned_stop.begin
         node.handlers[messages.FORWARD] = self._handle_forward
         node.handlers[messages.SEARCH] = self._handle_search
         node.handlers[messages.RELAYED] = self._handle_relayed
@@ -372,11 +374,6 @@
     def _on_stall(self, stalled_s: float) -> None:
         self._host.wait_for_record(self._node.loop.now)
 
-    def _begin_stop(self) -> None:
-        self._host.stopping = True
-        self._reporter.send_status()
-        self._planned_stop.begin()
-
     def _sweep(self) -> None:
         now = self._node.loop.now
         for key, flow in list(self._flows.items()):
--- a/siskinbank/relay/status_reporter.py
+++ b/siskinbank/relay/status_reporter.py
@@ -127,6 +127,13 @@
         self._send_turn(status, self._remote_turn, remote)
         self._send_to(status, ended)
 
+    def send_status_to_all(self) -> None:
+        """Send a status update to all entries, as it is the last one."""
+        status = self._status()
+        turns = self._remote_turn
+        status.interval_ms = self._interval_ms(turns, len(self._entries))
+        self._send_to(status, list(self._entries))
+
     def _send_turn(
         self,
         status: messages.Status,
--- a/siskinbank/tracking/hosts.py
+++ b/siskinbank/tracking/hosts.py
@@ -68,7 +68,9 @@
         return now - self.last_seen > limit_s
 
     def has_left(self, now: float) -> bool:
-        """Return whether the host is silent and has no record in the store."""
+        """Return whether the host has ended, or is silent and unregistered."""
+        if self.status.state == reasons.ENDED:
+            self.left = True
         if self.status.state == reasons.UNREGISTERED:
             self.left = self.left or now - self.last_seen > _GONE_AFTER_S
         return self.left
--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -276,13 +276,15 @@
     def _persistent_reason(self, service: int, now: float) -> int:
         if service != self.service:
             return reasons.OTHER_SERVICE
-        # Entries must know why the sidecar will be silent.
+        # Entries must know why the sidecar will be silent, and whether its host
+        # may still hold flows then.
+        is_unreachable = now - self._unreachable_at < _UNREACHABLE_S
         if self.stopping:
-            return reasons.STOPPING
+            return reasons.ENDED if is_unreachable else reasons.STOPPING
         recorded = _recorded_reason(self.record, service)
         if recorded:
             return recorded
-        if now - self._unreachable_at < _UNREACHABLE_S:
+        if is_unreachable:
             return reasons.UNREACHABLE
         if self.refusal_backoff.is_paused(now):
             return reasons.REFUSING
--- a/tests/entry/test_flow_searches.py
+++ b/tests/entry/test_flow_searches.py
@@ -34,18 +34,18 @@
             (1.4, False, True),
             (3.1, False, False),
         ):
-            found = may_still_answer(silent_s, idempotent, 0.4, leaving=False)
+            found = may_still_answer(silent_s, idempotent, 0.4, stopping=False)
             self.assertEqual(found, waits, (silent_s, idempotent))
 
     def test_long_status_interval(self) -> None:
         """Load pattern: a hundred entries with a status update every 1.2 s."""
-        self.assertTrue(may_still_answer(2.5, True, 1.2, leaving=False))
-        self.assertFalse(may_still_answer(5, True, 1.2, leaving=False))
+        self.assertTrue(may_still_answer(2.5, True, 1.2, stopping=False))
+        self.assertFalse(may_still_answer(5, True, 1.2, stopping=False))
 
     def test_planned_stop(self) -> None:
         """Load pattern: a release stops sidecars before their hosts.
 
         Such a host may serve its flows until they are idle for 15 s.
         """
-        self.assertTrue(may_still_answer(14.9, True, 0.4, leaving=True))
-        self.assertFalse(may_still_answer(15.1, True, 0.4, leaving=True))
+        self.assertTrue(may_still_answer(14.9, True, 0.4, stopping=True))
+        self.assertFalse(may_still_answer(15.1, True, 0.4, stopping=True))
--- a/tests/relay/test_flow_searcher.py
+++ b/tests/relay/test_flow_searcher.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from siskinbank.admission import reasons
 from siskinbank.platform.records import Route
 from siskinbank.relay import messages
 from siskinbank.relay.flow_searcher import FlowSearcher
@@ -43,6 +44,7 @@
         sent: datagrams sent, each with its destination address.
         resets: reasons for which flows were reset.
         routes: the routes in force, by route key.
+        hosts: the known state of the hosts.
     """
 
     def __init__(self) -> None:
@@ -72,6 +74,7 @@
             absence_is_reliable=lambda: True,
         )
         self.handlers = node.handlers
+        self.hosts = hosts
         self.loop = loop
         self.searcher = FlowSearcher(node, hosts, follower, self._reset)
 
@@ -178,3 +181,41 @@
     def test_route_is_unknown(self) -> None:
         """The entry has an older or newer configuration than its peers."""
         self.assertEqual(len(self.ask({})), HOSTS)
+
+
+class TestEndedHosts(unittest.TestCase):
+    """Load pattern: a loss of power in the midst of a release.
+
+    Machines come back whose hosts have ended, and are stopped at once. Searches
+    for lost flows must not wait for them.
+    """
+
+    def end_host(self, env: Environment, state: int) -> None:
+        """Let the sidecar of the first host announce its state and stop."""
+        status = messages.Status(messages.digest(SERVICE), 1)
+        status.state = state
+        env.hosts.update_status('10.0.0.1', status, env.loop.now)
+
+    def answer_all_but_first(self, env: Environment) -> None:
+        """Let all hosts but the first one answer the queries sent."""
+        for ip, datagram in env.sent:
+            if ip != '10.0.0.1':
+                keys = messages.read_keys(datagram)
+                answer = messages.pack_keys(messages.NOT_HELD, keys)
+                env.handlers[messages.NOT_HELD](answer, ip)
+
+    def test_searches_do_not_wait_for_it(self) -> None:
+        """Its sidecar has said that it ended."""
+        env = Environment()
+        self.end_host(env, reasons.ENDED)
+        env.searcher.search(flow_key(1), packet_of(flow_key(1)))
+        self.answer_all_but_first(env)
+        self.assertEqual(env.resets, ['no-host-holds-it'])
+
+    def test_searches_wait_for_a_host_that_still_runs(self) -> None:
+        """Its sidecar has only said that it stops itself."""
+        env = Environment()
+        self.end_host(env, reasons.STOPPING)
+        env.searcher.search(flow_key(1), packet_of(flow_key(1)))
+        self.answer_all_but_first(env)
+        self.assertEqual(env.resets, [])
--- a/tests/relay/test_status_reporter.py
+++ b/tests/relay/test_status_reporter.py
@@ -73,6 +73,11 @@
         intervals = self.turn()
         self.assertEqual([intervals[ip] for ip in USING], [4400, 4400])
 
+    def test_last_status_goes_to_all(self) -> None:
+        """Any entry may search for the flows of a host that ends."""
+        self.reporter.send_status_to_all()
+        self.assertEqual({ip for ip, _ in self.sent}, set(ENTRIES))
+
     def test_announced_interval_is_kept(self) -> None:
         """No update comes later than its predecessor announced."""
         due: dict[str, int] = {}
--- a/tests/tracking/test_own_host.py
+++ b/tests/tracking/test_own_host.py
@@ -131,6 +131,15 @@
         self.host.apply_record(record(20, 20, evacuated), 102)
         self.assertEqual(self.host.state(102), reasons.STOPPING)
 
+    def test_planned_stop_after_the_end_of_the_host(self) -> None:
+        """Load pattern: entries search for flows that the host has lost.
+
+        They need not wait for a host of which its sidecar says that it ended.
+        """
+        self.host.stopping = True
+        self.host.note_unreachable(101)
+        self.assertEqual(self.host.state(101.1), reasons.ENDED)
+
     def test_leaving(self) -> None:
         """While it drains, and after its record is gone."""
         for revision, flags, leaving in (
