--- a/siskinbank/peers/lagging.py
+++ b/siskinbank/peers/lagging.py
@@ -32,23 +32,31 @@
         """Create an empty table; the process itself is never listed."""
         self._own_name = own_name
         self._processes: dict[str, LaggingProcess] = {}
+        # When processes that do not lag were last seen: older reports, which
+        # peers pass on for a while, count no more.
+        self._caught_up: dict[str, float] = {}
 
     def note(
         self, name: str, generation: int, own_generation: int, seen_at: float
     ) -> None:
         """Record the generation that a process has in force."""
         known = self._processes.get(name)
-        if name == self._own_name or (
-            known is not None and known.seen_at > seen_at
-        ):
+        newest_at = max(
+            self._caught_up.get(name, seen_at),
+            known.seen_at if known else seen_at,
+        )
+        if name == self._own_name or newest_at > seen_at:
             return
         if generation >= own_generation:
             self._processes.pop(name, None)
+            self._caught_up[name] = seen_at
         else:
+            self._caught_up.pop(name, None)
             self._processes[name] = LaggingProcess(name, generation, seen_at)
 
     def lowest(self, own_generation: int, now: float) -> list[LaggingProcess]:
         """Return the few processes that lag most, lowest generation first."""
+        self._forget_caught_up(now)
         self._processes = {
             name: process
             for name, process in self._processes.items()
@@ -63,8 +71,6 @@
 
     def parts(self, own_generation: int, now: float) -> list[Any]:
         """Return the processes that lag most, in their message form."""
-        if not self._processes:
-            return []
         return [
             [
                 process.name,
@@ -85,6 +91,14 @@
                     name, generation, own_generation, now - age / _MILLISECONDS
                 )
 
+    def _forget_caught_up(self, now: float) -> None:
+        """Forget processes that are older than any report of them."""
+        self._caught_up = {
+            name: seen_at
+            for name, seen_at in self._caught_up.items()
+            if now - seen_at < _EXPIRE_SECONDS
+        }
+
 
 def _is_valid(part: Any) -> bool:
     if not isinstance(part, list) or len(part) != _FIELDS:
