--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -84,10 +84,10 @@
         self._listing_transfer = ListingTransfer(
             node, follower.listing, self._add_listed_sidecars
         )
-        self._announced = Rotation(_MAX_PEERS_PER_TURN)
-        self._listed_entries = Rotation(_MAX_ADDRESSES)
-        self._listed_sidecars = Rotation(_MAX_ADDRESSES)
-        self._greeted_sidecars = Rotation(_MAX_ADDRESSES)
+        self._announce_turn = Rotation(_MAX_PEERS_PER_TURN)
+        self._entries_turn = Rotation(_MAX_ADDRESSES)
+        self._sidecars_turn = Rotation(_MAX_ADDRESSES)
+        self._greeting_turn = Rotation(_MAX_ADDRESSES)
         self._peers_received_at = NEVER
         #: Address of the peer that announced the newest listing.
         self._reader = node.settings.ip
@@ -144,7 +144,7 @@
         self.add_sidecars(list(self._follower.listing.addresses))
 
     def _announce_in_turn(self) -> None:
-        self._send_announcement(self._announced.next(list(self._last_seen)))
+        self._send_announcement(self._announce_turn.next(list(self._last_seen)))
 
     def _send_announcement(self, peers: list[bytes]) -> None:
         datagram = self._announcement().pack()
@@ -209,7 +209,7 @@
                 self._send_hello(seed, flags)
 
     def _greet_sidecars(self, flags: int) -> None:
-        for packed in self._greeted_sidecars.next(list(self.sidecars)):
+        for packed in self._greeting_turn.next(list(self.sidecars)):
             ip = inet_ntoa(packed)
             host = self._hosts.get(ip)
             if host is None or host.is_silent(self._node.loop.now):
@@ -257,8 +257,8 @@
             sidecars = self._hosts.addresses(self._node.loop.now)
         reply = messages.pack_addresses(
             messages.PEERS,
-            self._listed_entries.next(entries),
-            self._listed_sidecars.next(sidecars),
+            self._entries_turn.next(entries),
+            self._sidecars_turn.next(sidecars),
         )
         self._node.send(ip, reply)
 
--- a/siskinbank/relay/status_reporter.py
+++ b/siskinbank/relay/status_reporter.py
@@ -54,7 +54,7 @@
     """
 
     __slots__ = (
-        '_asked_entries',
+        '_asking_turn',
         '_count_queued',
         '_data_centre',
         '_entries',
@@ -97,7 +97,7 @@
         self._using_turn = Rotation(_MAX_USING_PER_TURN)
         self._local_turn = Rotation(_MAX_LOCAL_PER_TURN)
         self._remote_turn = Rotation(_MAX_REMOTE_PER_TURN)
-        self._asked_entries = Rotation(1)
+        self._asking_turn = Rotation(1)
         self._peers_received_at = NEVER
         node.handlers[messages.HELLO] = self._handle_hello
         node.handlers[messages.PEERS] = self._handle_peers
@@ -177,7 +177,7 @@
             self._send_hello(ip, wants_peers)
 
     def _next_asked_entry(self) -> list[str]:
-        return self._asked_entries.next(list(self._entries))
+        return self._asking_turn.next(list(self._entries))
 
     def _send_hello(self, ip: str, wants_peers: bool) -> None:
         flags = messages.FROM_SIDECAR
