--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -139,7 +139,8 @@
         if flow.contested:
             flow.select_holder(sequence_numbers(packet)[1])
         if self._searcher.is_lost(key, flow.ip):
-            self._reset(packet, 'host-gone')
+            evidence = self._searcher.evidence_of(flow.ip)
+            self._reset(packet, 'host-gone', **evidence)
             return
         wrap = messages.pack_forward if flow.confirmed else messages.pack_search
         self._node.send(flow.ip, wrap(packet))
@@ -197,7 +198,7 @@
             'flow.placed',
             flow=describe_flow(key),
             host=first.ip,
-            age_ms=int((now - first.last_seen) * 1000),
+            age_ms=int((now - first.last_seen) * _MS),
             busy=first.status.busy,
             candidates=len(chosen),
             version=self._follower.configuration.version,
@@ -275,11 +276,11 @@
                 if received_at > cutoff:
                     self._handle_packet(packet)
 
-    def _reset(self, packet: bytes, reason: str) -> None:
+    def _reset(self, packet: bytes, reason: str, **inputs: object) -> None:
         self._flows.drop(packet[FLOW_KEY])
         version = self._follower.configuration.version
         self._node.reset_flow(
-            self._client_socket, packet, reason, version=version
+            self._client_socket, packet, reason, version=version, **inputs
         )
 
     def _search_host(self, key: bytes, packet: bytes) -> None:
@@ -292,7 +293,9 @@
     # Messages from sidecars.
 
     def _note_message(self, ip: str) -> None:
-        self._hosts.note_message(ip, self._node.loop.now)
+        silent_s = self._hosts.note_message(ip, self._node.loop.now)
+        if silent_s:
+            self._node.log('host.heard', host=ip, silent_ms=int(silent_s * _MS))
 
     def _handle_held(self, raw: bytes, ip: str) -> None:
         key, number, established = messages.read_flow_note(raw)
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -46,6 +46,7 @@
 _MAX_PAUSE_S = 0.1
 # Maximum number of unresponsive hosts listed in one log line.
 _MAX_LOGGED_HOSTS = 4
+_MS = 1000
 
 
 class FlowSearcher:
@@ -157,6 +158,21 @@
             return True
         return not self._may_answer(ip, key) and not self._is_isolated()
 
+    def evidence_of(self, ip: str) -> dict[str, object]:
+        """Return what is known of a host and how old it is, for the log."""
+        now = self._node.loop.now
+        host = self._hosts.get(ip)
+        evidence: dict[str, object] = {
+            'host': ip,
+            'listed': inet_aton(ip) in self._follower.listing.addresses,
+            'listing_age_ms': _age_ms(self._follower.listing.confirmed_at, now),
+        }
+        if host:
+            evidence['state'] = reasons.name_of(host.status.state)
+            evidence['silent_ms'] = _age_ms(host.last_seen, now)
+            evidence['interval_ms'] = host.status.interval_ms
+        return evidence
+
     def _is_unregistered(self, ip: str) -> bool:
         """Return whether an unresponsive host is absent from the store."""
         listing = self._follower.listing
@@ -336,5 +352,9 @@
         return [ip for ip in listed if not self._hosts.get(ip)]
 
 
+def _age_ms(seen_at: float, now: float) -> int:
+    return int((now - seen_at) * _MS) if seen_at > NEVER else -1
+
+
 def _addresses(hosts: list[TrackedHost]) -> list[str]:
     return [host.ip for host in hosts]
--- a/siskinbank/relay/status_reporter.py
+++ b/siskinbank/relay/status_reporter.py
@@ -233,3 +233,4 @@
         for ip in silent:
             self._entries.pop(ip, NEVER)
             self._local_entries.discard(ip)
+            self._node.log('peer.dropped', peer=ip, silent_s=_ENTRY_TTL_S)
--- a/siskinbank/tracking/hosts.py
+++ b/siskinbank/tracking/hosts.py
@@ -110,7 +110,7 @@
             self._index()
             return True
         previous = host.status
-        changed = previous.state != status.state or host.is_silent(now)
+        changed = previous.state != status.state
         host.status = status
         host.last_seen = now
         host.pending = 0
@@ -120,12 +120,19 @@
             return True
         return changed
 
-    def note_message(self, ip: str, now: float) -> None:
-        """Record that a message from the sidecar at an address was received."""
+    def note_message(self, ip: str, now: float) -> float:
+        """Record that a message from the sidecar at an address was received.
+
+        Returns:
+            How long the sidecar had been silent, in seconds, 0 if it was not.
+        """
         host = self._by_ip.get(ip)
-        if host:
-            host.last_seen = now
-            host.left = False
+        if host is None:
+            return 0
+        silent_s = now - host.last_seen if host.is_silent(now) else 0
+        host.last_seen = now
+        host.left = False
+        return silent_s
 
     def add_stall(self, stalled_s: float) -> None:
         """Add the time of a stall, in which no packets could be received."""
