Show resets of open flows beside sound hosts, listed as known red

One real entry and real sidecars on a simulated network and clock. Three tests pass: a dead host's flows are reset within 2 s, 3.7 s where requests may run once.

--- /dev/null
+++ b/tests/relay/test_reset_beside_sound_host.py
@@ -0,0 +1,135 @@
+"""An open flow must not be reset while its host and sidecar are up.
+
+Each load pattern makes the sidecar's status updates late or stops them.
+"""
+
+import unittest
+
+from siskinbank.relay import messages
+from tests.relay.simulated_fleet import SimulatedFleet
+
+# Time from the death of a host to the reset of its flows, in seconds, where
+# requests may run again and where they may run once.
+MAX_DETECTION_S = 2.0
+MAX_DETECTION_ONCE_S = 3.7
+
+
+class TestResetBesideSoundHost(unittest.TestCase):
+    """Flows of hosts whose sidecars answer."""
+
+    def setUp(self) -> None:
+        """Create a fleet with an open flow at its first host."""
+        self.fleet = SimulatedFleet()
+        self.addCleanup(self.fleet.close)
+        self.host = self.fleet.hosts[0]
+        self.packet = self.fleet.open_flow(self.host)
+
+    def assert_flow_kept(self) -> None:
+        """Check that no flow was reset."""
+        self.assertEqual(self.fleet.resets, [])
+
+    def test_host_gets_no_new_flows(self) -> None:
+        """Load pattern: an evacuation keeps open flows for half a minute.
+
+        Nothing but packets of open flows goes from the entry to the sidecar.
+        """
+        self.fleet.evacuated.add(self.host)
+        self.fleet.run(70, self.packet)
+        self.assert_flow_kept()
+
+    def test_updates_stop(self) -> None:
+        """The sidecar no longer counts the entry among its receivers."""
+        reporter = self.fleet.sidecars[self.host]._reporter  # noqa: SLF001
+        reporter._entries.clear()  # noqa: SLF001
+        self.fleet.run(5, self.packet)
+        self.assert_flow_kept()
+
+    def test_updates_are_lost(self) -> None:
+        """Four updates in a row, several times; other messages arrive."""
+        sent = 0
+
+        def loss(source: str, target: str, datagram: bytes) -> bool:
+            nonlocal sent
+            if datagram[0] != messages.STATUS or source != self.host:
+                return False
+            sent += 1
+            return sent % 6 > 1
+
+        self.fleet.loss = loss
+        self.fleet.run(15, self.packet)
+        self.assert_flow_kept()
+
+    def test_entry_stalls(self) -> None:
+        """Stalls shorter and longer than those that the loop reports.
+
+        The packets of clients are handled before the updates that wait.
+        """
+        for stalled_s in (0.6, 0.8, 0.95, 0.99, 1.05, 1.5, 3):
+            for phase in range(8):
+                self.fleet.pause(self.fleet.entry_ip, stalled_s)
+                self.fleet.run(stalled_s + 1 + phase * 0.05, self.packet)
+                with self.subTest(stalled_s=stalled_s, phase=phase):
+                    self.assert_flow_kept()
+
+    def test_record_is_missing(self) -> None:
+        """Load pattern: hosts serve on after their records are gone.
+
+        The sidecar announces a long interval, as to an entry among many.
+        """
+        self.fleet.unlisted.add(self.host)
+        sent = 0
+
+        def loss(source: str, target: str, datagram: bytes) -> bool:
+            nonlocal sent
+            if datagram[0] != messages.STATUS or source != self.host:
+                return False
+            sent += 1
+            return sent % 4 != 0
+
+        self.fleet.run(1)
+        self.fleet.loss = loss
+        self.fleet.run(20, self.packet)
+        self.assert_flow_kept()
+
+    def test_flow_that_another_entry_opened(self) -> None:
+        """Its host is known from an answer only, not from a status update."""
+        self.fleet.loss = lambda source, target, datagram: (
+            datagram[0] == messages.STATUS
+        )
+        self.fleet.entry._hosts._by_ip.pop(self.host)  # noqa: SLF001
+        self.fleet.run(0.2, self.packet)
+        self.assert_flow_kept()
+
+
+class TestResetOfDeadHost(unittest.TestCase):
+    """Clients of a dead host learn within a stated time."""
+
+    def detection_s(self, idempotent: bool, unlisted: bool = False) -> float:
+        """Return the time from the death of a host to the reset."""
+        fleet = SimulatedFleet()
+        self.addCleanup(fleet.close)
+        fleet.publish(idempotent)
+        host = fleet.hosts[0]
+        packet = fleet.open_flow(host)
+        fleet.run(5, packet)
+        died_at = fleet.now
+        fleet.dead.add(host)
+        if unlisted:
+            fleet.unlisted.add(host)
+        fleet.run(5, packet)
+        self.assertEqual(fleet.resets[0][1], 'host-gone')
+        return fleet.resets[0][0] - died_at
+
+    def test_requests_may_run_again(self) -> None:
+        """The reset comes soon, so that the client can try elsewhere."""
+        self.assertLess(self.detection_s(idempotent=True), MAX_DETECTION_S)
+
+    def test_requests_may_run_once(self) -> None:
+        """The entry waits for a killed sidecar to restart."""
+        detection_s = self.detection_s(idempotent=False)
+        self.assertLess(detection_s, MAX_DETECTION_ONCE_S)
+
+    def test_record_is_missing(self) -> None:
+        """The store agrees that the host is gone, whatever the requests."""
+        detection_s = self.detection_s(idempotent=False, unlisted=True)
+        self.assertLess(detection_s, MAX_DETECTION_S)
