Reset no flow on silence alone: probe a silent sidecar first

Cause: silence of a sidecar, from 0.6 s on where the store lacked the host, from 1.3 s (3 s) on otherwise, was taken for the end of its host. Silence also comes from lost updates, from a sidecar that has dropped the entry from its receivers, from updates that wait unread while packets of clients are handled first, and from a stop of the entry shorter than the stall that the loop reports. Ruled out: a longer limit alone, which only moves the window; excusing stalls, which mends one of the four. Change: tracking/liveness.py decides from evidence with its age, in one place for packets of known flows and for searches. A silent sidecar is probed with a hello; its host counts as gone only if three probes in a row stayed unanswered while the entry ran and had read all that waited in its socket, besides the limits of silence that held before, which now take a listing only if it is newer than the last message. ENDED, said by the sidecar, decides at once. Queries of searches count as probes, so the bound of queries a second holds. flow.reset names evidence, probes, and for searches how many hosts answered and why the others count as gone.

--- a/siskinbank/entry/flow_searches.py
+++ b/siskinbank/entry/flow_searches.py
@@ -6,7 +6,6 @@
     'FlowSearch',
     'FlowSearches',
     'REPEAT_INTERVAL_S',
-    'may_still_answer',
 )
 
 # Interval in seconds at which hosts that have not answered are asked again:
@@ -24,19 +23,6 @@
 # retransmit them.
 _MAX_SEARCHES = 512
 
-# A search doesn't wait for a sidecar that has been silent for longer than
-# this, in seconds: three missed status updates. A request that may run only
-# once waits longer, as its answer may be ready: as long as a killed sidecar
-# takes to restart.
-_MAX_SILENCE_IDEMPOTENT_S = 1.3
-_MAX_SILENCE_ONCE_S = 3.0
-# Longest wait, in seconds, for a host whose sidecar announced its stop: the host
-# may still serve its flows, which it discards after 15 s idle.
-_MAX_SILENCE_STOPPED_S = 15.0
-# Missed status updates after which a sidecar with a longer interval counts as
-# silent.
-_MISSED_UPDATES = 3
-
 
 class FlowSearch:
     """The search for the host of one flow.
@@ -160,30 +146,3 @@
     def is_overdue(self, search: FlowSearch, now: float) -> bool:
         """Return whether a search has exceeded its time limit."""
         return now - search.started_at > _MAX_SEARCH_S
-
-
-def may_still_answer(
-    silent_s: float,
-    idempotent: bool,
-    interval_s: float,
-    stopping: bool,
-) -> bool:
-    """Return whether a search waits for a host that has not answered.
-
-    Load pattern: after a loss of power the store still lists hosts that never
-    return. Each would delay the searches for all lost flows beyond their
-    clients' deadlines. In a planned release the sidecar may stop before its
-    host, whose flows must not be reset.
-
-    Args:
-        silent_s: seconds since the last message from the host's sidecar.
-        idempotent: whether the flow's requests may run more than once.
-        interval_s: the announced interval between the sidecar's status updates
-            in seconds; it is longer with many entries.
-        stopping: whether its last status update announced a planned stop of
-            the sidecar beside a host that still runs.
-    """
-    if stopping:
-        return silent_s < _MAX_SILENCE_STOPPED_S
-    limit_s = _MAX_SILENCE_IDEMPOTENT_S if idempotent else _MAX_SILENCE_ONCE_S
-    return silent_s < max(limit_s, interval_s * _MISSED_UPDATES)
--- a/siskinbank/relay/datagrams.py
+++ b/siskinbank/relay/datagrams.py
@@ -51,19 +51,25 @@
     udp_socket: socket,
     max_bytes: int,
     on_datagram: Callable[[bytes, tuple[str, int]], None],
-) -> None:
+) -> bool:
     """Read pending datagrams, up to the limit of one turn.
 
     Args:
         udp_socket: socket to read from.
         max_bytes: size in bytes beyond which a datagram is truncated.
         on_datagram: called with each datagram and its sender's address.
+
+    Returns:
+        Whether the socket was read until it was empty.
     """
     receive = udp_socket.recvfrom
     for _ in range(_MAX_READS_PER_TURN):
         try:
             datagram, sender = receive(max_bytes)
+        except BlockingIOError:
+            return True
         except OSError:
-            # The socket is empty, or reports an error of an earlier datagram.
-            return
+            # An error of an earlier datagram, reported once.
+            return False
         on_datagram(datagram, sender)
+    return False
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -31,6 +31,7 @@
 from siskinbank.relay.flow_searcher import FlowSearcher
 from siskinbank.relay.follower import StoreFollower
 from siskinbank.relay.gossip import Gossip
+from siskinbank.relay.host_monitor import HostMonitor
 from siskinbank.relay.node import Node
 from siskinbank.tracking.hosts import HostTable, TrackedHost
 
@@ -88,10 +89,12 @@
             node, self._follower, self._process_early_packets
         )
         self._gossip = Gossip(node, self._hosts, self._follower, self._transfer)
+        self._monitor = HostMonitor(node, self._hosts, self._follower)
         self._searcher = FlowSearcher(
             node,
             self._hosts,
             self._follower,
+            self._monitor,
             self._reset,
         )
         self._client_socket = open_udp_socket(
@@ -138,9 +141,10 @@
         flow.last_seen = now
         if flow.contested:
             flow.select_holder(sequence_numbers(packet)[1])
-        if self._searcher.is_lost(key, flow.ip):
-            evidence = self._searcher.evidence_of(flow.ip)
-            self._reset(packet, 'host-gone', **evidence)
+        gone = self._monitor.gone_reason(flow.ip, key)
+        if gone:
+            evidence = self._monitor.describe(flow.ip)
+            self._reset(packet, 'host-gone', evidence=gone, **evidence)
             return
         wrap = messages.pack_forward if flow.confirmed else messages.pack_search
         self._node.send(flow.ip, wrap(packet))
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -9,14 +9,12 @@
 
 from _socket import inet_aton, inet_ntoa
 
-from siskinbank.admission import reasons
 from siskinbank.entry.flow_searches import (
     REPEAT_INTERVAL_S,
     FlowSearch,
     FlowSearches,
-    may_still_answer,
 )
-from siskinbank.platform.packets import describe_flow, route_key
+from siskinbank.platform.packets import describe_flow
 from siskinbank.relay import messages
 from siskinbank.relay.loop import NEVER
 
@@ -25,17 +23,12 @@
     from collections.abc import Callable
 
     from siskinbank.relay.follower import StoreFollower
+    from siskinbank.relay.host_monitor import HostMonitor
     from siskinbank.relay.node import Node
     from siskinbank.tracking.hosts import HostTable, TrackedHost
 
 __all__ = ('FlowSearcher',)
 
-# A host is suspected to be gone after this time without a status update, in
-# seconds: one missed update.
-_SUSPECT_AFTER_S = 0.6
-# Maximum age of a listing of the hosts, in seconds, from which the absence of a
-# silent host is inferred: the next reader has replaced a failed one by then.
-_MAX_LIST_AGE_S = 2.0
 # Queries that arise within this time, in seconds, are sent together.
 _BATCH_S = 0.01
 # Pause after a round of queries for each queried host, in seconds: a query and
@@ -46,19 +39,16 @@
 _MAX_PAUSE_S = 0.1
 # Maximum number of unresponsive hosts listed in one log line.
 _MAX_LOGGED_HOSTS = 4
-_MS = 1000
 
 
 class FlowSearcher:
-    """Searches for the hosts of flows that an entry has not cached.
-
-    It also decides which hosts are gone.
-    """
+    """Searches for the hosts of flows that an entry has not cached."""
 
     __slots__ = (
         '_follower',
         '_hosts',
         '_last_round_at',
+        '_monitor',
         '_node',
         '_queries',
         '_relay_targets',
@@ -66,7 +56,6 @@
         '_round_pause_s',
         '_round_scheduled',
         '_searches',
-        '_started',
     )
 
     def __init__(
@@ -74,7 +63,8 @@
         node: Node,
         hosts: HostTable,
         follower: StoreFollower,
-        reset: Callable[[bytes, str], None],
+        monitor: HostMonitor,
+        reset: Callable[..., None],
     ) -> None:
         """Initialize the searcher and register its message handlers.
 
@@ -82,13 +72,14 @@
             node: the process that runs the entry.
             hosts: the known state of the hosts, from their sidecars.
             follower: the state read from the store.
-            reset: called to reset the flow of a packet, with the packet and
-                the reason.
+            monitor: tells which hosts are gone.
+            reset: called to reset the flow of a packet, with the packet, the
+                reason and the evidence for the log.
         """
         self._node = node
-        self._started = node.loop.now
         self._hosts = hosts
         self._follower = follower
+        self._monitor = monitor
         self._reset = reset
         self._searches = FlowSearches()
         self._queries: dict[str, list[bytes]] = {}
@@ -137,51 +128,6 @@
                 self._end_if_not_held(key, search, hosts)
         return True
 
-    def has_left(self, ip: str) -> bool:
-        """Return whether a host has ended, or is silent and unregistered."""
-        host = self._hosts.get(ip)
-        now = self._node.loop.now
-        if host is None:
-            return False
-        if host.has_left(now) or now - host.last_seen < _SUSPECT_AFTER_S:
-            return host.left
-        host.left = self._is_unregistered(ip)
-        return host.left
-
-    def is_lost(self, key: bytes, ip: str) -> bool:
-        """Return whether a flow is lost because its host is gone."""
-        host = self._hosts.get(ip)
-        if host and self._node.loop.now - host.last_seen < _SUSPECT_AFTER_S:
-            # The common case, taken for nearly every packet.
-            return False
-        if self.has_left(ip):
-            return True
-        return not self._may_answer(ip, key) and not self._is_isolated()
-
-    def evidence_of(self, ip: str) -> dict[str, object]:
-        """Return what is known of a host and how old it is, for the log."""
-        now = self._node.loop.now
-        host = self._hosts.get(ip)
-        evidence: dict[str, object] = {
-            'host': ip,
-            'listed': inet_aton(ip) in self._follower.listing.addresses,
-            'listing_age_ms': _age_ms(self._follower.listing.confirmed_at, now),
-        }
-        if host:
-            evidence['state'] = reasons.name_of(host.status.state)
-            evidence['silent_ms'] = _age_ms(host.last_seen, now)
-            evidence['interval_ms'] = host.status.interval_ms
-        return evidence
-
-    def _is_unregistered(self, ip: str) -> bool:
-        """Return whether an unresponsive host is absent from the store."""
-        listing = self._follower.listing
-        return (
-            self._node.loop.now - listing.confirmed_at < _MAX_LIST_AGE_S
-            and inet_aton(ip) not in listing.addresses
-            and self._follower.absence_is_reliable()
-        )
-
     def _queue_query(
         self, key: bytes, search: FlowSearch, hosts: list[TrackedHost]
     ) -> None:
@@ -213,6 +159,7 @@
         pause = len(queries) * _PAUSE_PER_HOST_S
         self._round_pause_s = min(max(pause, _BATCH_S), _MAX_PAUSE_S)
         for ip, keys in queries.items():
+            self._hosts.probes.note_query(ip, self._last_round_at)
             for start in range(0, len(keys), messages.MAX_KEYS):
                 batch = keys[start : start + messages.MAX_KEYS]
                 datagram = messages.pack_keys(messages.FLOW_QUERY, batch)
@@ -283,58 +230,23 @@
         hosts: list[TrackedHost],
     ) -> bool:
         """End a search and reset the flow if no host can hold it."""
-        if not self._are_unresponsive_hosts_gone(key, search, hosts):
-            return False
-        self._searches.end(key)
-        self._reset(search.first, 'no-host-holds-it')
-        return True
-
-    def _are_unresponsive_hosts_gone(
-        self,
-        key: bytes,
-        search: FlowSearch,
-        hosts: list[TrackedHost],
-    ) -> bool:
-        """Return whether all hosts that have not answered are gone.
-
-        A host in the store counts as gone if it can no longer be expected to
-        answer and this process is not isolated.
-        """
         if not self._follower.listing.known:
             return False
         unresponsive = search.unanswered(_addresses(hosts))
-        possibly_alive = [
-            ip
-            for ip in unresponsive + self._never_seen()
-            if not self._is_unregistered(ip)
-        ]
-        return not possibly_alive or (
-            not self._is_isolated()
-            and not any(self._may_answer(ip, key) for ip in possibly_alive)
-        )
-
-    def _may_answer(self, ip: str, key: bytes) -> bool:
-        route = self._follower.configuration.routes.get(route_key(key))
-        host = self._hosts.get(ip)
-        last_seen = host.last_seen if host else self._started
-        silent_s = self._node.loop.now - last_seen
-        return may_still_answer(
-            silent_s,
-            route is not None and route.idempotent,
-            host.interval_s if host else 0,
-            stopping=host is not None and host.status.state == reasons.STOPPING,
+        gone: list[str] = []
+        for ip in unresponsive + self._monitor.never_seen():
+            reason = self._monitor.gone_reason(ip, key)
+            if not reason:
+                return False
+            gone.append(f'{ip}:{reason}')
+        self._searches.end(key)
+        self._reset(
+            search.first,
+            'no-host-holds-it',
+            answered=len(search.absent),
+            gone=','.join(gone[:_MAX_LOGGED_HOSTS]) or '-',
         )
-
-    def _is_isolated(self) -> bool:
-        """Return whether this process is isolated from the hosts.
-
-        It is if more than half of them are silent or unknown.
-        """
-        now = self._node.loop.now
-        hosts = self._present_hosts()
-        silent = sum(1 for host in hosts if host.is_silent(now))
-        unknown = len(self._never_seen())
-        return (silent + unknown) * 2 > len(hosts) + unknown
+        return True
 
     def _present_hosts(self) -> list[TrackedHost]:
         """Return the hosts that may hold a flow.
@@ -343,18 +255,11 @@
         its route to other services, so these are the hosts of all services.
         """
         return [
-            host for host in self._hosts.all() if not self.has_left(host.ip)
+            host
+            for host in self._hosts.all()
+            if not self._monitor.has_left(host.ip)
         ]
 
-    def _never_seen(self) -> list[str]:
-        """Return the hosts in the store that have sent no status update yet."""
-        listed = map(inet_ntoa, self._follower.listing.addresses)
-        return [ip for ip in listed if not self._hosts.get(ip)]
-
-
-def _age_ms(seen_at: float, now: float) -> int:
-    return int((now - seen_at) * _MS) if seen_at > NEVER else -1
-
 
 def _addresses(hosts: list[TrackedHost]) -> list[str]:
     return [host.ip for host in hosts]
--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -212,7 +212,7 @@
         for packed in self._greeting_turn.next(list(self.sidecars)):
             ip = inet_ntoa(packed)
             host = self._hosts.get(ip)
-            if host is None or host.is_silent(self._node.loop.now):
+            if host is None or (flags and host.is_silent(self._node.loop.now)):
                 self._send_hello(ip, flags)
 
     def _send_hello(self, ip: str, flags: int) -> None:
--- /dev/null
+++ b/siskinbank/relay/host_monitor.py
@@ -0,0 +1,162 @@
+"""Probes suspect sidecars and tells which hosts are gone."""
+
+from __future__ import annotations
+
+from _socket import inet_aton, inet_ntoa
+
+from siskinbank.admission import reasons
+from siskinbank.platform.packets import route_key
+from siskinbank.relay import messages
+from siskinbank.relay.loop import NEVER
+from siskinbank.tracking.liveness import Evidence, gone_reason, is_suspect
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from siskinbank.relay.follower import StoreFollower
+    from siskinbank.relay.node import Node
+    from siskinbank.tracking.hosts import HostTable
+
+__all__ = ('HostMonitor',)
+
+# Interval at which silent sidecars are looked for, and interval of probes, in
+# seconds.
+_SCAN_INTERVAL_S = 0.3
+_PROBE_INTERVAL_S = 0.1
+# Maximum age of a listing of the hosts, in seconds, from which the absence of a
+# silent host is inferred: the next reader has replaced a failed one by then.
+_MAX_LIST_AGE_S = 2.0
+_MS = 1000
+
+
+class HostMonitor:
+    """Tells an entry which hosts are gone.
+
+    A probe is a hello: the sidecar answers it with a status update, and counts
+    the entry among the receivers of its updates again.
+    """
+
+    __slots__ = ('_data_centre', '_follower', '_hosts', '_node', '_started')
+
+    def __init__(
+        self, node: Node, hosts: HostTable, follower: StoreFollower
+    ) -> None:
+        """Start the timers.
+
+        Args:
+            node: the process that runs the entry.
+            hosts: the known state of the hosts, from their sidecars.
+            follower: the state read from the store.
+        """
+        self._node = node
+        self._hosts = hosts
+        self._follower = follower
+        self._started = node.loop.now
+        self._data_centre = messages.digest(node.settings.data_centre)
+        node.loop.every(_SCAN_INTERVAL_S, self._probe_suspects)
+        node.loop.every(_PROBE_INTERVAL_S, self._check_probes)
+
+    def gone_reason(self, ip: str, key: bytes) -> str:
+        """Return why the host of a flow counts as gone, empty if it may not be.
+
+        A silent host that the store lists counts as alive while this process is
+        isolated from the hosts.
+
+        Args:
+            ip: address of the host.
+            key: key of the flow.
+        """
+        now = self._node.loop.now
+        host = self._hosts.get(ip)
+        if host and not is_suspect(now - host.last_seen, host.interval_s):
+            # The common case, taken for nearly every packet.
+            return 'ended' if host.status.state == reasons.ENDED else ''
+        self._hosts.probes.begin(ip, now)
+        route = self._follower.configuration.routes.get(route_key(key))
+        idempotent = route is not None and route.idempotent
+        reason = gone_reason(self._evidence(ip), idempotent)
+        return '' if reason == 'unanswered' and self._is_isolated() else reason
+
+    def has_left(self, ip: str) -> bool:
+        """Return whether a host has ended, or is unregistered and silent."""
+        reason = gone_reason(self._evidence(ip), idempotent=False)
+        return reason in {'ended', 'unregistered'}
+
+    def never_seen(self) -> list[str]:
+        """Return the hosts in the store that have sent no status update yet."""
+        listed = map(inet_ntoa, self._follower.listing.addresses)
+        return [ip for ip in listed if not self._hosts.get(ip)]
+
+    def describe(self, ip: str) -> dict[str, object]:
+        """Return what is known of a host and how old it is, for the log."""
+        now = self._node.loop.now
+        evidence = self._evidence(ip)
+        host = self._hosts.get(ip)
+        listing = self._follower.listing
+        return {
+            'host': ip,
+            'state': reasons.name_of(evidence.state) if host else 'unknown',
+            'silent_ms': int(evidence.silent_s * _MS),
+            'interval_ms': int(evidence.interval_s * _MS),
+            'probes': evidence.unanswered,
+            'listed': inet_aton(ip) in listing.addresses,
+            'listing_age_ms': _age_ms(listing.confirmed_at, now),
+        }
+
+    def _evidence(self, ip: str) -> Evidence:
+        now = self._node.loop.now
+        host = self._hosts.get(ip)
+        if host:
+            state = host.status.state
+            evidence = Evidence(state, now - host.last_seen, host.interval_s)
+        else:
+            evidence = Evidence(reasons.NONE, now - self._started, 0)
+        evidence.unanswered = self._hosts.probes.unanswered(ip, now)
+        if evidence.unanswered:
+            evidence.unlisted = self._is_unlisted(ip, now - evidence.silent_s)
+        return evidence
+
+    def _is_unlisted(self, ip: str, last_seen: float) -> bool:
+        """Return whether a listing after the last message lacks a host."""
+        listing = self._follower.listing
+        return (
+            listing.confirmed_at > last_seen
+            and self._node.loop.now - listing.confirmed_at < _MAX_LIST_AGE_S
+            and inet_aton(ip) not in listing.addresses
+            and self._follower.absence_is_reliable()
+        )
+
+    def _is_isolated(self) -> bool:
+        """Return whether this process is isolated from the hosts.
+
+        It is if more than half of them are silent or unknown.
+        """
+        now = self._node.loop.now
+        hosts = [
+            host for host in self._hosts.all() if not self.has_left(host.ip)
+        ]
+        silent = sum(1 for host in hosts if host.is_silent(now))
+        unknown = len(self.never_seen())
+        return (silent + unknown) * 2 > len(hosts) + unknown
+
+    def _probe_suspects(self) -> None:
+        """Begin to probe the sidecars that are silent or unknown."""
+        now = self._node.loop.now
+        probes = self._hosts.probes
+        for host in self._hosts.all():
+            if is_suspect(now - host.last_seen, host.interval_s):
+                probes.begin(host.ip, now)
+        if is_suspect(now - self._started, 0):
+            for ip in self.never_seen():
+                probes.begin(ip, now)
+
+    def _check_probes(self) -> None:
+        if not self._node.receive_pending():
+            # Answers may wait behind the messages that were handled.
+            return
+        hello = messages.pack_hello(0, self._data_centre)
+        for ip in self._hosts.probes.check(self._node.loop.now):
+            self._node.send(ip, hello)
+
+
+def _age_ms(seen_at: float, now: float) -> int:
+    return int((now - seen_at) * _MS) if seen_at > NEVER else -1
--- a/siskinbank/relay/loop.py
+++ b/siskinbank/relay/loop.py
@@ -74,14 +74,14 @@
         """Create a loop without callbacks."""
         self.now = clock_gettime(CLOCK_BOOTTIME)
         self._poll = epoll()
-        self._callbacks: dict[int, Callable[[int], None]] = {}
+        self._callbacks: dict[int, Callable[[int], object]] = {}
         self._timers: list[Timer] = []
         self._stall_callbacks: list[Callable[[float], None]] = []
         self._running = False
         #: Called with exceptions of callbacks; without it they end the process.
         self.on_fault: Callable[[Exception], None] | None = None
 
-    def watch(self, descriptor: int, callback: Callable[[int], None]) -> None:
+    def watch(self, descriptor: int, callback: Callable[[int], object]) -> None:
         """Call back with the events when the descriptor is readable."""
         self._callbacks[descriptor] = callback
         self._poll.register(descriptor, EPOLLIN)
@@ -153,7 +153,7 @@
                 self.cancel(timer)
             self._call(timer.callback)
 
-    def _call(self, callback: Callable[..., None], *args: int) -> None:
+    def _call(self, callback: Callable[..., object], *args: int) -> None:
         """Run a callback; its exceptions do not affect other callbacks."""
         try:
             callback(*args)
--- a/siskinbank/relay/node.py
+++ b/siskinbank/relay/node.py
@@ -48,6 +48,9 @@
 # Interval between checks for signals, in seconds: a small part of the six
 # seconds that a planned stop may take.
 _SIGNAL_INTERVAL_S = 0.1
+# Maximum number of reads from the peer socket at once, each of the datagrams of
+# one turn.
+_MAX_PENDING_READS = 8
 
 
 class Node:
@@ -116,6 +119,10 @@
         except OSError:
             self.meters.count('send_errors_total')
 
+    def receive_pending(self) -> bool:
+        """Handle the messages that wait; return whether none is left."""
+        return any(self._receive() for _ in range(_MAX_PENDING_READS))
+
     def run(self) -> None:
         """Run until the platform stops this process."""
         settings = self.settings
@@ -175,8 +182,11 @@
         except OSError:
             self.meters.count('send_errors_total')
 
-    def _receive(self, events: int) -> None:
-        read_datagrams(self._peer_socket, _MAX_DATAGRAM_BYTES, self._dispatch)
+    def _receive(self, events: int = 0) -> bool:
+        """Handle the messages of one turn; return whether none is left."""
+        return read_datagrams(
+            self._peer_socket, _MAX_DATAGRAM_BYTES, self._dispatch
+        )
 
     def _dispatch(self, datagram: bytes, address: tuple[str, int]) -> None:
         sender = address[0]
--- a/siskinbank/tracking/hosts.py
+++ b/siskinbank/tracking/hosts.py
@@ -4,8 +4,8 @@
 
 from _socket import inet_aton
 
-from siskinbank.admission import reasons
 from siskinbank.relay.messages import Status
+from siskinbank.tracking.liveness import HostProbes
 
 __all__ = ('HostTable', 'TrackedHost')
 
@@ -19,9 +19,6 @@
 # A host without an update for this long, in seconds, is removed: the longest
 # lifetime of a flow on the platform.
 _EXPIRY_S = 60.0
-# A host that is no longer in the store counts as gone this long after its last
-# update, in seconds: one missed update.
-_GONE_AFTER_S = 0.6
 
 
 class TrackedHost:
@@ -34,14 +31,12 @@
         last_seen: time of the last message from its sidecar, in seconds.
         first_seen: time when the first status was received, in seconds.
         pending: number of flows placed there since the last status.
-        left: whether it is silent and known to be gone.
     """
 
     __slots__ = (
         'first_seen',
         'ip',
         'last_seen',
-        'left',
         'packed',
         'pending',
         'status',
@@ -55,7 +50,6 @@
         self.last_seen = last_seen
         self.first_seen = last_seen
         self.pending = 0
-        self.left = False
 
     @property
     def interval_s(self) -> float:
@@ -67,22 +61,19 @@
         limit_s = max(_SILENT_S, self.interval_s * _MISSED_UPDATES)
         return now - self.last_seen > limit_s
 
-    def has_left(self, now: float) -> bool:
-        """Return whether the host has ended, or is silent and unregistered."""
-        if self.status.state == reasons.ENDED:
-            self.left = True
-        if self.status.state == reasons.UNREGISTERED:
-            self.left = self.left or now - self.last_seen > _GONE_AFTER_S
-        return self.left
-
 
 class HostTable:
-    """All hosts of which an entry has received a status."""
+    """All hosts of which an entry has received a status.
+
+    Attributes:
+        probes: unanswered probes of sidecars, also of hosts not in the table.
+    """
 
-    __slots__ = ('_by_ip', '_by_service')
+    __slots__ = ('_by_ip', '_by_service', 'probes')
 
     def __init__(self) -> None:
         """Create an empty table."""
+        self.probes = HostProbes()
         self._by_ip: dict[str, TrackedHost] = {}
         self._by_service: dict[int, list[TrackedHost]] = {}
 
@@ -114,7 +105,6 @@
         host.status = status
         host.last_seen = now
         host.pending = 0
-        host.left = False
         if previous.service != status.service:
             self._index()
             return True
@@ -126,12 +116,12 @@
         Returns:
             How long the sidecar had been silent, in seconds, 0 if it was not.
         """
+        self.probes.note_message(ip)
         host = self._by_ip.get(ip)
         if host is None:
             return 0
         silent_s = now - host.last_seen if host.is_silent(now) else 0
         host.last_seen = now
-        host.left = False
         return silent_s
 
     def add_stall(self, stalled_s: float) -> None:
--- /dev/null
+++ b/siskinbank/tracking/liveness.py
@@ -0,0 +1,214 @@
+"""Decides whether a host is gone, from evidence and its age.
+
+Silence of a sidecar proves nothing: its status updates may be lost or wait
+unread in this process, or the sidecar may have dropped this process from its
+receivers. Silence starts probes, and a host counts as gone only if its sidecar
+said so, or leaves probes unanswered while this process runs.
+"""
+
+from __future__ import annotations
+
+from siskinbank.admission import reasons
+from siskinbank.relay.loop import NEVER
+
+__all__ = (
+    'Evidence',
+    'HostProbes',
+    'gone_reason',
+    'is_suspect',
+)
+
+# A sidecar is probed after this time without a message, in seconds, and after
+# this many of its announced intervals.
+_SUSPECT_AFTER_S = 0.6
+_SUSPECT_INTERVALS = 1.5
+# Time in which a probe must be answered, in seconds: many round trips, and
+# nearly the longest pause of a core that runs on a quota.
+_ANSWER_TIMEOUT_S = 0.09
+# Consecutive unanswered probes that count as evidence, as single datagrams may
+# be lost, and the pause in seconds between further ones.
+_MIN_UNANSWERED = 3
+_LATER_PAUSE_S = 1.0
+# Probes during which this process did not run for this long, in seconds, prove
+# nothing: their answers may have been dropped.
+_MAX_CHECK_GAP_S = 0.5
+# Probes of a host end after this time, in seconds, like its entry in the table
+# of hosts.
+_EXPIRY_S = 60.0
+
+# A host with unanswered probes still counts as alive until its sidecar has been
+# silent for this long, in seconds. A request that may run only once waits
+# longer, as its answer may be ready: as long as a killed sidecar takes to
+# restart.
+_MAX_SILENCE_IDEMPOTENT_S = 1.3
+_MAX_SILENCE_ONCE_S = 3.0
+# The same for a sidecar that announced its stop: its host may still serve its
+# flows, which it discards after 15 s idle.
+_MAX_SILENCE_STOPPED_S = 15.0
+# Missed status updates after which a sidecar with a longer interval counts as
+# silent.
+_MISSED_UPDATES = 3
+
+
+class Evidence:
+    """What is known of a host that may be gone.
+
+    Attributes:
+        state: reason code of the last status update, see
+            ``admission.reasons``.
+        silent_s: seconds since the last message from its sidecar.
+        interval_s: announced interval of the status updates, in seconds.
+        unanswered: number of consecutive unanswered probes.
+        unlisted: whether a listing of the store that is newer than the last
+            message lacks the host.
+    """
+
+    __slots__ = ('interval_s', 'silent_s', 'state', 'unanswered', 'unlisted')
+
+    def __init__(self, state: int, silent_s: float, interval_s: float) -> None:
+        """Initialize without probes and without a listing."""
+        self.state = state
+        self.silent_s = silent_s
+        self.interval_s = interval_s
+        self.unanswered = 0
+        self.unlisted = False
+
+
+def is_suspect(silent_s: float, interval_s: float) -> bool:
+    """Return whether a sidecar must be probed.
+
+    Args:
+        silent_s: seconds since the last message from the sidecar.
+        interval_s: announced interval of its status updates, in seconds.
+    """
+    return silent_s > max(_SUSPECT_AFTER_S, interval_s * _SUSPECT_INTERVALS)
+
+
+def gone_reason(evidence: Evidence, idempotent: bool) -> str:
+    """Return the reason why a host counts as gone, empty if it may be alive.
+
+    Load pattern: after a loss of power the store still lists hosts that never
+    return. Each would delay the searches for all lost flows beyond their
+    clients' deadlines. In a planned release, and when messages are lost or late,
+    hosts are silent whose flows must not be reset.
+
+    Args:
+        evidence: what is known of the host.
+        idempotent: whether the requests of its flow may run more than once.
+    """
+    if evidence.state == reasons.ENDED:
+        return 'ended'
+    if evidence.unanswered < _MIN_UNANSWERED:
+        return ''
+    if evidence.unlisted or evidence.state == reasons.UNREGISTERED:
+        return 'unregistered'
+    limit_s = _MAX_SILENCE_IDEMPOTENT_S if idempotent else _MAX_SILENCE_ONCE_S
+    limit_s = max(limit_s, evidence.interval_s * _MISSED_UPDATES)
+    if evidence.state == reasons.STOPPING:
+        limit_s = _MAX_SILENCE_STOPPED_S
+    return 'unanswered' if evidence.silent_s > limit_s else ''
+
+
+class _Probe:
+    """The probes of one sidecar since its last message."""
+
+    __slots__ = (
+        '_is_counted',
+        '_sent_at',
+        '_was_queried',
+        'begun_at',
+        'unanswered',
+    )
+
+    def __init__(self, begun_at: float) -> None:
+        """Initialize before the first probe is sent."""
+        self.begun_at = begun_at
+        self.unanswered = 0
+        self._sent_at = NEVER
+        self._is_counted = True
+        self._was_queried = False
+
+    def restart(self) -> None:
+        """Discard the probes that were sent."""
+        self.unanswered = 0
+        self._sent_at = NEVER
+        self._is_counted = True
+
+    def note_query(self, now: float) -> None:
+        """Take a query, which is answered like a probe, in its place."""
+        self._was_queried = True
+        if self._is_counted:
+            self._sent_at = now
+            self._is_counted = False
+
+    def check(self, now: float) -> bool:
+        """Count the last probe if it is overdue; return whether to send one."""
+        waited_s = now - self._sent_at
+        if not self._is_counted and waited_s >= _ANSWER_TIMEOUT_S:
+            self._is_counted = True
+            self.unanswered += 1
+        enough = self.unanswered >= _MIN_UNANSWERED
+        pause_s = _LATER_PAUSE_S if enough else _ANSWER_TIMEOUT_S
+        is_due = waited_s >= pause_s and not self._was_queried
+        self._was_queried = False
+        if is_due:
+            self._sent_at = now
+            self._is_counted = False
+        return is_due
+
+
+class HostProbes:
+    """Unanswered probes of an entry, by address of the host."""
+
+    __slots__ = ('_checked_at', '_probes')
+
+    def __init__(self) -> None:
+        """Create an empty collection."""
+        self._probes: dict[str, _Probe] = {}
+        self._checked_at = NEVER
+
+    def begin(self, ip: str, now: float) -> None:
+        """Begin to probe a sidecar, unless it is being probed."""
+        if ip not in self._probes:
+            self._probes[ip] = _Probe(now)
+
+    def note_query(self, ip: str, now: float) -> None:
+        """Record that a query was sent to a sidecar.
+
+        Load pattern: hundreds of searches at dozens of hosts after a loss of
+        power; probes between their queries would add nothing.
+        """
+        probe = self._probes.get(ip)
+        if probe:
+            probe.note_query(now)
+
+    def note_message(self, ip: str) -> None:
+        """End the probes of a sidecar that sent a message."""
+        self._probes.pop(ip, None)
+
+    def unanswered(self, ip: str, now: float) -> int:
+        """Return the number of consecutive unanswered probes of a sidecar.
+
+        It is 0 while this process has not checked for answers recently.
+        """
+        probe = self._probes.get(ip)
+        if probe is None or now - self._checked_at > _MAX_CHECK_GAP_S:
+            return 0
+        return probe.unanswered
+
+    def check(self, now: float) -> list[str]:
+        """Count unanswered probes and return the hosts to probe now.
+
+        To be called regularly, when no received message waits to be handled.
+        """
+        has_stalled = now - self._checked_at > _MAX_CHECK_GAP_S
+        self._checked_at = now
+        due = []
+        for ip, probe in list(self._probes.items()):
+            if has_stalled:
+                probe.restart()
+            if now - probe.begun_at > _EXPIRY_S:
+                self._probes.pop(ip)
+            elif probe.check(now):
+                due.append(ip)
+        return due
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -78,6 +78,7 @@
         self._started = Loop().now
         self.now = self._started
         self._revision = 1
+        self._greeted_at: dict[str, float] = {}
         self._host_sockets = [
             open_udp_socket((host, 31003)) for host in self.hosts
         ]
@@ -130,6 +131,10 @@
         """Let a client's packet reach the entry in its next turn."""
         self._packets.append(packet)
 
+    def was_greeted(self, ip: str) -> bool:
+        """Return whether a process handles a hello in this turn."""
+        return self._greeted_at.get(ip) == self.now
+
     def pause(self, ip: str, seconds: float) -> None:
         """Stop a process for a while; its messages wait."""
         self._paused_until[ip] = self.now + seconds
@@ -218,6 +223,8 @@
     def _receive_pending(self, node: SimulatedNode) -> bool:
         inbox, node.inbox = node.inbox, []
         for source, datagram in inbox:
+            if datagram[0] == messages.HELLO:
+                self._greeted_at[node.settings.ip] = self.now
             node.on_message(source)
             node.handlers[datagram[0]](datagram, source)
         return True
--- a/tests/relay/test_flow_searcher.py
+++ b/tests/relay/test_flow_searcher.py
@@ -9,6 +9,7 @@
 from siskinbank.platform.records import Route
 from siskinbank.relay import messages
 from siskinbank.relay.flow_searcher import FlowSearcher
+from siskinbank.relay.host_monitor import HostMonitor
 from siskinbank.relay.loop import Loop
 from siskinbank.tracking.host_listing import HostListing
 from siskinbank.tracking.hosts import HostTable
@@ -66,6 +67,8 @@
             meters=SimpleNamespace(count=str),
             log=self._log,
             send=lambda ip, datagram: self.sent.append((ip, datagram)),
+            settings=SimpleNamespace(data_centre='a'),
+            receive_pending=lambda: True,
         )
         self.routes = {ROUTE_KEY: Route(((SERVICE, 1),), True, 0.25, 2)}
         follower: Any = SimpleNamespace(
@@ -76,7 +79,10 @@
         self.handlers = node.handlers
         self.hosts = hosts
         self.loop = loop
-        self.searcher = FlowSearcher(node, hosts, follower, self._reset)
+        self.monitor = HostMonitor(node, hosts, follower)
+        self.searcher = FlowSearcher(
+            node, hosts, follower, self.monitor, self._reset
+        )
 
     def run_timers(self) -> None:
         """Run the timers that are due."""
@@ -85,7 +91,7 @@
     def _log(self, event: str, **_inputs: object) -> None:
         """Ignore a log event."""
 
-    def _reset(self, _packet: bytes, reason: str) -> None:
+    def _reset(self, _packet: bytes, reason: str, **_evidence: object) -> None:
         self.resets.append(reason)
 
 
--- a/tests/relay/test_host_logging.py
+++ b/tests/relay/test_host_logging.py
@@ -22,7 +22,7 @@
         """State and listing of the host, and the age of both."""
         env = Environment()
         env.loop.now += 1.5
-        evidence = env.searcher.evidence_of(HOST)
+        evidence = env.monitor.describe(HOST)
         self.assertEqual(evidence['state'], 'none')
         self.assertEqual(evidence['silent_ms'], 1500)
         self.assertIs(evidence['listed'], True)
--- a/tests/relay/test_reset_beside_sound_host.py
+++ b/tests/relay/test_reset_beside_sound_host.py
@@ -3,7 +3,12 @@
 Each load pattern makes the sidecar's status updates late or stops them.
 """
 
+import random
 import unittest
+from dataclasses import dataclass
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from siskinbank.relay import messages
 from tests.relay.simulated_fleet import SimulatedFleet
@@ -12,6 +17,8 @@
 # requests may run again and where they may run once.
 MAX_DETECTION_S = 2.0
 MAX_DETECTION_ONCE_S = 3.7
+# Share of the datagrams that are lost in random schedules.
+LOSS = 0.02
 
 
 class TestResetBesideSoundHost(unittest.TestCase):
@@ -133,3 +140,107 @@
         """The store agrees that the host is gone, whatever the requests."""
         detection_s = self.detection_s(idempotent=False, unlisted=True)
         self.assertLess(detection_s, MAX_DETECTION_S)
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """One event of a random schedule.
+
+    Attributes:
+        kind: what happens, one of ``KINDS``.
+        seconds: how long it lasts.
+        pause_s: time until the next event after its end.
+    """
+
+    kind: str
+    seconds: float
+    pause_s: float
+
+
+KINDS = (
+    'entry-stalls',
+    'sidecar-stalls',
+    'updates-lost',
+    'unlisted',
+    'evacuated',
+)
+# The longest stall after which a sidecar still answers probes in time.
+MAX_SIDECAR_STALL_S = 0.25
+SCHEDULES = st.lists(
+    st.builds(
+        Disturbance,
+        st.sampled_from(KINDS),
+        st.floats(0.05, 3),
+        st.floats(0, 1.5),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+def disturb(fleet: SimulatedFleet, event: Disturbance) -> None:
+    """Begin a disturbance of the entry or of the first host."""
+    host = fleet.hosts[0]
+    if event.kind == 'entry-stalls':
+        fleet.pause(fleet.entry_ip, event.seconds)
+    elif event.kind == 'sidecar-stalls':
+        fleet.pause(host, min(event.seconds, MAX_SIDECAR_STALL_S))
+    elif event.kind == 'unlisted':
+        fleet.unlisted ^= {host}
+    else:
+        fleet.evacuated ^= {host}
+
+
+class TestRandomSchedules(unittest.TestCase):
+    """Stalls, lost updates and missing records, in any order."""
+
+    @settings(max_examples=100, deadline=None)
+    @given(SCHEDULES, st.booleans(), st.integers(0, 1 << 16))
+    def test_schedule(
+        self, schedule: list[Disturbance], idempotent: bool, seed: int
+    ) -> None:
+        """No reset while the host lives, one in time when it is dead."""
+        fleet = SimulatedFleet(3)
+        try:
+            fleet.publish(idempotent)
+            self.play(fleet, schedule, random.Random(seed))
+            self.assertEqual(fleet.resets, [])
+            self.check_dead_host(fleet, idempotent)
+        finally:
+            fleet.close()
+
+    def play(
+        self,
+        fleet: SimulatedFleet,
+        schedule: list[Disturbance],
+        chance: random.Random,
+    ) -> None:
+        """Play a schedule while one datagram in fifty is lost."""
+        host = fleet.hosts[0]
+        packet = fleet.open_flow(host)
+        updates_lost_until = fleet.now
+
+        def loss(source: str, target: str, datagram: bytes) -> bool:
+            is_update = datagram[0] == messages.STATUS and source == host
+            if is_update and fleet.now < updates_lost_until:
+                # Answers to probes are not lost with them.
+                return not fleet.was_greeted(host)
+            return chance.random() < LOSS
+
+        fleet.loss = loss
+        for event in schedule:
+            if event.kind == 'updates-lost':
+                updates_lost_until = fleet.now + event.seconds
+            else:
+                disturb(fleet, event)
+            fleet.run(event.seconds + event.pause_s, packet, 0.07)
+
+    def check_dead_host(self, fleet: SimulatedFleet, idempotent: bool) -> None:
+        """Let the host die and check that its flow is reset in time."""
+        packet = fleet.open_flow(fleet.hosts[0])
+        fleet.dead.add(fleet.hosts[0])
+        fleet.loss = lambda source, target, datagram: False
+        fleet.run(
+            MAX_DETECTION_S if idempotent else MAX_DETECTION_ONCE_S, packet
+        )
+        self.assertNotEqual(fleet.resets, [])
