Count packets of flows as a sign that an entry is alive

During an evacuation only packets of open flows arrive, so the sidecar dropped the entry that forwarded them. Change: packets and queries of an entry count, too. Test: test_packets_keep_updates_coming, which failed before on peer.dropped.

--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -239,6 +239,7 @@
         self._forward_to_host(packet, origin, searching=True, relayed=True)
 
     def _handle_flow_query(self, raw: bytes, ip: str) -> None:
+        self._reporter.note_entry(ip)
         unknown: list[bytes] = []
         for key in messages.read_keys(raw):
             flow = self._flows.get(key)
@@ -259,6 +260,7 @@
         searching: bool,
         relayed: bool = False,
     ) -> None:
+        self._reporter.note_entry(entry)
         key = packet[FLOW_KEY]
         flow = self._flows.get(key)
         if flow is None:
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -56,6 +56,7 @@
         entry: the entry under test.
         entry_ip: its address.
         resets: time and reason of each reset by the entry, with its evidence.
+        events: names of all logged events, each with its process.
         loss: decides which datagrams are lost.
         dead: addresses of processes that have lost power.
         evacuated: hosts that get no new flows.
@@ -67,6 +68,7 @@
         self.entry_ip = '127.7.0.1'
         self.hosts = [f'127.7.2.{number}' for number in range(1, hosts + 1)]
         self.resets: list[tuple[float, str, dict[str, Any]]] = []
+        self.events: list[tuple[str, str]] = []
         self.loss: Loss = lambda source, target, datagram: False
         self.dead: set[str] = set()
         self.evacuated: set[str] = set()
@@ -194,7 +196,7 @@
         loop.now = self.now
         node = SimulatedNode(
             loop=loop,
-            log=lambda *_, **_fields: None,
+            log=lambda event, **_fields: self.events.append((ip, event)),
             meters=Meters(),
             handlers={},
             inbox=[],
--- a/tests/relay/test_reset_beside_sound_host.py
+++ b/tests/relay/test_reset_beside_sound_host.py
@@ -44,6 +44,12 @@
         self.fleet.run(70, self.packet)
         self.assert_flow_kept()
 
+    def test_packets_keep_updates_coming(self) -> None:
+        """A sidecar keeps the entry from which packets of flows come."""
+        self.fleet.evacuated.add(self.host)
+        self.fleet.run(70, self.packet)
+        self.assertNotIn((self.host, 'peer.dropped'), self.fleet.events)
+
     def test_updates_stop(self) -> None:
         """The sidecar no longer counts the entry among its receivers."""
         reporter = self.fleet.sidecars[self.host]._reporter  # noqa: SLF001
