--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -254,11 +254,12 @@
         entries.append(self._node.packed_ip)
         sidecars: list[bytes] = []
         if not to_sidecar:
-            sidecars = self._hosts.addresses(self._node.loop.now)
+            addresses = self._hosts.addresses(self._node.loop.now)
+            sidecars = self._sidecars_turn.next(addresses)
         reply = messages.pack_addresses(
             messages.PEERS,
             self._entries_turn.next(entries),
-            self._sidecars_turn.next(sidecars),
+            sidecars,
         )
         self._node.send(ip, reply)
 
--- a/tests/relay/test_gossip.py
+++ b/tests/relay/test_gossip.py
@@ -1,6 +1,7 @@
 """Tests of announcements between entries, without sockets."""
 
 import unittest
+from socket import inet_ntoa
 from types import SimpleNamespace
 from typing import Any
 
@@ -27,6 +28,7 @@
     Attributes:
         sent: datagrams sent, each with its receiver.
         follower: stand-in for the reader of the store.
+        hosts: the known hosts.
         loop: event loop, which is not run.
         gossip: the gossip.
     """
@@ -35,6 +37,7 @@
         """Create the gossip and let it receive announcements of others."""
         self.sent: list[tuple[str, bytes]] = []
         self.loop = Loop()
+        self.hosts = HostTable()
         self.follower: Any = SimpleNamespace(
             configuration=SimpleNamespace(version=0, warm_ups={}),
             hosts={},
@@ -65,7 +68,7 @@
             fetch_if_newer=lambda *_: None
         )
         self.gossip = Gossip(
-            self._node, HostTable(), self.follower, configuration_transfer
+            self._node, self.hosts, self.follower, configuration_transfer
         )
         for ip in others:
             self.receive(messages.Announcement().pack(), ip)
@@ -245,6 +248,26 @@
         entries, _ = messages.read_peers(context.sent[0][1])
         self.assertNotIn(bytes((10, 0, 9, 9)), entries)
 
+    def test_long_list_is_sent_in_parts(self) -> None:
+        """Requests of sidecars, who get no sidecars, do not start it anew."""
+        context = GossipContext()
+        hosts = [
+            bytes((10, 0, 3 + number // 200, number % 200))
+            for number in range(300)
+        ]
+        for packed in hosts:
+            status = messages.Status(0, 0)
+            context.hosts.update_status(
+                inet_ntoa(packed), status, context.loop.now
+            )
+        listed: set[bytes] = set()
+        for sender in (0, messages.FROM_SIDECAR, 0):
+            context.sent.clear()
+            hello = messages.pack_hello(messages.WANTS_PEERS | sender, 1)
+            context.receive(hello, OTHERS[0])
+            listed.update(messages.read_peers(context.sent[0][1])[1])
+        self.assertEqual(listed, set(hosts))
+
 
 class TestDiscovery(unittest.TestCase):
     """Load pattern: all processes were killed and start at the same time.
