Keep announced status intervals when entries change groups

Seen: a status comes later than the one before it announced, when flows move entries between those with open flows, those near and the rest.

Cause: an entry that moves waits behind all others of its new group, whatever it was told. Only entries that fell from open flows into the rest were told, all in the same turn; those that fell into a data centre with more than 16 entries, or that moved the other way, weren't.

Ruled out: adding entries only when they are due. A lost status with the longer interval needs no change: the entry counts the sidecar as silent, greets it, and the reply states the interval (test_host_whose_longer_interval_was_lost_is_greeted).

Change: `GroupRotation` knows by which turn each entry expects its status. One that its group would reach later gets a status in addition, those that were due first before others, 16 a turn at most. Membership tests use sets.

Where more than 16 entries are due at once, the others are late by a turn or more.

--- a/siskinbank/relay/status_reporter.py
+++ b/siskinbank/relay/status_reporter.py
@@ -11,7 +11,7 @@
     HelloSchedule,
 )
 from siskinbank.relay.loop import NEVER
-from siskinbank.relay.rotation import Rotation
+from siskinbank.relay.rotation import GroupRotation, Rotation
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -26,12 +26,17 @@
 # Interval of status updates, in seconds: a third of the time after which an
 # entry treats a sidecar as silent.
 _STATUS_INTERVAL_S = 0.4
-# Maximum numbers of entries per turn: of those with open flows at the host, of
-# the others in its data centre, and of the rest. The next turn updates the ones
-# after them.
-_MAX_USING_PER_TURN = 16
-_MAX_LOCAL_PER_TURN = 16
-_MAX_REMOTE_PER_TURN = 8
+# Groups of entries: those with open flows at the host, the others in its data
+# centre, and the rest.
+_USING = 0
+_LOCAL = 1
+_REMOTE = 2
+# Maximum numbers of entries of each group per turn. The next turn updates those
+# that waited longest.
+_MAX_PER_TURN = (16, 16, 8)
+# Maximum number of further entries per turn: those that moved to another group,
+# where their turn comes later than was announced to them.
+_MAX_ADDED_PER_TURN = 16
 # An entry without a message for this time, in seconds, gets no more updates.
 _ENTRY_TTL_S = 30.0
 # Interval of hellos, in seconds, while the sidecar lacks the addresses of the
@@ -61,13 +66,10 @@
         '_flows',
         '_hello_schedule',
         '_host',
-        '_last_using',
         '_local_entries',
-        '_local_turn',
         '_node',
         '_peers_received_at',
-        '_remote_turn',
-        '_using_turn',
+        '_turns',
     )
 
     def __init__(
@@ -93,10 +95,7 @@
         self._data_centre = messages.digest(node.settings.data_centre)
         self._entries: dict[str, float] = {}
         self._local_entries: set[str] = set()
-        self._last_using: set[str] = set()
-        self._using_turn = Rotation(_MAX_USING_PER_TURN)
-        self._local_turn = Rotation(_MAX_LOCAL_PER_TURN)
-        self._remote_turn = Rotation(_MAX_REMOTE_PER_TURN)
+        self._turns = GroupRotation(_MAX_PER_TURN, _MAX_ADDED_PER_TURN)
         self._asking_turn = Rotation(1)
         self._peers_received_at = NEVER
         node.handlers[messages.HELLO] = self._handle_hello
@@ -113,47 +112,36 @@
 
     def send_status(self) -> None:
         """Send a status update to the entries of this turn."""
-        using = {flow.entry for flow in self._flows.values()}
-        using.intersection_update(self._entries)
-        others = [ip for ip in self._entries if ip not in using]
-        local = [ip for ip in others if ip in self._local_entries]
-        remote = [ip for ip in others if ip not in self._local_entries]
-        # These get updates less often from now on.
-        ended = [ip for ip in self._last_using if ip in remote]
-        self._last_using = using
+        flow_entries = {flow.entry for flow in self._flows.values()}
+        groups: tuple[list[str], ...] = ([], [], [])
+        for ip in self._entries:
+            groups[self._group(ip, flow_entries)].append(ip)
         status = self._status()
-        self._send_turn(status, self._using_turn, list(using))
-        self._send_turn(status, self._local_turn, local)
-        self._send_turn(status, self._remote_turn, remote)
-        self._send_to(status, ended)
+        for entries, turns in self._turns.next(groups):
+            status.interval_ms = _interval_ms(turns)
+            self._send_to(status, entries)
 
     def send_status_to_all(self) -> None:
         """Send a status update to all entries, as it is the last one."""
         status = self._status()
-        turns = self._remote_turn
-        status.interval_ms = self._interval_ms(turns, len(self._entries))
+        turns = self._turns.turns(_REMOTE, len(self._entries))
+        status.interval_ms = _interval_ms(turns)
         self._send_to(status, list(self._entries))
 
-    def _send_turn(
-        self,
-        status: messages.Status,
-        rotation: Rotation,
-        entries: list[str],
-    ) -> None:
-        status.interval_ms = self._interval_ms(rotation, len(entries))
-        self._send_to(status, rotation.next(entries))
+    def _group(self, ip: str, flow_entries: set[str]) -> int:
+        if ip in flow_entries:
+            return _USING
+        return _LOCAL if ip in self._local_entries else _REMOTE
 
     def _send_first_status(self, ip: str) -> None:
         """Send a status update to one entry outside its turn."""
-        is_local = ip in self._local_entries
-        rotation = self._local_turn if is_local else self._remote_turn
+        group = self._group(ip, set())
+        turns = self._turns.turns(group, len(self._entries))
+        self._turns.note_told(ip, turns)
         status = self._status()
-        status.interval_ms = self._interval_ms(rotation, len(self._entries))
+        status.interval_ms = _interval_ms(turns)
         self._send_to(status, [ip])
 
-    def _interval_ms(self, rotation: Rotation, count: int) -> int:
-        return int(rotation.turns(count) * _STATUS_INTERVAL_S * _MS)
-
     def _send_to(self, status: messages.Status, entries: list[str]) -> None:
         datagram = status.pack()
         for ip in entries:
@@ -233,3 +221,7 @@
         for ip in silent:
             self._entries.pop(ip, NEVER)
             self._local_entries.discard(ip)
+
+
+def _interval_ms(turns: int) -> int:
+    return int(turns * _STATUS_INTERVAL_S * _MS)
--- a/tests/relay/test_gossip.py
+++ b/tests/relay/test_gossip.py
@@ -304,6 +304,19 @@
         context.receive(listing, OTHERS[0])
         self.assertEqual(self.receivers(context, 0), {'10.0.2.1'})
 
+    def test_host_whose_longer_interval_was_lost_is_greeted(self) -> None:
+        """Its sidecar then states the interval again."""
+        context = GossipContext()
+        status = messages.Status(0, 0)
+        status.interval_ms = 400
+        context.hosts.update_status('10.0.2.1', status, context.loop.now)
+        context.gossip.add_sidecars([HOST])
+        context.sent.clear()
+        context.run(1)
+        self.assertNotIn('10.0.2.1', self.receivers(context, 0))
+        context.run(1.5)
+        self.assertIn('10.0.2.1', self.receivers(context, 0))
+
 
 class TestReads(unittest.TestCase):
     """Load pattern: all entries start at once, or one of them restarts."""
