--- /dev/null
+++ b/tests/relay/test_host_monitor.py
@@ -0,0 +1,54 @@
+"""Tests of the probes that an entry sends to silent sidecars."""
+
+import unittest
+
+from siskinbank.relay import messages
+from tests.relay.test_flow_searcher import Environment
+
+HOST = '10.0.0.1'
+STEP_S = 0.05
+
+
+class TestProbedHosts(unittest.TestCase):
+    """Which sidecars are probed, and when."""
+
+    def setUp(self) -> None:
+        """Create an entry whose hosts send status updates every 0.4 s."""
+        self.env = Environment()
+        self.update(400)
+
+    def update(self, interval_ms: int) -> None:
+        """Let all hosts send a status update."""
+        status = messages.Status(1, 1)
+        status.interval_ms = interval_ms
+        for host in self.env.hosts.all():
+            self.env.hosts.update_status(host.ip, status, self.env.loop.now)
+
+    def probed(self, seconds: float) -> list[str]:
+        """Return the hosts that got a hello within some seconds."""
+        self.env.sent.clear()
+        end = self.env.loop.now + seconds
+        while self.env.loop.now < end:
+            self.env.loop.now += STEP_S
+            self.env.run_timers()
+        return [
+            ip
+            for ip, datagram in self.env.sent
+            if datagram[0] == messages.HELLO
+        ]
+
+    def test_host_whose_longer_interval_was_lost(self) -> None:
+        """Its sidecar is probed within a second and states it again."""
+        self.assertEqual(self.probed(0.5), [])
+        self.assertIn(HOST, self.probed(0.6))
+
+    def test_longer_interval(self) -> None:
+        """No probe before one and a half announced intervals."""
+        self.update(1200)
+        self.assertEqual(self.probed(1.7), [])
+        self.assertIn(HOST, self.probed(0.6))
+
+    def test_missing_host(self) -> None:
+        """A host in the store that has sent nothing is probed, too."""
+        self.env.hosts._by_ip.pop(HOST)  # noqa: SLF001
+        self.assertIn(HOST, self.probed(1.1))
