Handle signals from the first lines of a start

Cause: the handlers were set after the settings were read and the sockets opened, so a signal in between ended the process; the rig took a fleet for ready as soon as its clients were served, when a sidecar may not have started yet. Change: the handlers come first; the rig waits for the start of every process. Test: test_hangup_while_the_settings_are_read, -1 before.

--- a/siskinbank/lab/rig/fleet.py
+++ b/siskinbank/lab/rig/fleet.py
@@ -49,12 +49,19 @@
         role: ``entry`` or ``sidecar``.
         folder: folder of its settings file and its log.
         process: the running process, if any.
+        start_count: how often it was started.
     """
 
     settings: ProcessSettings
     role: str
     folder: Path
     process: Popen[bytes] | None = None
+    start_count: int = 0
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process of the last start has logged its start."""
+        return self.log.count(' process.start ') >= self.start_count
 
     @property
     def log(self) -> str:
@@ -63,6 +70,7 @@
 
     def start(self) -> None:
         """Start the process."""
+        self.start_count += 1
         name = self.settings.name
         path = self.folder / f'{name}.json'
         path.write_bytes(self.settings.encode())
@@ -185,12 +193,15 @@
         return _DATA_CENTRES[index % len(_DATA_CENTRES)]
 
     async def wait_until_ready(self, seconds: float = 10) -> None:
-        """Wait until each client can open a flow through its entry.
+        """Wait until all run and each client is served through its entry.
 
         Raises:
-            TimeoutError: a client is not served within ``seconds``.
+            TimeoutError: that is not so within ``seconds``.
         """
         async with asyncio.timeout(seconds):
+            for program in (*self.entries, *self.sidecars):
+                while program.process and not program.is_running:
+                    await asyncio.sleep(0.05)
             for client in self.clients:
                 await _wait_until_served(client)
 
--- a/siskinbank/relay/node.py
+++ b/siskinbank/relay/node.py
@@ -79,6 +79,13 @@
                 bound.
             DocumentError: the settings are invalid.
         """
+        self._stop_requested = False
+        self._stopping = False
+        self._reload_requested = False
+        # The platform may send signals before the start is complete.
+        signal(SIGPIPE, SIG_IGN)
+        signal(SIGTERM, self._record_signal)
+        signal(SIGHUP, self._record_signal)
         self.loop = Loop()
         self.log = Log(self.loop)
         self.meters = Meters()
@@ -89,16 +96,10 @@
         self.is_ready: Callable[[], bool] = bool
         self.on_stop: Callable[[], None] = self.stop
         self._path = path
-        self._stop_requested = False
-        self._stopping = False
-        self._reload_requested = False
         self._peer_socket = open_udp_socket(
             (self.settings.ip, self.settings.peer_port)
         )
         self.loop.watch(self._peer_socket.fileno(), self._receive)
-        signal(SIGPIPE, SIG_IGN)
-        signal(SIGTERM, self._record_signal)
-        signal(SIGHUP, self._record_signal)
         self.loop.every(_SIGNAL_INTERVAL_S, self._handle_signals)
         self.loop.every(_RELOAD_INTERVAL_S, self.reload)
         self.loop.on_stall(self._log_stall)
--- a/tests/relay/test_start_and_logging.py
+++ b/tests/relay/test_start_and_logging.py
@@ -2,6 +2,7 @@
 
 import os
 import subprocess
+import sys
 import time
 import unittest
 from fcntl import F_SETPIPE_SZ, fcntl
@@ -62,6 +63,30 @@
                 )
 
 
+class TestSignals(unittest.TestCase):
+    """Load pattern: the settings change while a process starts."""
+
+    def test_hangup_while_the_settings_are_read(self) -> None:
+        """The signal does not end the process."""
+        code = (
+            'import os, signal\n'
+            'from siskinbank.relay import node\n'
+            'def read(path):\n'
+            '    os.kill(os.getpid(), signal.SIGHUP)\n'
+            '    raise OSError(path)\n'
+            'node.read_settings = read\n'
+            'try:\n'
+            '    node.Node("missing")\n'
+            'except OSError:\n'
+            '    print("refused")\n'
+        )
+        done = subprocess.run(
+            [sys.executable, '-c', code], capture_output=True, check=False
+        )
+        self.assertEqual(done.returncode, 0)
+        self.assertEqual(done.stdout, b'refused\n')
+
+
 class TestLog(unittest.TestCase):
     """Log output is limited and does not block."""
 
