Relay: count messages between processes by kind on the metrics address

Change: datagrams and bytes sent and received, by kind of message, in four lists of fixed length (22 kinds). What a process has no handler for takes the one counter "unknown", whatever its first byte is. Node.send and Node._dispatch each add one call; a failed send is not counted.

--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -34,6 +34,7 @@
     'HELD',
     'HELD_UNKNOWN',
     'HELLO',
+    'KIND_NAMES',
     'LISTING',
     'LISTING_REQUEST',
     'MAX_KEYS',
@@ -55,6 +56,7 @@
     'SEARCH',
     'STATUS',
     'Status',
+    'UNKNOWN',
     'WANTS_PEERS',
     'WANTS_RECORD',
     'digest',
@@ -80,6 +82,8 @@
     'wait_ms',
 )
 
+# Stands for all kinds that a process has no handler for; never sent.
+UNKNOWN = 0
 # A client's first packet, with the candidate hosts for its flow.
 OPEN = 1
 # A packet of a flow that is known to be held by the receiving host.
@@ -123,6 +127,32 @@
 # the address of the sidecar follows.
 RECORD_REQUEST = 21
 
+# Names of the kinds in metrics, by kind.
+KIND_NAMES = (
+    'unknown',
+    'open',
+    'forward',
+    'search',
+    'held',
+    'absent',
+    'refused',
+    'status',
+    'hello',
+    'peers',
+    'announcement',
+    'record',
+    'configuration_request',
+    'configuration',
+    'flow_query',
+    'not_held',
+    'held_unknown',
+    'queued',
+    'relayed',
+    'listing_request',
+    'listing',
+    'record_request',
+)
+
 # Flags of a record: the host is in the store, is draining, is in an evacuated
 # data centre; the operator keys have been read.
 REGISTERED = 1
--- a/siskinbank/relay/meters.py
+++ b/siskinbank/relay/meters.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-__all__ = ('Meters',)
+from siskinbank.relay.messages import KIND_NAMES
+
+__all__ = ('Meters', 'Traffic')
 
 # Upper limits of the histogram buckets, in seconds: powers of two from 1 ms to
 # beyond the longest deadline.
@@ -10,13 +12,63 @@
 _BUCKETS = range(len(_BUCKET_LIMITS_S) + 1)
 
 
+class Traffic:
+    """Datagrams and bytes in one direction, by kind of message.
+
+    Its size is fixed: an unknown kind is counted as ``messages.UNKNOWN``.
+    """
+
+    __slots__ = ('_bytes', '_datagrams')
+
+    def __init__(self) -> None:
+        """Create counters for all kinds of messages."""
+        self._datagrams = [0 for _ in KIND_NAMES]
+        self._bytes = [0 for _ in KIND_NAMES]
+
+    def add(self, kind: int, size_bytes: int) -> None:
+        """Count a datagram.
+
+        Args:
+            kind: a kind that ``messages.KIND_NAMES`` names.
+            size_bytes: size of the datagram.
+        """
+        self._datagrams[kind] += 1
+        self._bytes[kind] += size_bytes
+
+    def lines(self, direction: str) -> list[str]:
+        """Return the counters of all kinds that have occurred.
+
+        Args:
+            direction: ``sent`` or ``received``.
+        """
+        totals = (
+            (f'messages_{direction}', self._datagrams),
+            (f'message_bytes_{direction}', self._bytes),
+        )
+        return [
+            f'siskinbank_{name}_total{{kind="{kind}"}} {amount}'
+            for name, amounts in totals
+            for kind, amount, datagrams in zip(
+                KIND_NAMES, amounts, self._datagrams, strict=True
+            )
+            if datagrams
+        ]
+
+
 class Meters:
-    """Counters and histograms of one process, created on first use."""
+    """Counters and histograms of one process, created on first use.
+
+    Attributes:
+        sent: messages sent to other processes.
+        received: messages received from other processes.
+    """
 
-    __slots__ = ('_counts', '_histograms')
+    __slots__ = ('_counts', '_histograms', 'received', 'sent')
 
     def __init__(self) -> None:
         """Create an empty collection."""
+        self.sent = Traffic()
+        self.received = Traffic()
         self._counts: dict[str, int] = {}
         self._histograms: dict[str, list[int]] = {}
 
@@ -47,6 +99,8 @@
             f'siskinbank_{name} {self._counts[name]}'
             for name in sorted(self._counts)
         ]
+        lines.extend(self.sent.lines('sent'))
+        lines.extend(self.received.lines('received'))
         for name in sorted(self._histograms):
             lines.extend(_histogram_lines(name, self._histograms[name]))
         return '\n'.join(lines) + '\n'
--- a/siskinbank/relay/node.py
+++ b/siskinbank/relay/node.py
@@ -23,7 +23,7 @@
 from siskinbank.relay.http import Server
 from siskinbank.relay.log import Log, without_spaces
 from siskinbank.relay.loop import Loop
-from siskinbank.relay.messages import DatagramError
+from siskinbank.relay.messages import UNKNOWN, DatagramError
 from siskinbank.relay.meters import Meters
 
 TYPE_CHECKING = False
@@ -115,6 +115,8 @@
             self._peer_socket.sendto(datagram, (ip, self.settings.peer_port))
         except OSError:
             self.meters.count('send_errors_total')
+        else:
+            self.meters.sent.add(datagram[0], len(datagram))
 
     def run(self) -> None:
         """Run until the platform stops this process."""
@@ -180,10 +182,13 @@
 
     def _dispatch(self, datagram: bytes, address: tuple[str, int]) -> None:
         sender = address[0]
-        handler = self.handlers.get(datagram[0]) if datagram else None
+        kind = datagram[0] if datagram else UNKNOWN
+        handler = self.handlers.get(kind)
         if handler is None:
+            self.meters.received.add(UNKNOWN, len(datagram))
             self.meters.count('peer_datagrams_refused_total')
             return
+        self.meters.received.add(kind, len(datagram))
         self.on_message(sender)
         try:
             handler(datagram, sender)
