Weigh what the store says of a host against its last status; probe for searches

Cause: an entry that had heard 'unregistered' left the host out 0.6 s later, also when a newer listing had it.

--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -233,6 +233,7 @@
         if not self._follower.listing.known:
             return False
         unresponsive = search.unanswered(_addresses(hosts))
+        self._monitor.probe(unresponsive)
         gone: list[str] = []
         for ip in unresponsive + self._monitor.never_seen():
             reason = self._monitor.gone_reason(ip, key)
--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -65,17 +65,23 @@
             ip: address of the host.
             key: key of the flow.
         """
-        now = self._node.loop.now
-        host = self._hosts.get(ip)
-        if host and not is_suspect(now - host.last_seen, host.interval_s):
-            # The common case, taken for nearly every packet.
-            return 'ended' if host.status.state == reasons.ENDED else ''
-        self._hosts.probes.begin(ip, now)
+        if ip not in self._hosts.probes:
+            now = self._node.loop.now
+            host = self._hosts.get(ip)
+            if host and not is_suspect(now - host.last_seen, host.interval_s):
+                # The common case, taken for nearly every packet.
+                return 'ended' if host.status.state == reasons.ENDED else ''
+            self._hosts.probes.begin(ip, now)
         route = self._follower.configuration.routes.get(route_key(key))
         idempotent = route is not None and route.idempotent
         reason = gone_reason(self._evidence(ip), idempotent)
         return '' if reason == 'unanswered' and self._is_isolated() else reason
 
+    def probe(self, ips: list[str]) -> None:
+        """Probe sidecars that have not answered a query."""
+        for ip in ips:
+            self._hosts.probes.begin(ip, self._node.loop.now)
+
     def has_left(self, ip: str) -> bool:
         """Return whether a host has ended, or is unregistered and silent."""
         reason = gone_reason(self._evidence(ip), idempotent=False)
@@ -112,18 +118,18 @@
             evidence = Evidence(reasons.NONE, now - self._started, 0)
         evidence.unanswered = self._hosts.probes.unanswered(ip, now)
         if evidence.unanswered:
-            evidence.unlisted = self._is_unlisted(ip, now - evidence.silent_s)
+            evidence.listed = self._is_listed(ip, now - evidence.silent_s)
         return evidence
 
-    def _is_unlisted(self, ip: str, last_seen: float) -> bool:
-        """Return whether a listing after the last message lacks a host."""
+    def _is_listed(self, ip: str, last_seen: float) -> bool | None:
+        """Return whether the store has a host, None if that is not known."""
         listing = self._follower.listing
-        return (
-            listing.confirmed_at > last_seen
-            and self._node.loop.now - listing.confirmed_at < _MAX_LIST_AGE_S
-            and inet_aton(ip) not in listing.addresses
-            and self._follower.absence_is_reliable()
-        )
+        listing_age_s = self._node.loop.now - listing.confirmed_at
+        if listing.confirmed_at <= last_seen or listing_age_s > _MAX_LIST_AGE_S:
+            return None
+        if inet_aton(ip) in listing.addresses:
+            return True
+        return False if self._follower.absence_is_reliable() else None
 
     def _is_isolated(self) -> bool:
         """Return whether this process is isolated from the hosts.
--- a/siskinbank/tracking/liveness.py
+++ b/siskinbank/tracking/liveness.py
@@ -59,11 +59,12 @@
         silent_s: seconds since the last message from its sidecar.
         interval_s: announced interval of the status updates, in seconds.
         unanswered: number of consecutive unanswered probes.
-        unlisted: whether a listing of the store that is newer than the last
-            message lacks the host.
+        listed: whether the store has the host, by a listing that is newer than
+            the last message; None if there is no such listing, or if it proves
+            nothing.
     """
 
-    __slots__ = ('interval_s', 'silent_s', 'state', 'unanswered', 'unlisted')
+    __slots__ = ('interval_s', 'listed', 'silent_s', 'state', 'unanswered')
 
     def __init__(self, state: int, silent_s: float, interval_s: float) -> None:
         """Initialize without probes and without a listing."""
@@ -71,7 +72,14 @@
         self.silent_s = silent_s
         self.interval_s = interval_s
         self.unanswered = 0
-        self.unlisted = False
+        self.listed: bool | None = None
+
+    @property
+    def is_unregistered(self) -> bool:
+        """Whether the store, or else the sidecar, said that it has no record."""
+        if self.listed is None:
+            return self.state == reasons.UNREGISTERED
+        return not self.listed
 
 
 def is_suspect(silent_s: float, interval_s: float) -> bool:
@@ -100,7 +108,7 @@
         return 'ended'
     if evidence.unanswered < _MIN_UNANSWERED:
         return ''
-    if evidence.unlisted or evidence.state == reasons.UNREGISTERED:
+    if evidence.is_unregistered and evidence.silent_s > _SUSPECT_AFTER_S:
         return 'unregistered'
     limit_s = _MAX_SILENCE_IDEMPOTENT_S if idempotent else _MAX_SILENCE_ONCE_S
     limit_s = max(limit_s, evidence.interval_s * _MISSED_UPDATES)
@@ -167,6 +175,10 @@
         self._probes: dict[str, _Probe] = {}
         self._checked_at = NEVER
 
+    def __contains__(self, ip: str) -> bool:
+        """Return whether a sidecar is being probed."""
+        return ip in self._probes
+
     def begin(self, ip: str, now: float) -> None:
         """Begin to probe a sidecar, unless it is being probed."""
         if ip not in self._probes:
--- a/tests/relay/test_flow_searcher.py
+++ b/tests/relay/test_flow_searcher.py
@@ -25,6 +25,8 @@
 MAX_BYTES = 62500
 # Queries per second that leave two thirds of the time of a sixth of a core.
 MAX_QUERIES = 1100
+# Step of simulated time, in seconds.
+STEP_S = 0.05
 
 
 def flow_key(number: int) -> bytes:
@@ -88,6 +90,13 @@
         """Run the timers that are due."""
         self.loop._run_timers()  # noqa: SLF001
 
+    def run(self, seconds: float) -> None:
+        """Let time pass in steps and run the timers."""
+        end = self.loop.now + seconds
+        while self.loop.now < end:
+            self.loop.now += STEP_S
+            self.run_timers()
+
     def _log(self, event: str, **_inputs: object) -> None:
         """Ignore a log event."""
 
