--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -8,7 +8,14 @@
 from siskinbank.platform.packets import route_key
 from siskinbank.relay import messages
 from siskinbank.relay.loop import NEVER
-from siskinbank.tracking.liveness import Evidence, gone_reason, is_suspect
+from siskinbank.tracking.liveness import (
+    ENDED,
+    UNANSWERED,
+    UNREGISTERED,
+    Evidence,
+    gone_reason,
+    is_suspect,
+)
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -70,12 +77,12 @@
             host = self._hosts.get(ip)
             if host and not is_suspect(now - host.last_seen, host.interval_s):
                 # The common case, taken for nearly every packet.
-                return 'ended' if host.status.state == reasons.ENDED else ''
+                return ENDED if host.status.state == reasons.ENDED else ''
             self._hosts.probes.begin(ip, now)
         route = self._follower.configuration.routes.get(route_key(key))
         idempotent = route is not None and route.idempotent
         reason = gone_reason(self._evidence(ip), idempotent)
-        return '' if reason == 'unanswered' and self._is_isolated() else reason
+        return '' if reason == UNANSWERED and self._is_isolated() else reason
 
     def probe(self, ips: list[str]) -> None:
         """Probe sidecars that have not answered a query."""
@@ -84,8 +91,12 @@
 
     def has_left(self, ip: str) -> bool:
         """Return whether a host has ended, or is unregistered and silent."""
+        host = self._hosts.get(ip)
+        if ip not in self._hosts.probes:
+            # The common case, taken for nearly every host in each search.
+            return host is not None and host.status.state == reasons.ENDED
         reason = gone_reason(self._evidence(ip), idempotent=False)
-        return reason in {'ended', 'unregistered'}
+        return reason in {ENDED, UNREGISTERED}
 
     def never_seen(self) -> list[str]:
         """Return the hosts in the store that have sent no status update yet."""
--- a/siskinbank/tracking/liveness.py
+++ b/siskinbank/tracking/liveness.py
@@ -12,12 +12,20 @@
 from siskinbank.relay.loop import NEVER
 
 __all__ = (
+    'ENDED',
     'Evidence',
     'HostProbes',
+    'UNANSWERED',
+    'UNREGISTERED',
     'gone_reason',
     'is_suspect',
 )
 
+# Reasons why a host counts as gone, as they are logged.
+ENDED = 'ended'
+UNREGISTERED = 'unregistered'
+UNANSWERED = 'unanswered'
+
 # A sidecar is probed after this time without a message, in seconds, and after
 # this many of its announced intervals.
 _SUSPECT_AFTER_S = 0.6
@@ -105,16 +113,16 @@
         idempotent: whether the requests of its flow may run more than once.
     """
     if evidence.state == reasons.ENDED:
-        return 'ended'
+        return ENDED
     if evidence.unanswered < _MIN_UNANSWERED:
         return ''
     if evidence.is_unregistered and evidence.silent_s > _SUSPECT_AFTER_S:
-        return 'unregistered'
+        return UNREGISTERED
     limit_s = _MAX_SILENCE_IDEMPOTENT_S if idempotent else _MAX_SILENCE_ONCE_S
     limit_s = max(limit_s, evidence.interval_s * _MISSED_UPDATES)
     if evidence.state == reasons.STOPPING:
         limit_s = _MAX_SILENCE_STOPPED_S
-    return 'unanswered' if evidence.silent_s > limit_s else ''
+    return UNANSWERED if evidence.silent_s > limit_s else ''
 
 
 class _Probe:
