Sidecars drop a kept evacuation once the store has settled

Cause: for five seconds after the store came back from an older copy, a sidecar adds the evacuation that it knows to each record. A record from a reader whose operator position is lower takes the operator's flags over from the record before, and took the added flag for one that a reader had stated. Two readers at different positions are usual: one has listed the operator's keys later, the other has only seen empty watches since its listing, which move no revision. The evacuation then stayed until the operator's next change.

Change: OwnHost holds the operator's flags as they were last read, without those that are only kept.

The test of the two readers fails before (flags 13, not 9).

--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -28,6 +28,8 @@
 # After this time, in seconds, a sidecar has seen all flows of its host: hosts
 # discard flows that are idle for 15 s.
 _OBSERVED_S = 18.0
+# Flags of a record that the operator sets.
+_OPERATOR_FLAGS = messages.EVACUATED | messages.OPERATOR_READ
 # A host that started at most this long before its sidecar, in milliseconds,
 # had no earlier sidecar: one that is killed needs longer to restart.
 _JOINT_START_MS = 250
@@ -56,6 +58,7 @@
         '_cold',
         '_cold_until',
         '_observed_since',
+        '_operator_flags',
         '_record_wait_until',
         '_settled_at',
         '_started_ms',
@@ -98,6 +101,8 @@
         self._unreachable_at = NEVER
         self._record_wait_until = now + _RECORD_WAIT_S
         self._settled_at = NEVER
+        # The operator's flags as last read, without those that are only kept.
+        self._operator_flags = 0
         self._started_ms = started_ms
         self._observed_since = now
 
@@ -178,14 +183,10 @@
         """
         previous = self.record
         self.version = max(self.version, record.version)
-        if previous:
-            self._note_era(previous, record, now)
-            settling = now < self._settled_at
-            if _is_outdated(previous, record, settling):
-                return False
-            if settling:
-                _keep_restrictions(previous, record)
-            self._merge(previous, record, now)
+        if previous is None:
+            self._operator_flags = record.flags & _OPERATOR_FLAGS
+        elif not self._merge(previous, record, now):
+            return False
         self.record = record
         self.confirmed_at = now - record.age_s
         self._cold_until = now + record.cold_s if record.cold_s else NEVER
@@ -265,13 +266,26 @@
 
     def _merge(
         self, previous: messages.Record, record: messages.Record, now: float
-    ) -> None:
+    ) -> bool:
+        """Add what is still known to a record; return False if it is older."""
+        self._note_era(previous, record, now)
+        settling = now < self._settled_at
+        if _is_outdated(previous, record, settling):
+            return False
         if record.operator_position.is_before(previous.operator_position):
-            _keep_operator_state(previous, record)
+            # The reader has an older state of what the operator set.
+            record.flags &= ~_OPERATOR_FLAGS
+            record.flags |= self._operator_flags
+            record.cold_per_s = previous.cold_per_s
+            record.operator_position = previous.operator_position
+        self._operator_flags = record.flags & _OPERATOR_FLAGS
+        if settling:
+            _keep_restrictions(previous, record)
         if record.born_ms not in {0, previous.born_ms}:
             self._unreachable_at = NEVER
             self._observed_since = now
             self.refusal_backoff.note_accepted()
+        return True
 
     def _persistent_reason(self, service: int, now: float) -> int:
         if service != self.service:
@@ -312,18 +326,6 @@
     record.flags |= kept
 
 
-def _keep_operator_state(
-    previous: messages.Record, record: messages.Record
-) -> None:
-    """Keep what the operator set, as the reader has an older state of it."""
-    operator_flags = messages.EVACUATED | messages.OPERATOR_READ
-    record.flags = (
-        record.flags & ~operator_flags | previous.flags & operator_flags
-    )
-    record.cold_per_s = previous.cold_per_s
-    record.operator_position = previous.operator_position
-
-
 def _recorded_reason(record: messages.Record | None, service: int) -> int:
     if record is None:
         return reasons.NONE
--- a/tests/tracking/test_own_host.py
+++ b/tests/tracking/test_own_host.py
@@ -253,6 +253,15 @@
         self.assertEqual(self.flags_at(107, again), self.flags)
         self.assertEqual(self.flags_at(108, record(46, 46, era=2)), HEALTHY)
 
+    def test_readers_at_different_positions(self) -> None:
+        """One lists the operator's keys, the other has watched them since.
+
+        What the sidecar keeps is not a state that the first reader stated.
+        """
+        self.flags_at(101, record(40, 45, era=2))
+        self.assertEqual(self.flags_at(102, record(41, 41, era=2)), self.flags)
+        self.assertEqual(self.flags_at(106.5, record(42, 41, era=2)), HEALTHY)
+
     def test_earlier_incarnation_in_the_copy(self) -> None:
         """The host has started since; it does not lose its flows."""
         earlier = record(40, 40, era=2)
