Random schedules of the store's eras run with other seeds by hand

Change: STORE_SCHEDULE_SEEDS=FIRST-LAST replaces the seeds of the test, which keeps its 2,000 (0 to 1999) without it.

--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -2,7 +2,11 @@
 
 The followers are the real ones; store and time are stand-ins. Thousands of
 schedules replace an exhaustive search, as the number of orders in which calls,
-answers and changes may happen is too large for one.
+answers and changes may happen is too large for one. More of them by hand, with
+other seeds::
+
+    STORE_SCHEDULE_SEEDS=2000-51999 .venv/bin/python -m nose2 \\
+        --config unittest.cfg tests.relay.test_store_eras.TestSchedules
 """
 
 import random
@@ -27,8 +31,9 @@
 from siskinbank.relay.http import Response
 from siskinbank.relay.loop import NEVER
 from siskinbank.tracking.host_listing import HostListing
+from tests.seeds import seeds_to_run
 
-SCHEDULES = 2000
+SEEDS = seeds_to_run('STORE_SCHEDULE_SEEDS', range(2000))
 STEPS = 120
 # Limit of the platform for a change to be in force, in seconds.
 MAX_APPLY_S = 3
@@ -254,7 +259,7 @@
     def test_followers_agree_with_the_store(self) -> None:
         """Once operator and hosts have written again, within the limit."""
         eras = 0
-        for seed in range(SCHEDULES):
+        for seed in SEEDS:
             schedule = Schedule(seed)
             schedule.run()
             follower, store = schedule.follower, schedule.store
@@ -278,7 +283,7 @@
                 self.assertEqual(versions, sorted(versions))
                 self.assertEqual(versions[-1], schedule._version)  # noqa: SLF001
         # The schedules do what they are for.
-        self.assertGreater(eras, SCHEDULES)
+        self.assertGreater(eras, len(SEEDS))
 
     def test_unreadable_pages_are_not_read_at_once(self) -> None:
         """Pauses grow as after other failures."""
