Count the answers of an earlier era of the store

Cause: OPERATIONS.md and the changelog name siskinbank_store_outdated_total, but nothing counted it; such answers showed as failed calls only.

Change: the reader counts them, besides the failure. The test fails before (0 answers counted).

--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -416,7 +416,10 @@
         """Return the page in a response, None if there is none to be used."""
         era = _era_of(response)
         self.note_era(era, 'store')
-        if response.status != _OK or 0 < era < self.era:
+        outdated = 0 < era < self.era
+        if outdated:
+            self._node.meters.count('store_outdated_total')
+        if response.status != _OK or outdated:
             self._note_failure(connection, call, response.status, era)
             return None
         try:
--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -11,6 +11,7 @@
 
 import random
 import unittest
+from collections import Counter
 from types import SimpleNamespace
 from typing import Any
 
@@ -157,6 +158,7 @@
         follower: the follower.
         versions: versions of the configuration that were in force.
         refusals: what was refused.
+        counts: values of the counters.
     """
 
     def __init__(self, seed: int) -> None:
@@ -170,10 +172,11 @@
         node: Any = SimpleNamespace(
             loop=self._loop,
             settings=SimpleNamespace(store=('127.0.0.1', 1)),
-            meters=SimpleNamespace(count=lambda *_: None),
+            meters=SimpleNamespace(count=self._count),
             log=self._log,
         )
         self.refusals: list[object] = []
+        self.counts: Counter[str] = Counter()
         self.follower = StoreFollower(node, bool, bool)
         self.follower.hosts_due = lambda: True
         self.follower.operator_due = lambda: True
@@ -243,6 +246,9 @@
         """Come back from a copy; what was written since is missing at first."""
         self.store.restore(self._rng)
 
+    def _count(self, name: str) -> None:
+        self.counts[name] += 1
+
     def _log(self, event: str, **fields: object) -> None:
         if event == 'record.refused':
             self.refusals.append(fields['source'])
@@ -324,6 +330,15 @@
         self.assertEqual(len(schedule.follower.hosts), 3)
         self.assertEqual(schedule.refusals, ['servers/'])
 
+    def test_answers_of_an_earlier_era_are_counted(self) -> None:
+        """A peer has told of the new era; the store's answers are older."""
+        schedule = Schedule(4)
+        schedule.follower.note_era(2, '10.0.0.2')
+        for _ in range(int(MAX_APPLY_S / _STEP_S)):
+            schedule.advance()
+        self.assertGreater(schedule.counts['store_outdated_total'], 0)
+        self.assertEqual(schedule.follower.hosts, {})
+
     def test_absence_proves_nothing_in_a_new_era(self) -> None:
         """Hosts that registered since the copy are missing for a while."""
         schedule = Schedule(1)
