--- a/siskinbank/lab/rig/fleet.py
+++ b/siskinbank/lab/rig/fleet.py
@@ -122,6 +122,11 @@
     _port: int = 0
     _version: int = 1
 
+    @property
+    def version(self) -> int:
+        """Version of the newest configuration."""
+        return self._version
+
     async def open(self) -> None:
         """Start the store, hosts, sidecars, entries and clients."""
         self._prefix = f'127.{random.randrange(1, 250)}.{random.randrange(250)}'
--- a/siskinbank/lab/rig/store.py
+++ b/siskinbank/lab/rig/store.py
@@ -39,8 +39,12 @@
 
     Attributes:
         silent: whether it receives calls and never answers.
+        away: whether it closes each connection at once.
+        unavailable: whether it refuses all calls.
         busy: returns whether calls from an address are refused.
-        delay_s: delay of each answer in seconds.
+        loses_answer: returns whether an answer is lost; its connection gets no
+            further answers.
+        delay_s: time from each result to its answer in seconds.
         calls: number of calls received.
         era: number of the era in all answers.
     """
@@ -48,7 +52,10 @@
     def __init__(self) -> None:
         """Initialize an empty store at revision 1."""
         self.silent = False
+        self.away = False
+        self.unavailable = False
         self.busy: Callable[[str], bool] = lambda ip: False
+        self.loses_answer: Callable[[], bool] = bool
         self.delay_s: float = 0
         self.calls = 0
         self.era = 1
@@ -71,6 +78,11 @@
         for writer in self._writers:
             writer.close()
 
+    def get(self, key: str) -> bytes | None:
+        """Return the content of an item, None without one."""
+        item = self._items.get(key)
+        return item.content if item else None
+
     async def put(self, key: str, content: bytes | None) -> None:
         """Write an item, or remove it if ``content`` is None."""
         self._revision += 1
@@ -92,10 +104,22 @@
         """Return a copy of the items, to come back from later."""
         return StoreCopy(self._revision, dict(self._items))
 
-    async def restore(self, copy: StoreCopy) -> None:
+    def close_connections(self) -> None:
+        """Close the connections of all callers."""
+        for writer in self._writers:
+            writer.close()
+
+    async def restore(
+        self, copy: StoreCopy, *, close_connections: bool = True
+    ) -> None:
         """Come back from a copy: what was written since is gone.
 
-        Connections are closed, and revisions are given out again.
+        Revisions are given out again.
+
+        Args:
+            copy: the state to come back with.
+            close_connections: otherwise answers of the era before may still
+                arrive, after those of the new one.
         """
         self.era += 1
         self._revision = copy.revision
@@ -103,8 +127,11 @@
         self._history = [
             item for item in self._history if item.revision <= copy.revision
         ]
-        for writer in self._writers:
-            writer.close()
+        self._oldest_revision = min(self._oldest_revision, copy.revision)
+        if close_connections:
+            self.close_connections()
+        async with self._changed:
+            self._changed.notify_all()
 
     async def _serve(
         self,
@@ -114,9 +141,12 @@
         self._writers.add(writer)
         ip = writer.get_extra_info('peername')[0]
         try:
-            while True:
+            while not self.away:
                 head = await reader.readuntil(b'\r\n\r\n')
-                await self._answer(head.split(b' ')[1].decode(), ip, writer)
+                path = head.split(b' ')[1].decode()
+                if not await self._answer(path, ip, writer):
+                    await reader.read()
+                    return
         except (asyncio.IncompleteReadError, ConnectionError):
             # The caller has closed the connection.
             return
@@ -132,21 +162,23 @@
         path: str,
         ip: str,
         writer: asyncio.StreamWriter,
-    ) -> None:
+    ) -> bool:
+        """Answer a call; return whether the connection goes on."""
         self.calls += 1
-        await asyncio.sleep(self.delay_s)
-        if self.silent:
-            return
+        if self.silent or self.loses_answer():
+            return False
         status, body = _UNAVAILABLE, b'{}'
-        if not self.busy(ip):
+        if not (self.unavailable or self.busy(ip)):
             status, body = await self._result(read_store_call(path))
         head = (
             f'HTTP/1.1 {status} -\r\n'
             f'{ERA_HEADER}: {self.era}\r\n'
             f'Content-Length: {len(body)}\r\n\r\n'
         )
+        await asyncio.sleep(self.delay_s)
         writer.write(head.encode() + body)
         await writer.drain()
+        return True
 
     async def _result(self, call: StoreCall) -> tuple[int, bytes]:
         if call.kind == 'list':
@@ -166,17 +198,19 @@
         return encode_page(items, self._revision, more=more)
 
     async def _watch(self, call: StoreCall) -> tuple[int, bytes]:
-        after = int(call.after)
+        after, era = int(call.after), self.era
         if not self._oldest_revision <= after <= self._revision:
             return _GONE, b'{}'
         try:
             async with asyncio.timeout(call.wait_s), self._changed:
                 await self._changed.wait_for(
-                    lambda: self._changes_since(call, after)
+                    lambda: self.era > era or self._changes_since(call, after)
                 )
         except TimeoutError:
             # Nothing has changed.
             return _OK, encode_page([], self._revision, watch=True)
+        if self.era > era:
+            return _GONE, b'{}'
         found = self._changes_since(call, after)
         return _OK, encode_page(found, self._revision, watch=True)
 
--- /dev/null
+++ b/tests/lab/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins for the users' platform."""
