--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -2,11 +2,16 @@
 
 The followers are the real ones; store and time are stand-ins. Thousands of
 schedules replace an exhaustive search, as the number of orders in which calls,
-answers and changes may happen is too large for one.
+answers and changes may happen is too large for one. More of them by hand, with
+other seeds::
+
+    STORE_SCHEDULE_SEEDS=2000-51999 .venv/bin/python -m nose2 \\
+        --config unittest.cfg tests.relay.test_store_eras.TestSchedules
 """
 
 import random
 import unittest
+from collections import Counter
 from types import SimpleNamespace
 from typing import Any
 
@@ -27,8 +32,9 @@
 from siskinbank.relay.http import Response
 from siskinbank.relay.loop import NEVER
 from siskinbank.tracking.host_listing import HostListing
+from tests.seeds import seeds_to_run
 
-SCHEDULES = 2000
+SEEDS = seeds_to_run('STORE_SCHEDULE_SEEDS', range(2000))
 STEPS = 120
 # Limit of the platform for a change to be in force, in seconds.
 MAX_APPLY_S = 3
@@ -152,6 +158,7 @@
         follower: the follower.
         versions: versions of the configuration that were in force.
         refusals: what was refused.
+        counts: values of the counters.
     """
 
     def __init__(self, seed: int) -> None:
@@ -165,10 +172,11 @@
         node: Any = SimpleNamespace(
             loop=self._loop,
             settings=SimpleNamespace(store=('127.0.0.1', 1)),
-            meters=SimpleNamespace(count=lambda *_: None),
+            meters=SimpleNamespace(count=self._count),
             log=self._log,
         )
         self.refusals: list[object] = []
+        self.counts: Counter[str] = Counter()
         self.follower = StoreFollower(node, bool, bool)
         self.follower.hosts_due = lambda: True
         self.follower.operator_due = lambda: True
@@ -238,6 +246,9 @@
         """Come back from a copy; what was written since is missing at first."""
         self.store.restore(self._rng)
 
+    def _count(self, name: str) -> None:
+        self.counts[name] += 1
+
     def _log(self, event: str, **fields: object) -> None:
         if event == 'record.refused':
             self.refusals.append(fields['source'])
@@ -254,7 +265,7 @@
     def test_followers_agree_with_the_store(self) -> None:
         """Once operator and hosts have written again, within the limit."""
         eras = 0
-        for seed in range(SCHEDULES):
+        for seed in SEEDS:
             schedule = Schedule(seed)
             schedule.run()
             follower, store = schedule.follower, schedule.store
@@ -278,7 +289,7 @@
                 self.assertEqual(versions, sorted(versions))
                 self.assertEqual(versions[-1], schedule._version)  # noqa: SLF001
         # The schedules do what they are for.
-        self.assertGreater(eras, SCHEDULES)
+        self.assertGreater(eras, len(SEEDS))
 
     def test_unreadable_pages_are_not_read_at_once(self) -> None:
         """Pauses grow as after other failures."""
@@ -319,6 +330,15 @@
         self.assertEqual(len(schedule.follower.hosts), 3)
         self.assertEqual(schedule.refusals, ['servers/'])
 
+    def test_answers_of_an_earlier_era_are_counted(self) -> None:
+        """A peer has told of the new era; the store's answers are older."""
+        schedule = Schedule(4)
+        schedule.follower.note_era(2, '10.0.0.2')
+        for _ in range(int(MAX_APPLY_S / _STEP_S)):
+            schedule.advance()
+        self.assertGreater(schedule.counts['store_outdated_total'], 0)
+        self.assertEqual(schedule.follower.hosts, {})
+
     def test_absence_proves_nothing_in_a_new_era(self) -> None:
         """Hosts that registered since the copy are missing for a while."""
         schedule = Schedule(1)
