Answer a probe with the interval that the sidecar keeps

The answer to a hello announced the interval of the other entries to an entry with an open flow: 1.2 s instead of 0.4 s among 40. If the host died before the next update, its end was noticed that much later. The test got 1.2 before.

--- a/siskinbank/relay/status_reporter.py
+++ b/siskinbank/relay/status_reporter.py
@@ -135,8 +135,10 @@
 
     def _send_first_status(self, ip: str) -> None:
         """Send a status update to one entry outside its turn."""
-        group = self._group(ip, set())
-        turns = self._turns.turns(group, len(self._entries))
+        flow_entries = {flow.entry for flow in self._flows.values()}
+        group = self._group(ip, flow_entries)
+        members = flow_entries if group == _USING else self._entries
+        turns = self._turns.turns(group, len(members))
         self._turns.note_told(ip, turns)
         status = self._status()
         status.interval_ms = _interval_ms(turns)
--- a/tests/relay/test_reset_on_absence.py
+++ b/tests/relay/test_reset_on_absence.py
@@ -278,3 +278,21 @@
         host = OwnHost(messages.digest(SERVICE), 100.0, started_ms)
         host.apply_record(self.record(started_ms + 30_000, 5), 100.5)
         self.assertFalse(host.has_observed_all_flows(101.0))
+
+class TestAnswerToProbe(FleetCase):
+    """A sidecar answers a probe with the interval that it keeps."""
+
+    def test_entry_that_uses_the_host(self) -> None:
+        """40 entries; the one with an open flow is updated every 0.4 s."""
+        fleet = self.fleet
+        fleet.run(1, self.packet)
+        reporter = fleet.sidecars[self.host]._reporter  # noqa: SLF001
+        for number in range(40):
+            reporter.note_entry(f'127.7.3.{number}')
+        reporter._handle_hello(  # noqa: SLF001
+            messages.pack_hello(0, messages.digest('b')), fleet.entry_ip
+        )
+        fleet.run(0.02)
+        host = fleet.entry._hosts.get(self.host)  # noqa: SLF001
+        assert host is not None
+        self.assertEqual(host.interval_s, 0.4)
