--- a/tests/relay/test_reset_on_absence.py
+++ b/tests/relay/test_reset_on_absence.py
@@ -279,6 +279,7 @@
         host.apply_record(self.record(started_ms + 30_000, 5), 100.5)
         self.assertFalse(host.has_observed_all_flows(101.0))
 
+
 class TestAnswerToProbe(FleetCase):
     """A sidecar answers a probe with the interval that it keeps."""
 
