Keep the flows of a new incarnation, and doubt a start in the future

Callers would see: a reset of an open flow (no-host-holds-it) after a search, though its host holds it. Change: flows opened since the start of the incarnation stay; a start that lies in the future proves nothing. Tests: test_record_of_new_incarnation_comes_after_its_flows and test_clock_was_set_back_before_sidecar_restarted failed before.

--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -340,10 +340,16 @@
         self._reporter.send_status()
 
     def _drop_flows(self) -> None:
-        """Drop all flows, as the host was restarted."""
+        """Drop the flows from before the start of the host's incarnation.
+
+        Load pattern: a restarted host serves new flows before its record is
+        read.
+        """
+        born_at = self._host.born_at
         for key, flow in list(self._flows.items()):
-            self._flows.pop(key)
-            self._tracker.end(key, flow, 'host-restarted')
+            if flow.opened_at < born_at:
+                self._flows.pop(key)
+                self._tracker.end(key, flow, 'host-restarted')
 
     def _hosts_due(self) -> bool:
         return self._should_read_store(self._follower.hosts_read_at)
--- a/siskinbank/sidecar/tracked_flows.py
+++ b/siskinbank/sidecar/tracked_flows.py
@@ -48,6 +48,7 @@
     Attributes:
         entry: IP address of the entry that last sent a packet or query for it.
         client: address to which packets for the client are sent.
+        opened_at: time when the host answered it first, in seconds.
         number: the host's initial sequence number, 0 if unknown.
         established: whether the host has sent more than its SYN.
         last_seen: time of the last packet.
@@ -65,6 +66,7 @@
         'header',
         'last_seen',
         'number',
+        'opened_at',
         'request',
     )
 
@@ -74,6 +76,7 @@
         self.client = client
         self.number = 0
         self.established = False
+        self.opened_at = now
         self.last_seen = now
         self.header = b''
         self.request: Request | None = None
--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -33,6 +33,7 @@
 # A host that started at most this long before its sidecar, in milliseconds,
 # had no earlier sidecar: one that is killed needs longer to restart.
 _JOINT_START_MS = 250
+_MS = 1000
 
 
 class OwnHost:
@@ -57,10 +58,12 @@
     __slots__ = (
         '_cold',
         '_cold_until',
+        '_is_born_in_future',
         '_observed_since',
         '_operator_flags',
         '_record_wait_until',
         '_settled_at',
+        '_started',
         '_started_ms',
         '_unreachable_at',
         'busy',
@@ -103,7 +106,9 @@
         self._settled_at = NEVER
         # The operator's flags as last read, without those that are only kept.
         self._operator_flags = 0
+        self._started = now
         self._started_ms = started_ms
+        self._is_born_in_future = False
         self._observed_since = now
 
     @property
@@ -116,6 +121,12 @@
         """Position of the record in the history of the store."""
         return self.record.position if self.record else StorePosition()
 
+    @property
+    def born_at(self) -> float:
+        """Start of the host's incarnation in seconds, from its time of day."""
+        born_ms = self.record.born_ms if self.record else 0
+        return self._started + (born_ms - self._started_ms) / _MS
+
     @property
     def is_leaving(self) -> bool:
         """Whether the store says that the host drains or has left."""
@@ -168,7 +179,9 @@
         """
         born_ms = self.record.born_ms if self.record else 0
         started_together = born_ms > self._started_ms - _JOINT_START_MS
-        return started_together or now - self._observed_since > _OBSERVED_S
+        if started_together and not self._is_born_in_future:
+            return True
+        return now - self._observed_since > _OBSERVED_S
 
     def wait_for_record(self, now: float) -> None:
         """Wait for a new record after a stall."""
@@ -187,7 +200,11 @@
             self._operator_flags = record.flags & _OPERATOR_FLAGS
         elif not self._merge(previous, record, now):
             return False
+        is_new = previous is None or previous.born_ms != record.born_ms
         self.record = record
+        if is_new:
+            # The time of day was set back since the host started.
+            self._is_born_in_future = self.born_at > now
         self.confirmed_at = now - record.age_s
         self._cold_until = now + record.cold_s if record.cold_s else NEVER
         self._record_wait_until = NEVER
