End no search without a host in the first 0.6 s of an entry

Callers would see: a restarted entry resets an open flow some 40 ms after its start, as all hosts that it knows answered. A host without a record is in no listing; its sidecar names itself with its next status update. Change: no search ends in a reset within 0.6 s after the start. Tests: test_entry_restarts_while_record_is_missing and test_entry_restarts_after_outage_of_store failed before. The searcher of tests/relay/test_flow_searcher.py now belongs to an entry that has run for 0.7 s; its bounds are the same.

--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -37,6 +37,9 @@
 # Maximum pause between rounds, in seconds: half of a client's first
 # retransmission timeout.
 _MAX_PAUSE_S = 0.1
+# Time after the start of the process, in seconds, before which no search ends
+# without a host: status updates of hosts without a record arrive within it.
+_DISCOVERY_S = 0.6
 # Maximum number of unresponsive hosts listed in one log line.
 _MAX_LOGGED_HOSTS = 4
 
@@ -56,6 +59,7 @@
         '_round_pause_s',
         '_round_scheduled',
         '_searches',
+        '_started',
     )
 
     def __init__(
@@ -80,6 +84,7 @@
         self._hosts = hosts
         self._follower = follower
         self._monitor = monitor
+        self._started = node.loop.now
         self._reset = reset
         self._searches = FlowSearches()
         self._queries: dict[str, list[bytes]] = {}
@@ -230,7 +235,8 @@
         hosts: list[TrackedHost],
     ) -> bool:
         """End a search and reset the flow if no host can hold it."""
-        if not self._follower.listing.known:
+        is_starting = self._node.loop.now - self._started < _DISCOVERY_S
+        if is_starting or not self._follower.listing.known:
             return False
         unresponsive = search.unanswered(_addresses(hosts))
         self._monitor.probe(unresponsive)
--- a/tests/relay/test_flow_searcher.py
+++ b/tests/relay/test_flow_searcher.py
@@ -27,6 +27,7 @@
 MAX_QUERIES = 1100
 # Step of simulated time, in seconds.
 STEP_S = 0.05
+DISCOVERY_S = 0.7
 
 
 def flow_key(number: int) -> bytes:
@@ -85,6 +86,11 @@
         self.searcher = FlowSearcher(
             node, hosts, follower, self.monitor, self._reset
         )
+        # The entry has had the time to discover all hosts.
+        loop.now += DISCOVERY_S
+        for host in hosts.all():
+            host.last_seen = loop.now
+        listing.confirmed_at = loop.now
 
     def run_timers(self) -> None:
         """Run the timers that are due."""
