Count silence of a sidecar from its first probe, not by its interval

Callers would see: flows of a dead host that nobody resets (an entry among 410 hears a sidecar every 20.8 s and waited for three of these intervals), and resets beside a new host whose sidecar pauses for 0.7 s, as silence counted from the start of the entry. Change: silence counts from half a second before the first probe; probes begin after 0.6 s of silence where a packet or a search depends on the host, whatever interval was announced. A sidecar that stopped beside a host without a record may restart within 3 s. An entry is isolated also while more than half of the hosts leave a probe unanswered.

--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -85,7 +85,7 @@
         if ip not in self._hosts.probes:
             now = self._node.loop.now
             host = self._hosts.get(ip)
-            if host and not is_suspect(now - host.last_seen, host.interval_s):
+            if host and not is_suspect(now - host.last_seen):
                 # The common case, taken for nearly every packet.
                 return ENDED if host.status.state == reasons.ENDED else ''
             self._hosts.probes.begin(ip, now)
@@ -95,7 +95,7 @@
         return '' if reason == UNANSWERED and self._is_isolated() else reason
 
     def probe(self, ips: list[str]) -> None:
-        """Probe sidecars that have not answered a query."""
+        """Probe sidecars that have not answered, or never sent anything."""
         for ip in ips:
             self._hosts.probes.begin(ip, self._node.loop.now)
 
@@ -123,8 +123,9 @@
             'host': ip,
             'state': reasons.name_of(evidence.state) if host else 'unknown',
             'silent_ms': int(evidence.silent_s * _MS),
-            'interval_ms': int(evidence.interval_s * _MS),
+            'interval_ms': host.status.interval_ms if host else 0,
             'probes': evidence.unanswered,
+            'probed_ms': int(evidence.probed_s * _MS),
             'listed': inet_aton(ip) in listing.addresses,
             'listing_age_ms': _age_ms(listing.confirmed_at, now),
         }
@@ -134,11 +135,12 @@
         host = self._hosts.get(ip)
         if host:
             state = host.status.state
-            evidence = Evidence(state, now - host.last_seen, host.interval_s)
+            evidence = Evidence(state, now - host.last_seen)
         else:
-            evidence = Evidence(reasons.NONE, now - self._started, 0)
+            evidence = Evidence(reasons.NONE, now - self._started)
         evidence.unanswered = self._hosts.probes.unanswered(ip, now)
         if evidence.unanswered:
+            evidence.probed_s = self._hosts.probes.probed_s(ip, now)
             evidence.listed = self._is_listed(ip, now - evidence.silent_s)
         return evidence
 
@@ -155,8 +157,8 @@
     def _is_isolated(self) -> bool:
         """Return whether this process is isolated from the hosts.
 
-        It is if more than half of them are silent or unknown, which is
-        determined once per turn of the loop.
+        It is if more than half of them are silent, unknown, or have left a
+        probe unanswered, which is determined once per turn of the loop.
         """
         now = self._node.loop.now
         if self._isolation_checked_at == now:
@@ -164,7 +166,12 @@
         hosts = [
             host for host in self._hosts.all() if not self.has_left(host.ip)
         ]
-        silent = sum(1 for host in hosts if host.is_silent(now))
+        probes = self._hosts.probes
+        silent = sum(
+            1
+            for host in hosts
+            if host.is_silent(now) or probes.unanswered(host.ip, now)
+        )
         unknown = len(self.never_seen())
         self._isolated = (silent + unknown) * 2 > len(hosts) + unknown
         self._isolation_checked_at = now
@@ -177,9 +184,7 @@
         for host in self._hosts.all():
             if is_suspect(now - host.last_seen, host.interval_s):
                 probes.begin(host.ip, now)
-        if is_suspect(now - self._started, 0):
-            for ip in self.never_seen():
-                probes.begin(ip, now)
+        self.probe(self.never_seen())
 
     def _check_probes(self) -> None:
         if not self._node.receive_pending():
--- a/siskinbank/tracking/liveness.py
+++ b/siskinbank/tracking/liveness.py
@@ -37,6 +37,8 @@
 # be lost, and the pause in seconds between further ones.
 _MIN_UNANSWERED = 3
 _LATER_PAUSE_S = 1.0
+# Silence before the first probe that counts as missing messages, in seconds.
+_UNPROBED_SILENCE_S = 0.5
 # Probes during which this process did not run for this long, in seconds, prove
 # nothing: their answers may have been dropped.
 _MAX_CHECK_GAP_S = 0.5
@@ -53,9 +55,6 @@
 # The same for a sidecar that announced its stop: its host may still serve its
 # flows, which it discards after 15 s idle.
 _MAX_SILENCE_STOPPED_S = 15.0
-# Missed status updates after which a sidecar with a longer interval counts as
-# silent.
-_MISSED_UPDATES = 3
 
 
 class Evidence:
@@ -65,21 +64,21 @@
         state: reason code of the last status update, see
             ``admission.reasons``.
         silent_s: seconds since the last message from its sidecar.
-        interval_s: announced interval of the status updates, in seconds.
         unanswered: number of consecutive unanswered probes.
+        probed_s: seconds since the first of them.
         listed: whether the store has the host, by a listing that is newer than
             the last message; None if there is no such listing, or if it proves
             nothing.
     """
 
-    __slots__ = ('interval_s', 'listed', 'silent_s', 'state', 'unanswered')
+    __slots__ = ('listed', 'probed_s', 'silent_s', 'state', 'unanswered')
 
-    def __init__(self, state: int, silent_s: float, interval_s: float) -> None:
+    def __init__(self, state: int, silent_s: float) -> None:
         """Initialize without probes and without a listing."""
         self.state = state
         self.silent_s = silent_s
-        self.interval_s = interval_s
         self.unanswered = 0
+        self.probed_s: float = 0
         self.listed: bool | None = None
 
     @property
@@ -90,12 +89,13 @@
         return not self.listed
 
 
-def is_suspect(silent_s: float, interval_s: float) -> bool:
+def is_suspect(silent_s: float, interval_s: float = 0) -> bool:
     """Return whether a sidecar must be probed.
 
     Args:
         silent_s: seconds since the last message from the sidecar.
-        interval_s: announced interval of its status updates, in seconds.
+        interval_s: announced interval of its status updates, in seconds; 0 if a
+            packet or a search depends on its host.
     """
     return silent_s > max(_SUSPECT_AFTER_S, interval_s * _SUSPECT_INTERVALS)
 
@@ -116,13 +116,17 @@
         return ENDED
     if evidence.unanswered < _MIN_UNANSWERED:
         return ''
-    if evidence.is_unregistered and evidence.silent_s > _SUSPECT_AFTER_S:
-        return UNREGISTERED
+    stopping = evidence.state == reasons.STOPPING
+    if evidence.is_unregistered:
+        # A sidecar that stops may restart.
+        limit_s = _MAX_SILENCE_ONCE_S if stopping else _SUSPECT_AFTER_S
+        return UNREGISTERED if evidence.silent_s > limit_s else ''
     limit_s = _MAX_SILENCE_IDEMPOTENT_S if idempotent else _MAX_SILENCE_ONCE_S
-    limit_s = max(limit_s, evidence.interval_s * _MISSED_UPDATES)
-    if evidence.state == reasons.STOPPING:
+    if stopping:
         limit_s = _MAX_SILENCE_STOPPED_S
-    return UNANSWERED if evidence.silent_s > limit_s else ''
+    # With a long interval, silence begins before anything is wrong.
+    silent_s = min(evidence.silent_s, evidence.probed_s + _UNPROBED_SILENCE_S)
+    return UNANSWERED if silent_s > limit_s else ''
 
 
 class _Probe:
@@ -216,6 +220,11 @@
             return 0
         return probe.unanswered
 
+    def probed_s(self, ip: str, now: float) -> float:
+        """Return for how long a sidecar has been probed, in seconds."""
+        probe = self._probes.get(ip)
+        return now - probe.begun_at if probe else 0
+
     def check(self, now: float) -> list[str]:
         """Count unanswered probes and return the hosts to probe now.
 
