Bytes on an idle connection to the upstream close it

Callers got the answer to another caller's request: an upstream that sends an answer a second time, after the connection went back to the pool, had these bytes read as the answer to the next idempotent request on it. aiohttp keeps bytes that arrive on a pooled connection and hands them to the parser of the next request.

Ruled out: links between processes (requests are numbered per stream, frames are numbered too: tests/wire/test_streams.py), requests that are not idempotent (a connection each), answers after the deadline (the connection is closed: test_late_answer passes before and after), a copy that arrives with the answer (test_second_copy_under_load passes before and after).

A connection is reused only if it has no unread bytes, neither parsed nor in the socket's buffer. A copy that arrives after the next request was sent cannot be told apart in HTTP/1.1.

Before: test_second_copy fails, '/0' != '/1'. After: passes.

--- a/siskinbank/sidecar/upstream.py
+++ b/siskinbank/sidecar/upstream.py
@@ -1,10 +1,14 @@
 """HTTP client for the local upstream."""
 
+import select
+import weakref
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
 from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from yarl import URL
 
 from siskinbank.wire.headers import DEADLINE_HEADER
@@ -73,9 +77,42 @@
         await self._single_use_session.close()
 
 
+class _CheckedConnector(aiohttp.TCPConnector):
+    """Connector that reuses only connections without unread bytes.
+
+    Bytes that no request waits for, such as a second copy of an answer, would
+    be read as the answer to the next request on the connection.
+    """
+
+    def __init__(self, *, limit: int, force_close: bool) -> None:
+        super().__init__(limit=limit, force_close=force_close)
+        self._known: weakref.WeakSet[ResponseHandler] = weakref.WeakSet()
+
+    async def connect(self, *given: Any, **options: Any) -> Connection:
+        """Return a connection for a request, from the pool or a new one."""
+        connection = await super().connect(*given, **options)
+        while connection.protocol in self._known and _has_input(connection):
+            connection.close()
+            connection = await super().connect(*given, **options)
+        if connection.protocol is not None:
+            self._known.add(connection.protocol)
+        return connection
+
+
+def _has_input(connection: Connection) -> bool:
+    """Return whether bytes or an end of stream wait on an idle connection."""
+    protocol = connection.protocol
+    transport = connection.transport
+    if protocol is None or transport is None or protocol.should_close:
+        return True
+    poll = select.poll()
+    poll.register(transport.get_extra_info('socket'), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _open_session(*, force_close: bool) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=_CheckedConnector(
             limit=_MAX_CONNECTIONS,
             force_close=force_close,
         ),
