An answer that a reset ends is not complete

Callers got an answer of an upstream that broke off as a complete one: if its end is marked only by the close of the connection, aiohttp takes a reset for the close. The entry then sent the chunk that ends the answer.

Ruled out by test_broken_off, which passed before for a short body with a length, and for chunked answers that end inside a size, a chunk, the trailer or before the last byte, with a close or a reset; test_empty shows that answers to HEAD and 204 and 304 end after the head. A close without a reset cannot be told from the end of such an answer.

The answer now remembers how its connection ended.

Before: test_broken_off fails for 'close-delimited, reset' and 'close-delimited, reset before body', with asyncio and with uvloop, which the processes use. After: passes with both.

--- a/siskinbank/sidecar/requests.py
+++ b/siskinbank/sidecar/requests.py
@@ -13,9 +13,8 @@
 from siskinbank.sidecar.execution_claims import ExecutionClaims
 from siskinbank.sidecar.fencing import KeyFencer
 from siskinbank.sidecar.slots import SlotQueue
-from siskinbank.sidecar.upstream import UpstreamClient
+from siskinbank.sidecar.upstream import UpstreamAnswer, UpstreamClient
 from siskinbank.wire.bodies import (
-    CHUNK_BYTES,
     INITIAL_CREDIT_BYTES,
     WINDOW_BYTES,
     BodyReader,
@@ -373,7 +372,7 @@
     async def _forward_answer(
         self,
         request: _RunningRequest,
-        answer: aiohttp.ClientResponse,
+        answer: UpstreamAnswer,
     ) -> None:
         number = request.head.number
         stream = request.link.stream
@@ -387,10 +386,7 @@
             ),
         )
 
-        async def read() -> bytes:
-            return await answer.content.read(CHUNK_BYTES)
-
-        await send_body(number, read, stream.send, request.window)
+        await send_body(number, answer.read_chunk, stream.send, request.window)
 
 
 def _content_length(answer: aiohttp.ClientResponse) -> int:
--- a/siskinbank/sidecar/upstream.py
+++ b/siskinbank/sidecar/upstream.py
@@ -1,5 +1,6 @@
 """HTTP client for the local upstream."""
 
+import asyncio
 import select
 import weakref
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -11,15 +12,57 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
+from siskinbank.wire.bodies import CHUNK_BYTES
 from siskinbank.wire.headers import DEADLINE_HEADER
 from siskinbank.wire.request_messages import RequestHead
 
-__all__ = ('UpstreamClient',)
+__all__ = ('UpstreamAnswer', 'UpstreamClient')
 
 _CONNECT_TIMEOUT_SECONDS = 2
 #: 0 means no limit; the slots bound the number of requests.
 _MAX_CONNECTIONS = 0
 _LENGTH_HEADER = 'Content-Length'
+_BODILESS_STATUSES = frozenset((204, 304))
+
+
+class UpstreamAnswer(aiohttp.ClientResponse):
+    """Answer of an upstream, whose end is checked."""
+
+    def __init__(self, *given: Any, **options: Any) -> None:
+        """Initialize an answer that is not yet received."""
+        super().__init__(*given, **options)
+        self._connection_end: asyncio.Future[None] | None = None
+
+    async def start(self, connection: Connection) -> 'UpstreamAnswer':
+        """Receive the head of the answer."""
+        assert connection.protocol is not None
+        self._connection_end = connection.protocol.closed
+        await super().start(connection)
+        return self
+
+    async def read_chunk(self) -> bytes:
+        """Return the next bytes of the body, or no bytes at its end.
+
+        Raises:
+            aiohttp.ClientPayloadError: the body is incomplete.
+        """
+        chunk = await self.content.read(CHUNK_BYTES)
+        if not chunk and self._ends_with_connection() and self._was_reset():
+            raise aiohttp.ClientPayloadError('connection was reset')
+        return chunk
+
+    def _ends_with_connection(self) -> bool:
+        """Return whether only a regular close marks the end of the body."""
+        if self.method == 'HEAD' or self.status in _BODILESS_STATUSES:
+            return False
+        coding = self.headers.get('Transfer-Encoding', '').lower()
+        return self.content_length is None and 'chunked' not in coding
+
+    def _was_reset(self) -> bool:
+        end = self._connection_end
+        if end is None or not end.done():
+            return False
+        return end.cancelled() or end.exception() is not None
 
 
 class UpstreamClient:
@@ -41,7 +84,7 @@
         head: RequestHead,
         left: float,
         read: Callable[[], Awaitable[bytes]],
-    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+    ) -> AbstractAsyncContextManager[UpstreamAnswer]:
         """Send one request.
 
         The result is an asynchronous context manager of the response; leaving
@@ -95,9 +138,17 @@
             connection.close()
             connection = await super().connect(*given, **options)
         if connection.protocol is not None:
-            self._known.add(connection.protocol)
+            self._add_known(connection.protocol)
         return connection
 
+    def _add_known(self, protocol: ResponseHandler) -> None:
+        if protocol in self._known:
+            return
+        self._known.add(protocol)
+        # The future exists only if it was asked for before the end.
+        if protocol.closed is not None:
+            protocol.closed.add_done_callback(_retrieve_error)
+
 
 def _has_input(connection: Connection) -> bool:
     """Return whether bytes or an end of stream wait on an idle connection."""
@@ -110,12 +161,19 @@
     return bool(poll.poll(0))
 
 
+def _retrieve_error(done: asyncio.Future[None]) -> None:
+    """Mark an error as seen; it is reported to a request, if one is open."""
+    if not done.cancelled():
+        done.exception()
+
+
 def _open_session(*, force_close: bool) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=_CheckedConnector(
             limit=_MAX_CONNECTIONS,
             force_close=force_close,
         ),
+        response_class=UpstreamAnswer,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(
