A broken-off answer to an HTTP/1.0 caller ends with a reset

Callers with HTTP/1.0 got a broken-off answer of unknown length as a complete one: the close of the connection marks its end, and aborting the transport closes the connection regularly (FIN) unless bytes of the caller are unread.

Ruled out: callers with HTTP/1.1 (the last chunk is missing) and answers with a length, in test_broken_off.

Such a connection now has a linger time of 0 from before the head of the answer until its end, so that an abort, and also the death of the process, resets it.

Before: test_broken_off_for_old_callers fails for the 11 answers without a length ('was_reset=False'), with asyncio. After: passes with asyncio and uvloop.

--- a/siskinbank/entry/exchanges.py
+++ b/siskinbank/entry/exchanges.py
@@ -3,12 +3,13 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from siskinbank.entry.calls import Call
 from siskinbank.entry.links import Exchange, LinkLostError, RequestLink
 from siskinbank.kernel.outcomes import Answered, NotRun, Unknown
 from siskinbank.kernel.reasons import Doubt, Refusal
+from siskinbank.peers.linger import close_with_fin, close_with_reset
 from siskinbank.wire.bodies import BodyTruncatedError, send_body
 from siskinbank.wire.headers import OUTCOME_HEADER, header_problem
 from siskinbank.wire.request_messages import (
@@ -175,6 +176,10 @@
         response.content_length = head.length
     if call.closing():
         response.force_close()
+    transport = call.request.transport
+    if head.length < 0 and call.request.version < HttpVersion11:
+        # The close of the connection will mark the end of the answer.
+        close_with_reset(transport)
     time_left = call.remaining if call.bounded else None
     try:
         async with asyncio.timeout(time_left):
@@ -183,6 +188,7 @@
     except (BodyTruncatedError, TimeoutError, OSError):
         call.abort_connection()
         return False
+    close_with_fin(transport)
     return True
 
 
--- a/tests/sidecar/test_upstream_answers.py
+++ b/tests/sidecar/test_upstream_answers.py
@@ -63,6 +63,17 @@
                 got = await self._answer(_ASK % b'GET', answer, with_reset)
                 self._assert_incomplete(got.content)
 
+    async def test_broken_off_for_old_callers(self) -> None:
+        """A caller whose answers end with the connection gets a reset."""
+        ask = b'GET / HTTP/1.0\r\nHost: a\r\n\r\n'
+        for label, answer, with_reset in BROKEN_OFF:
+            with self.subTest(label):
+                got = await self._answer(ask, answer, with_reset)
+                if b'Content-Length' in got.content:
+                    self.assertNotEqual(got.body, b'1234567890')
+                else:
+                    self.assertTrue(got.was_reset, got)
+
     async def test_empty(self) -> None:
         """An answer without a body ends after its head."""
         for method, status, header in EMPTY:
