A tunnelled flow ends regularly only when all its bytes have left

Callers of the tcp ingress got an answer that broke off halfway as a complete one: if the entry was killed, or a second signal or a failed start ended it, its sockets were closed regularly (FIN). A planned stop could cut the end of an answer: the pump ended while up to 64 KB waited in the write buffer for a slow caller, and the process with it. And a sidecar that had passed on the end of an answer closed the TLS stream, which drops what the entry hasn't taken within 30 s (read in the code, not shown by a run).

Ruled out: killed sidecar, cut streams, resets of caller or upstream (tests pass before and after); requests: their length or last chunk is missing.

The connection now resets on any close until all bytes are written; the pump waits for that, and the sidecar for the entry to close the stream.

Before: test_cancelled and test_end_waits_for_slow_caller fail with asyncio and uvloop, test_killed_entry_resets_flows fails ('ConnectionResetError not raised'). After: all pass.

--- a/siskinbank/peers/pump.py
+++ b/siskinbank/peers/pump.py
@@ -6,23 +6,23 @@
 """
 
 import asyncio
-import socket
 import struct
 
+from siskinbank.peers.linger import close_with_fin, close_with_reset
 from siskinbank.wire.streams import MessageStream
 
 __all__ = ('pump_both',)
 
 _CHUNK_BYTES = 64 * 1024
 _LENGTH = struct.Struct('!I')
-#: Linger time 0: closing discards unsent bytes and sends a reset.
-_LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
 async def pump_both(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
     stream: MessageStream,
+    *,
+    wait_for_close: bool = False,
 ) -> None:
     """Copy in both directions until both sides have ended, then close both.
 
@@ -30,19 +30,34 @@
         reader: the bytes that the connection's peer sends.
         writer: the other direction of the connection.
         stream: the stream to the process at the other end.
+        wait_for_close: whether to close the stream only after the other
+            process has done so, which it does when its connection has taken
+            all bytes. Closing a TLS stream earlier limits the time for that.
     """
+    close_with_reset(writer.transport)
     try:
         async with asyncio.TaskGroup() as group:
             group.create_task(_copy_to_stream(reader, stream.writer))
             group.create_task(_copy_from_stream(stream.reader, writer))
+        await _flush(writer)
+        close_with_fin(writer.transport)
+        if wait_for_close:
+            await stream.reader.read(1)
+        await stream.close()
     except* (OSError, EOFError):
-        _reset(writer)
+        writer.transport.abort()
         stream.writer.transport.abort()
     finally:
         writer.close()
         stream.writer.close()
 
 
+async def _flush(writer: asyncio.StreamWriter) -> None:
+    """Wait until the write buffer is empty, as the process may end then."""
+    writer.transport.set_write_buffer_limits(high=0)
+    await writer.drain()
+
+
 async def _copy_to_stream(
     reader: asyncio.StreamReader,
     stream_writer: asyncio.StreamWriter,
@@ -73,11 +88,3 @@
         await writer.drain()
     if writer.can_write_eof():
         writer.write_eof()
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Close with a reset, so that the other side sees no regular end."""
-    sock = writer.get_extra_info('socket')
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
-    writer.transport.abort()
--- a/siskinbank/sidecar/streams.py
+++ b/siskinbank/sidecar/streams.py
@@ -115,7 +115,7 @@
             return
         await stream.send(TunnelOpened())
         context.process.metrics.tally('flows_opened')
-        await pump_both(reader, writer, stream)
+        await pump_both(reader, writer, stream, wait_for_close=True)
     finally:
         limits.connections.give_back()
 
