An error in a timer's callback no longer stops all timers

One unexpected error in any callback of a timer ended the timer service: the process stayed up, but sent no gossip, read no key file, checked no upstream and closed no idle link until it was restarted.

Ruled out: handlers of datagrams and other callbacks of the event loop, after which asyncio and uvloop go on; their errors were written to standard error without an event, and are now logged as handler failures too.

--- a/siskinbank/kernel/process.py
+++ b/siskinbank/kernel/process.py
@@ -32,6 +32,7 @@
         self.timers = timers or TimerService()
         self.metrics = Metrics()
         self.log = events.EventLog(role, name)
+        self.timers.on_error = self.log.write_failure
         self.stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._drain_callbacks: list[Callable[[], Awaitable[None]]] = []
@@ -115,6 +116,9 @@
         context.stopping.set()
 
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(
+        lambda _loop, failure: _log_failure(context, failure),
+    )
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop)
     context.start_task(context.timers.run())
@@ -128,6 +132,13 @@
         await context.close()
 
 
+def _log_failure(context: ProcessContext, failure: dict[str, Any]) -> None:
+    """Log an error of a callback that the event loop caught."""
+    error = failure.get('exception')
+    cause = repr(error) if error is not None else failure.get('message', '')
+    context.log.write(events.HANDLER_FAILED, error=cause)
+
+
 async def _stop(
     context: ProcessContext, stop_immediately: asyncio.Event
 ) -> int:
--- a/siskinbank/kernel/timers.py
+++ b/siskinbank/kernel/timers.py
@@ -57,6 +57,8 @@
         self._rng = rng or random.Random()
         self._queue: list[tuple[float, int, Subscription]] = []
         self._sequence_numbers = itertools.count()
+        #: Called with the error of a callback; the service goes on.
+        self.on_error: Callable[[Exception], None] = _raise
 
     @property
     def clock(self) -> Clock:
@@ -107,9 +109,12 @@
             subscription = heapq.heappop(self._queue)[2]
             if subscription.cancelled:
                 continue
-            subscription.callback()
             if subscription.interval is not None:
                 self._push(subscription, self._period(subscription))
+            try:
+                subscription.callback()
+            except Exception as error:
+                self.on_error(error)
         if not self._queue:
             return _MAX_SLEEP_SECONDS
         return max(self._queue[0][0] - self._clock(), 0)
@@ -130,3 +135,7 @@
         heapq.heappush(
             self._queue, (due, next(self._sequence_numbers), subscription)
         )
+
+
+def _raise(error: Exception) -> None:
+    raise error
--- a/tests/kernel/test_timers.py
+++ b/tests/kernel/test_timers.py
@@ -42,6 +42,18 @@
         self.timers.run_due()
         self.assertEqual(self.calls, [])
 
+    def test_failing_callback(self) -> None:
+        """An error of a callback is reported; all callbacks go on."""
+        errors: list[Exception] = []
+        self.timers.on_error = errors.append
+        self.timers.every(1, self._fail)
+        self.timers.every(1, self.record_call)
+        for _ in range(3):
+            self.clock.advance(1)
+            self.timers.run_due()
+        self.assertEqual(self.calls, [1, 2, 3])
+        self.assertEqual(len(errors), 3)
+
     def test_rejects_bad_interval(self) -> None:
         """The interval must be positive."""
         for interval in (0, -1):
@@ -52,3 +64,6 @@
         """``run_due`` returns the seconds until the next callback."""
         self.timers.after(3, self.record_call)
         self.assertEqual(self.timers.run_due(), 3)
+
+    def _fail(self) -> None:
+        raise KeyError('x')
