Compressed request bodies are forwarded as they are

Upstreams got the body of a request with Content-Encoding: gzip decompressed, but still with that header: the HTTP server of the entry decompresses bodies unless told otherwise. A body that is not valid gzip got a 500 without an outcome. Answers were forwarded unchanged before.

Before: test_compressed fails (the body differs). After: passes.

--- a/siskinbank/ingress/http.py
+++ b/siskinbank/ingress/http.py
@@ -114,6 +114,7 @@
         keepalive_timeout=_KEEP_ALIVE_SECONDS,
         max_line_size=_MAX_LINE_BYTES,
         max_field_size=MAX_HEADER_BYTES,
+        auto_decompress=False,
     )
     runner = web.ServerRunner(server)
     await runner.setup()
--- a/tests/ingress/test_http.py
+++ b/tests/ingress/test_http.py
@@ -1,6 +1,7 @@
 """Tests of the request path: bodies, cancelling, deadlines, stops, faults."""
 
 import asyncio
+import gzip
 from collections import Counter
 from typing import Any
 
@@ -21,6 +22,7 @@
     ResponseHead,
 )
 from siskinbank.wire.streams import MessageStream
+from tests.raw_http import read_request, serving
 from tests.request_case import RequestCase, running_rig
 
 LARGE = 3_000_000
@@ -79,6 +81,28 @@
                 got = await self.post(rig.urls()[0], sent)  # type: ignore[arg-type]
                 self.assertEqual(got, ('answered', body))
 
+    async def test_compressed(self) -> None:
+        """A compressed body reaches the upstream as it was sent."""
+        body = gzip.compress(b'body' * 1000)
+        got = bytearray()
+
+        async def serve(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            got.extend(await read_request(reader))
+            got.extend(await reader.readexactly(len(body)))
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+
+        async with running_rig(entries=1, hosts=1) as rig:
+            async with serving(rig.hosts['matcher-1'], serve):
+                outcome, _body = await self.post(
+                    rig.urls()[0], body, Content_Encoding='gzip'
+                )
+        self.assertEqual(outcome, 'answered')
+        self.assertIn(b'Content-Encoding: gzip', got)
+        self.assertTrue(got.endswith(body))
+
     async def test_slow_bodies_do_not_block_others(self) -> None:
         """Other requests pass a slow sender and a slow reader on one link."""
         async with running_rig(entries=1, hosts=1, slots=5) as rig:
