--- a/siskinbank/entry/exchanges.py
+++ b/siskinbank/entry/exchanges.py
@@ -35,12 +35,12 @@
     If the result is an answer, it has been sent to the caller already.
     """
     exchange = link.open()
-    # Numbers must reach the sidecar in order, so nothing may be awaited between
-    # these two calls.
-    exchange.post(_request_head(exchange.number, call, link))
     sender = asyncio.create_task(_send_request_body(exchange, call))
     finished = False
     try:
+        # Numbers must reach the sidecar in order, so nothing may be awaited
+        # between opening the exchange and this call.
+        exchange.post(_request_head(exchange.number, call, link))
         reply = await _wait_for_reply(exchange, call, link)
         if not isinstance(reply, ResponseHead):
             finished = isinstance(reply, NotRun)
--- a/siskinbank/wire/headers.py
+++ b/siskinbank/wire/headers.py
@@ -66,18 +66,31 @@
 
 
 def forwarded_headers(headers: Mapping[str, str]) -> list[list[str]]:
-    """Return the headers to forward, without hop-by-hop headers."""
+    """Return the headers to forward, without hop-by-hop headers.
+
+    Values that are not in UTF-8 are read as ISO-8859-1, as HTTP used to define
+    them, since messages hold valid text only.
+    """
     connection_options = headers.get('Connection', '').lower().split(',')
     excluded = (
         _HOP_BY_HOP | _REWRITTEN | {name.strip() for name in connection_options}
     )
     return [
-        [name, text]
+        [name, _valid_text(text)]
         for name, text in headers.items()
         if name.lower() not in excluded
     ]
 
 
+def _valid_text(text: str) -> str:
+    """Return a header value in which the parser has escaped no bytes."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return text.encode(errors='surrogateescape').decode('iso-8859-1')
+    return text
+
+
 def header_problem(headers: Sequence[Any]) -> str | None:
     """Return why the headers of a received message are invalid, or None.
 
--- a/tests/ingress/test_http.py
+++ b/tests/ingress/test_http.py
@@ -22,7 +22,7 @@
     ResponseHead,
 )
 from siskinbank.wire.streams import MessageStream
-from tests.raw_http import read_request, serving
+from tests.raw_http import exchange, read_request, serving
 from tests.request_case import RequestCase, running_rig
 
 LARGE = 3_000_000
@@ -103,6 +103,29 @@
         self.assertIn(b'Content-Encoding: gzip', got)
         self.assertTrue(got.endswith(body))
 
+    async def test_headers_in_latin_1(self) -> None:
+        """Header values that are not in UTF-8 are forwarded both ways."""
+        got = bytearray()
+
+        async def serve(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            got.extend(await read_request(reader))
+            writer.write(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: caf\xe9\r\n\r\n'
+            )
+
+        async with running_rig(entries=1, hosts=1) as rig:
+            async with serving(rig.hosts['matcher-1'], serve):
+                answer = await exchange(
+                    rig,
+                    b'GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n'
+                    b'X: caf\xe9\r\nY: \xc3\xa9\r\n\r\n',
+                )
+        self.assertIn('X: café\r\n'.encode(), answer.content)
+        self.assertIn('X: café\r\nY: é\r\n'.encode(), got)
+
     async def test_slow_bodies_do_not_block_others(self) -> None:
         """Other requests pass a slow sender and a slow reader on one link."""
         async with running_rig(entries=1, hosts=1, slots=5) as rig:
