A planned stop of an entry first accepts the connections in its backlog

Callers who had connected just before a planned stop got a reset: closing a listening socket resets the connections that wait in its backlog, and under load there are always some.

Both ingresses now let the event loop accept these before they close the socket, for up to a second. A connection that arrives between the last look and the close, some microseconds later, can still be reset.

Seen on the way: the pump ended with an unexpected RuntimeError if uvloop had closed a transport, and a sidecar logged a tunnel that the entry gave up as a failed handler. The upstream of the tests now has a backlog of 128, as its 5 made TCP callers wait for 2 s and then get a close without bytes.

--- a/siskinbank/ingress/http.py
+++ b/siskinbank/ingress/http.py
@@ -9,6 +9,7 @@
 from siskinbank.entry.context import EntryContext
 from siskinbank.entry.problems import problem_response
 from siskinbank.entry.ticketing import issue_ticket
+from siskinbank.ingress.listening import accept_waiting, listen
 from siskinbank.ingress.parse_log import make_parse_logger
 from siskinbank.ingress.registry import (
     IngressHandle,
@@ -119,7 +120,8 @@
     runner = web.ServerRunner(server)
     await runner.setup()
     bound = context.settings.listen if address == '0.0.0.0' else address
-    site = web.TCPSite(runner, bound, port)
+    sock = listen(bound, port)
+    site = web.SockSite(runner, sock)
     await site.start()
     open_work = context.process.open_work
     open_work[f'requests on port {port}'] = lambda: len(ingress.open_calls)
@@ -127,6 +129,7 @@
     async def drain() -> None:
         """Finish requests on open connections, then close these."""
         ingress.closing = True
+        await accept_waiting(sock)
         await site.stop()
         await asyncio.sleep(_LINGER_SECONDS)
         while ingress.open_calls:
--- /dev/null
+++ b/siskinbank/ingress/listening.py
@@ -0,0 +1,36 @@
+"""Listening sockets that are closed without cutting off callers."""
+
+import asyncio
+import select
+import socket
+
+__all__ = ('accept_waiting', 'listen')
+
+_BACKLOG = 128
+_ACCEPT_SECONDS = 1.0
+
+
+def listen(address: str, port: int) -> socket.socket:
+    """Return a listening socket.
+
+    Raises:
+        OSError: the address could not be bound.
+    """
+    sock = socket.create_server((address, port), backlog=_BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+async def accept_waiting(sock: socket.socket) -> None:
+    """Let the event loop accept the connections that wait in the backlog.
+
+    To their callers they are open, and closing the socket would reset them.
+    The caller of this function must close it without awaiting in between.
+    """
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    loop = asyncio.get_running_loop()
+    # New callers may connect as fast as they are accepted.
+    until = loop.time() + _ACCEPT_SECONDS
+    while poll.poll(0) and loop.time() < until:
+        await asyncio.sleep(0)
--- a/siskinbank/ingress/tcp.py
+++ b/siskinbank/ingress/tcp.py
@@ -4,6 +4,7 @@
 
 from siskinbank.config.site import Host, Service
 from siskinbank.entry.context import EntryContext
+from siskinbank.ingress.listening import accept_waiting, listen
 from siskinbank.ingress.registry import (
     IngressHandle,
     IngressPlugin,
@@ -44,14 +45,16 @@
         task.add_done_callback(open_flows.discard)
 
     bound = context.settings.listen if address == '0.0.0.0' else address
-    server = await asyncio.start_server(accept, bound, port)
+    sock = listen(bound, port)
+    server = await asyncio.start_server(accept, sock=sock)
 
     open_work = context.process.open_work
     open_work[f'connections on port {port}'] = lambda: len(open_flows)
 
     async def drain() -> None:
+        await accept_waiting(sock)
         server.close()
-        if open_flows:
+        while open_flows:
             await asyncio.wait(open_flows)
 
     return IngressHandle(drain)
--- a/siskinbank/peers/pump.py
+++ b/siskinbank/peers/pump.py
@@ -44,7 +44,8 @@
         if wait_for_close:
             await stream.reader.read(1)
         await stream.close()
-    except* (OSError, EOFError):
+    # Closed transports of uvloop raise RuntimeError.
+    except* (OSError, EOFError, RuntimeError):
         writer.transport.abort()
         stream.writer.transport.abort()
     finally:
@@ -54,7 +55,8 @@
 
 async def _flush(writer: asyncio.StreamWriter) -> None:
     """Wait until the write buffer is empty, as the process may end then."""
-    writer.transport.set_write_buffer_limits(high=0)
+    if not writer.transport.is_closing():
+        writer.transport.set_write_buffer_limits(high=0)
     await writer.drain()
 
 
--- a/siskinbank/sidecar/streams.py
+++ b/siskinbank/sidecar/streams.py
@@ -4,7 +4,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from siskinbank.kernel.reasons import Refusal
+from siskinbank.kernel.reasons import Drop, Refusal
 from siskinbank.peers.pump import pump_both
 from siskinbank.sidecar.context import SidecarContext
 from siskinbank.sidecar.requests import RequestServer
@@ -64,6 +64,8 @@
             await requests.serve(stream)
         elif isinstance(hello, OpenTunnel):
             await _track(tunnels, _serve_tunnel(context, stream, hello))
+    except OSError:
+        context.process.metrics.count(Drop.link_lost)
     finally:
         stream.writer.close()
 
--- a/tests/first_service.py
+++ b/tests/first_service.py
@@ -116,10 +116,7 @@
 
     def _start_upstream(self, directory: str) -> None:
         handler = functools.partial(_QuietHandler, directory=directory)
-        server = ThreadingHTTPServer(
-            (LOOPBACK, self.ports[0]),
-            handler,
-        )
+        server = _Upstream((LOOPBACK, self.ports[0]), handler)
         threading.Thread(target=server.serve_forever, daemon=True).start()
         self.addCleanup(server.server_close)
         self.addCleanup(server.shutdown)
@@ -128,6 +125,10 @@
         return [sys.executable, '-m', 'siskinbank', *arguments]
 
 
+class _Upstream(ThreadingHTTPServer):
+    request_queue_size = 128
+
+
 class _QuietHandler(SimpleHTTPRequestHandler):
     def log_message(self, *_args: object) -> None:
         """Write nothing."""
--- a/tests/lab/test_stops.py
+++ b/tests/lab/test_stops.py
@@ -3,10 +3,14 @@
 import signal
 import socket
 import subprocess
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 from tests.first_service import LOOPBACK, FirstServiceCase, fetch_with_retries
 
 _HEAD_BYTES = 1000
+_CALLERS = 20
+_LOAD_SECONDS = 2
 _READ_BYTES = 64 * 1024
 #: Small, so that most of the page waits in the processes.
 _RECEIVE_BUFFER_BYTES = 4096
@@ -82,3 +86,50 @@
         while part := caller.recv(_READ_BYTES):
             parts.append(part)
         return b''.join(parts)
+
+
+class TestStopsUnderLoad(FirstServiceCase):
+    """Stops while callers connect as fast as they can."""
+
+    page_bytes = 1000
+
+    def test_planned_stop_of_entry(self) -> None:
+        """A connection that was accepted gets an answer."""
+        for number in (6, 7):
+            fetch_with_retries(f'http://{LOOPBACK}:{self.ports[number]}/page')
+        with ThreadPoolExecutor(2 * _CALLERS) as pool:
+            callers = [
+                pool.submit(self._call_until_refused, port)
+                for port in self.ports[6:8] * _CALLERS
+            ]
+            time.sleep(_LOAD_SECONDS)
+            self.entry.send_signal(signal.SIGTERM)
+            results = [caller.result() for caller in callers]
+        self.assertEqual(self.entry.wait(20), 0)
+        self.assertTrue(all(answered for answered, _cut in results))
+        self.assertEqual([cut for _answered, cut in results if cut], [])
+
+    def _call_until_refused(self, port: int) -> tuple[int, list[str]]:
+        """Return the number of answers, and what callers without one saw."""
+        answered = 0
+        cut = []
+        while True:
+            try:
+                caller = socket.create_connection((LOOPBACK, port), timeout=10)
+            except ConnectionRefusedError:
+                return answered, cut
+            with caller:
+                got = self._ask_once(caller)
+            if got.startswith('HTTP/1.'):
+                answered += 1
+            else:
+                cut.append(got)
+
+    def _ask_once(self, caller: socket.socket) -> str:
+        try:
+            caller.sendall(
+                b'GET /page HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+            )
+            return caller.recv(_HEAD_BYTES).decode()
+        except OSError as error:
+            return repr(error)
