JSON from outside that nests too deeply is malformed

A published document with deeply nested JSON ended the task that follows the platform, at a reader and at each process that got the document from a peer by way of it; no later configuration was read there until a restart. A health report like that, or with an uptime beyond a float, was not noted: the upstream kept its last health, and each check logged a failed handler. json raises RecursionError, which is no ValueError.

That the follower's task ends was read in the code.

--- a/siskinbank/config/sections.py
+++ b/siskinbank/config/sections.py
@@ -1,6 +1,5 @@
 """Split an effective document into published sections and join them."""
 
-import json
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,7 +15,7 @@
     Site,
 )
 from siskinbank.kernel.findings import Findings, Place
-from siskinbank.util import canonical_json, hex_digest
+from siskinbank.util import canonical_json, hex_digest, parse_json
 
 __all__ = (
     'DocumentKey',
@@ -69,7 +68,7 @@
     Raises:
         ValueError: the bytes are not a manifest.
     """
-    parsed = json.loads(raw)
+    parsed = parse_json(raw)
     if not isinstance(parsed, list) or len(parsed) != 2:
         raise ValueError('manifest is not a list of two elements')
     generation, sections = parsed
--- a/siskinbank/coordination/client.py
+++ b/siskinbank/coordination/client.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import json
 import random
 import secrets
 from collections.abc import Awaitable, Callable, Mapping, Sequence
@@ -20,6 +19,7 @@
 from siskinbank.kernel.clock import Clock, boot_seconds
 from siskinbank.kernel.outcomes import NotRun, Unknown
 from siskinbank.kernel.reasons import Doubt, Refusal
+from siskinbank.util import parse_json
 from siskinbank.wire.headers import (
     DEADLINE_HEADER,
     IDEMPOTENT_HEADER,
@@ -325,7 +325,7 @@
     with contextlib.suppress(ValueError, KeyError):
         retry_after = float(answer.headers['Retry-After'])
     try:
-        problem = json.loads(body)
+        problem = parse_json(body)
         if problem['outcome'] == 'not-run':
             return NotRun(Refusal(problem['reason']), retry_after)
         return Unknown(Doubt(problem['reason']), retry_after)
--- a/siskinbank/directory/store.py
+++ b/siskinbank/directory/store.py
@@ -7,7 +7,6 @@
 older generation.
 """
 
-import json
 import zlib
 from collections.abc import Callable
 from typing import Any
@@ -23,7 +22,7 @@
 from siskinbank.kernel.findings import Findings, Place
 from siskinbank.kernel.metrics import Metrics
 from siskinbank.kernel.reasons import Ignored
-from siskinbank.util import hex_digest
+from siskinbank.util import hex_digest, parse_json
 
 __all__ = ('NO_DOCUMENT', 'DocumentStore', 'Judge', 'judge_document')
 
@@ -48,7 +47,7 @@
     parsed: dict[str, Any] = {}
     for name in manifest.sections:
         try:
-            parsed[name] = json.loads(read_section(name))
+            parsed[name] = parse_json(read_section(name))
         except ValueError as error:
             place = Place(f'generation-{manifest.generation}', 1, name)
             findings.add(place, f'not JSON ({error})', 'publish JSON')
--- a/siskinbank/sidecar/health_checks.py
+++ b/siskinbank/sidecar/health_checks.py
@@ -1,7 +1,6 @@
 """Health checks of the upstream: TCP probes and its health endpoint."""
 
 import asyncio
-import json
 from collections.abc import Awaitable, Callable
 from urllib.parse import urlsplit
 
@@ -14,8 +13,15 @@
 )
 from siskinbank.config.site import Address
 from siskinbank.sidecar.context import SidecarContext
-
-__all__ = ('probe', 'probe_address', 'read_report', 'start_health_checks')
+from siskinbank.util import parse_json
+
+__all__ = (
+    'parse_report',
+    'probe',
+    'probe_address',
+    'read_report',
+    'start_health_checks',
+)
 
 _INTERVAL_SECONDS = 0.3
 _PROBE_TIMEOUT_SECONDS = 0.5
@@ -119,14 +125,15 @@
             session.get(url, allow_redirects=False) as answer,
         ):
             raw = await answer.content.read(_MAX_REPORT_BYTES)
-            return _parse_report(answer.status, raw)
+            return parse_report(answer.status, raw)
     except (aiohttp.ClientError, OSError, TimeoutError):
         return LoadReport(Health.silent)
 
 
-def _parse_report(status: int, raw: bytes) -> LoadReport:
+def parse_report(status: int, raw: bytes) -> LoadReport:
+    """Return the report in the answer of a health endpoint."""
     try:
-        document = json.loads(raw)
+        document = parse_json(raw)
     except ValueError:
         document = None
     if not isinstance(document, dict):
@@ -141,5 +148,14 @@
     return LoadReport(
         health,
         None if incarnation is None else str(incarnation),
-        float(uptime) if isinstance(uptime, int | float) else None,
+        _seconds(uptime),
     )
+
+
+def _seconds(uptime: object) -> float | None:
+    if not isinstance(uptime, int | float):
+        return None
+    try:
+        return float(uptime)
+    except OverflowError:
+        return None
--- a/siskinbank/util.py
+++ b/siskinbank/util.py
@@ -10,6 +10,7 @@
     'digest64',
     'hex_digest',
     'parse_address',
+    'parse_json',
     'parse_url',
 )
 
@@ -35,6 +36,18 @@
     return text.encode()
 
 
+def parse_json(raw: bytes) -> Any:
+    """Parse a JSON document from outside.
+
+    Raises:
+        ValueError: the bytes are not JSON, or nested too deeply.
+    """
+    try:
+        return json.loads(raw)
+    except RecursionError as error:
+        raise ValueError('nested too deeply') from error
+
+
 def parse_url(text: str) -> str:
     """Validate an HTTP URL and return it unchanged.
 
--- a/tests/sidecar/test_health_checks.py
+++ b/tests/sidecar/test_health_checks.py
@@ -8,7 +8,7 @@
 from siskinbank.admission.health_monitor import Health, HealthMonitor, Verdict
 from siskinbank.kernel.clock import FakeClock
 from siskinbank.lab.standins.health import HealthEndpoint, HealthMode
-from siskinbank.sidecar.health_checks import probe, read_report
+from siskinbank.sidecar.health_checks import parse_report, probe, read_report
 
 
 class TestHealthChecks(unittest.IsolatedAsyncioTestCase):
@@ -30,6 +30,15 @@
         """Stop the stand-in endpoint."""
         await self.runner.cleanup()
 
+    async def test_hostile_reports(self) -> None:
+        """Values that JSON allows but Python does not convert are ignored."""
+        uptime = b'{"uptime": %s}' % (b'9' * 400)
+        for raw in (b'[' * 60_000, uptime):
+            report = parse_report(200, raw)
+            self.assertEqual(
+                (report.health, report.uptime), (Health.good, None)
+            )
+
     async def test_modes(self) -> None:
         """Each mode of the endpoint gives the matching health."""
         for mode, health in (
