A planned stop waits for ingresses that open or close meanwhile

A planned stop of an entry cut off requests and connections if a configuration came at the same time: those of an ingress removed just before were not waited for, and an ingress that was being opened, or that a configuration added during the stop, accepted callers that nothing waited for either.

Found by reading the states in which a signal may come. Ruled out: a signal during the start (the stop begins when the start is done; nothing is accepted before) and a second signal (ends at once, as documented).

Before: test_removed_before_stop, test_added_during_stop and test_starting_at_stop fail. After: they pass.

--- a/siskinbank/entry/daemon.py
+++ b/siskinbank/entry/daemon.py
@@ -48,6 +48,8 @@
         self._context = context
         self._changed = asyncio.Event()
         self._open: dict[tuple[str, str, int], IngressHandle] = {}
+        self._draining: set[asyncio.Task[None]] = set()
+        self._updating = asyncio.Lock()
 
     def schedule_update(self) -> None:
         """Schedule an update after a change of the configuration."""
@@ -58,16 +60,21 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
-            await self._update()
+            async with self._updating:
+                await self._update()
 
     async def drain(self) -> None:
         """Stop accepting work and wait until open work has ended."""
-        handles = list(self._open.values())
-        await asyncio.gather(*(handle.drain() for handle in handles))
+        async with self._updating:
+            for handle in self._open.values():
+                self._start_drain(handle)
+            self._open.clear()
+        while self._draining:
+            await asyncio.wait(self._draining)
 
     async def _update(self) -> None:
         site = self._context.view.site
-        if site is None:
+        if site is None or self._context.process.stopping.is_set():
             return
         wanted = {
             (endpoint.ingress, endpoint.address, endpoint.port): service
@@ -75,11 +82,15 @@
             for endpoint in service.endpoints
         }
         for removed in self._open.keys() - wanted.keys():
-            handle = self._open.pop(removed)
-            self._context.process.start_task(handle.drain())
+            self._start_drain(self._open.pop(removed))
         for key in wanted.keys() - self._open.keys():
             await self._start(key)
 
+    def _start_drain(self, handle: IngressHandle) -> None:
+        task = self._context.process.start_task(handle.drain())
+        self._draining.add(task)
+        task.add_done_callback(self._draining.discard)
+
     async def _start(self, key: tuple[str, str, int]) -> None:
         process = self._context.process
         try:
