--- a/siskinbank/entry/exchanges.py
+++ b/siskinbank/entry/exchanges.py
@@ -3,12 +3,13 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from siskinbank.entry.calls import Call
 from siskinbank.entry.links import Exchange, LinkLostError, RequestLink
 from siskinbank.kernel.outcomes import Answered, NotRun, Unknown
 from siskinbank.kernel.reasons import Doubt, Refusal
+from siskinbank.peers.linger import close_with_fin, close_with_reset
 from siskinbank.wire.bodies import BodyTruncatedError, send_body
 from siskinbank.wire.headers import OUTCOME_HEADER, header_problem
 from siskinbank.wire.request_messages import (
@@ -25,6 +26,7 @@
 _PING_AFTER_SECONDS = 1.0
 _MIN_STATUS = 200
 _MAX_STATUS = 599
+_BODILESS_STATUSES = frozenset((204, 304))
 
 
 async def run_exchange(call: Call, link: RequestLink) -> Result:
@@ -33,12 +35,12 @@
     If the result is an answer, it has been sent to the caller already.
     """
     exchange = link.open()
-    # Numbers must reach the sidecar in order, so nothing may be awaited between
-    # these two calls.
-    exchange.post(_request_head(exchange.number, call, link))
     sender = asyncio.create_task(_send_request_body(exchange, call))
     finished = False
     try:
+        # Numbers must reach the sidecar in order, so nothing may be awaited
+        # between opening the exchange and this call.
+        exchange.post(_request_head(exchange.number, call, link))
         reply = await _wait_for_reply(exchange, call, link)
         if not isinstance(reply, ResponseHead):
             finished = isinstance(reply, NotRun)
@@ -175,26 +177,38 @@
         response.content_length = head.length
     if call.closing():
         response.force_close()
+    transport = call.request.transport
+    if head.length < 0 and call.request.version < HttpVersion11:
+        # The close of the connection will mark the end of the answer.
+        close_with_reset(transport)
     time_left = call.remaining if call.bounded else None
     try:
         async with asyncio.timeout(time_left):
             await response.prepare(call.request)
-            await _forward_body(exchange, response, head)
+            await _forward_body(exchange, response, _body_length(call, head))
     except (BodyTruncatedError, TimeoutError, OSError):
         call.abort_connection()
         return False
+    close_with_fin(transport)
     return True
 
 
+def _body_length(call: Call, head: ResponseHead) -> int:
+    """Return the size of the body in bytes, -1 if it is not known."""
+    if call.request.method == 'HEAD' or head.status in _BODILESS_STATUSES:
+        return 0
+    return head.length
+
+
 async def _forward_body(
     exchange: Exchange,
     response: web.StreamResponse,
-    head: ResponseHead,
+    length: int,
 ) -> None:
     size = 0
     while part := await exchange.body.read():
         size += len(part)
         await response.write(part)
-    if size and head.length not in {size, -1}:
-        raise BodyTruncatedError(f'received {size} of {head.length} bytes')
+    if length not in {size, -1}:
+        raise BodyTruncatedError(f'received {size} of {length} bytes')
     await response.write_eof()
