--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -141,7 +141,7 @@
         flow.last_seen = now
         if flow.contested:
             flow.select_holder(sequence_numbers(packet)[1])
-        gone = self._monitor.gone_reason(flow.ip, key)
+        gone = self._monitor.loss_reason(flow.ip, key)
         if gone:
             evidence = self._monitor.describe(flow.ip)
             self._reset(packet, 'host-gone', evidence=gone, **evidence)
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -242,7 +242,7 @@
         self._monitor.probe(unresponsive)
         gone: list[str] = []
         for ip in unresponsive + self._monitor.never_seen():
-            reason = self._monitor.gone_reason(ip, key)
+            reason = self._monitor.loss_reason(ip, key)
             if not reason:
                 return False
             gone.append(f'{ip}:{reason}')
--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -72,7 +72,7 @@
         node.loop.every(_SCAN_INTERVAL_S, self._probe_suspects)
         node.loop.every(_PROBE_INTERVAL_S, self._check_probes)
 
-    def gone_reason(self, ip: str, key: bytes) -> str:
+    def loss_reason(self, ip: str, key: bytes) -> str:
         """Return why the host of a flow counts as gone, empty if it may not be.
 
         A silent host that the store lists counts as alive while this process is
--- a/siskinbank/relay/rotation.py
+++ b/siskinbank/relay/rotation.py
@@ -92,7 +92,7 @@
         """Return the number of turns for a number of members of a group."""
         return self._rotations[group].turns(count)
 
-    def note_told(self, member: Member, turns: int) -> None:
+    def note_announced(self, member: Member, turns: int) -> None:
         """Record that a member was told to be selected within some turns."""
         self._due[member] = self._turn + turns
 
@@ -123,7 +123,7 @@
 
     def _note_selected(self, members: list[Member], turns: int) -> None:
         for member in members:
-            self.note_told(member, turns)
+            self.note_announced(member, turns)
 
     def _overdue(self) -> set[Any]:
         """Return the members to add; forget those that are in no group."""
--- a/siskinbank/relay/status_reporter.py
+++ b/siskinbank/relay/status_reporter.py
@@ -139,7 +139,7 @@
         group = self._group(ip, flow_entries)
         members = flow_entries if group == _USING else self._entries
         turns = self._turns.turns(group, len(members))
-        self._turns.note_told(ip, turns)
+        self._turns.note_announced(ip, turns)
         status = self._status()
         status.interval_ms = _interval_ms(turns)
         self._send_to(status, [ip])
--- a/siskinbank/tracking/liveness.py
+++ b/siskinbank/tracking/liveness.py
@@ -129,8 +129,13 @@
     return UNANSWERED if silent_s > limit_s else ''
 
 
-class _Probe:
-    """The probes of one sidecar since its last message."""
+class _ProbeSeries:
+    """The probes of one sidecar since its last message.
+
+    One probe is outstanding at a time. It is counted once, when its answer is
+    overdue; the next one is sent after a pause, unless a query of a search has
+    taken its place.
+    """
 
     __slots__ = (
         '_is_counted',
@@ -180,21 +185,21 @@
 class HostProbes:
     """Unanswered probes of an entry, by address of the host."""
 
-    __slots__ = ('_checked_at', '_probes')
+    __slots__ = ('_checked_at', '_series')
 
     def __init__(self) -> None:
         """Create an empty collection."""
-        self._probes: dict[str, _Probe] = {}
+        self._series: dict[str, _ProbeSeries] = {}
         self._checked_at = NEVER
 
     def __contains__(self, ip: str) -> bool:
         """Return whether a sidecar is being probed."""
-        return ip in self._probes
+        return ip in self._series
 
     def begin(self, ip: str, now: float) -> None:
         """Begin to probe a sidecar, unless it is being probed."""
-        if ip not in self._probes:
-            self._probes[ip] = _Probe(now)
+        if ip not in self._series:
+            self._series[ip] = _ProbeSeries(now)
 
     def note_query(self, ip: str, now: float) -> None:
         """Record that a query was sent to a sidecar.
@@ -202,28 +207,28 @@
         Load pattern: hundreds of searches at dozens of hosts after a loss of
         power; probes between their queries would add nothing.
         """
-        probe = self._probes.get(ip)
-        if probe:
-            probe.note_query(now)
+        series = self._series.get(ip)
+        if series:
+            series.note_query(now)
 
     def note_message(self, ip: str) -> None:
         """End the probes of a sidecar that sent a message."""
-        self._probes.pop(ip, None)
+        self._series.pop(ip, None)
 
     def unanswered(self, ip: str, now: float) -> int:
         """Return the number of consecutive unanswered probes of a sidecar.
 
         It is 0 while this process has not checked for answers recently.
         """
-        probe = self._probes.get(ip)
-        if probe is None or now - self._checked_at > _MAX_CHECK_GAP_S:
+        series = self._series.get(ip)
+        if series is None or now - self._checked_at > _MAX_CHECK_GAP_S:
             return 0
-        return probe.unanswered
+        return series.unanswered
 
     def probed_s(self, ip: str, now: float) -> float:
         """Return for how long a sidecar has been probed, in seconds."""
-        probe = self._probes.get(ip)
-        return now - probe.begun_at if probe else 0
+        series = self._series.get(ip)
+        return now - series.begun_at if series else 0
 
     def check(self, now: float) -> list[str]:
         """Count unanswered probes and return the hosts to probe now.
@@ -233,11 +238,11 @@
         has_stalled = now - self._checked_at > _MAX_CHECK_GAP_S
         self._checked_at = now
         due = []
-        for ip, probe in list(self._probes.items()):
+        for ip, series in list(self._series.items()):
             if has_stalled:
-                probe.restart()
-            if now - probe.begun_at > _EXPIRY_S:
-                self._probes.pop(ip)
-            elif probe.check(now):
+                series.restart()
+            if now - series.begun_at > _EXPIRY_S:
+                self._series.pop(ip)
+            elif series.check(now):
                 due.append(ip)
         return due
--- a/tests/relay/test_host_monitor.py
+++ b/tests/relay/test_host_monitor.py
@@ -75,7 +75,7 @@
         monitor = env.searcher._monitor  # noqa: SLF001
         key = flow_key(1)
         before = time.process_time()
-        gone = [monitor.gone_reason(host.ip, key) for host in dead]
+        gone = [monitor.loss_reason(host.ip, key) for host in dead]
         taken_s = time.process_time() - before
         self.assertEqual(set(gone), {'unanswered'})
         self.assertLess(taken_s, MAX_DECISION_S)
--- a/tests/relay/test_rotation.py
+++ b/tests/relay/test_rotation.py
@@ -154,7 +154,7 @@
     def test_told_outside_a_turn(self) -> None:
         """Members may be told before the first turn and between turns."""
         for member in MEMBERS[-MAX_ADDED:]:
-            self.rotation.note_told(member, 2)
+            self.rotation.note_announced(member, 2)
         self.assertEqual(self.turn([], MEMBERS), [[], [0, 1, 18, 19]])
         self.assertEqual(self.turn([], MEMBERS), [[], [2, 3]])
 
