--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -31,7 +31,7 @@
 STALL_S = 1.0
 _RECORD_INTERVAL_S = 0.7
 _STATUS_INTERVAL_S = 0.4
-_RENEWAL_INTERVAL_S = 5.0
+_GREETING_INTERVAL_S = 5.0
 
 #: Decides whether a datagram from one address to another is lost.
 Loss = Callable[[str, str, bytes], bool]
@@ -58,6 +58,7 @@
         hosts: addresses of the hosts.
         entry: the entry under test.
         entry_ip: its address.
+        sidecars: the sidecars by the addresses of their hosts.
         resets: time and reason of each reset by the entry, with its evidence.
         events: names of all logged events, each with its process.
         loss: decides which datagrams are lost.
@@ -95,7 +96,7 @@
             self.now = self._started + number * _STATUS_INTERVAL_S / hosts
             self.sidecars[host] = Sidecar(self._make_node(host, 'sidecar'))
         self._next_records = self.now
-        self._next_renewal = self.now
+        self._next_greeting = self.now
         self.publish()
         self.run(1.0)
 
@@ -162,9 +163,9 @@
         if self.now >= self._next_records:
             self._next_records += _RECORD_INTERVAL_S
             self._send_records()
-        if self.now >= self._next_renewal:
-            self._next_renewal += _RENEWAL_INTERVAL_S
-            self._place_flows()
+        if self.now >= self._next_greeting:
+            self._next_greeting += _GREETING_INTERVAL_S
+            self._greet_hosts()
         arrived = [item for item in self._in_flight if item[0] <= self.now]
         self._in_flight = [
             item for item in self._in_flight if item[0] > self.now
@@ -279,8 +280,8 @@
         packed = [bytes(map(int, host.split('.'))) for host in listed]
         follower.listing.replace(packed, self.now - 0.5)
 
-    def _place_flows(self) -> None:
-        """Let the entry place a flow at each host that gets new ones."""
+    def _greet_hosts(self) -> None:
+        """Let the entry greet the hosts that get new flows, in their place."""
         for host in self.hosts:
             if host not in self.evacuated:
                 hello = messages.pack_hello(0, messages.digest('a'))
