State the requirements under overload; carry priority, time limit and capacity

Routes' priorities, the processor and link limits of the settings and a mean processing time had no place in the types and messages, so no decision could use them. Route.priority, Settings.link_kbps and .cores, three fields of a first packet's message and one of the status are added; nothing decides by them yet.

--- a/siskinbank/admission/arrivals.py
+++ b/siskinbank/admission/arrivals.py
@@ -151,6 +151,14 @@
         """Start from the initial processing time."""
         self.seconds = _INITIAL_PROCESSING_S
 
+    def of_route(self, route: bytes) -> float:
+        """Return the mean processing time of a route's requests, in seconds.
+
+        Args:
+            route: address and port of the route.
+        """
+        return self.seconds
+
     def note(self, elapsed_s: float) -> None:
         """Add the processing time of one request to the average."""
         self.seconds += (elapsed_s - self.seconds) * _AVERAGE_WEIGHT
--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -27,6 +27,9 @@
 _WEIGHT_STEPS = 1 << 16
 # Higher slot counts are capped at this value.
 _MAX_SLOTS = 65535
+# Lower priorities (higher numbers) are treated as this one: messages hold one
+# byte.
+_MAX_PRIORITY = 255
 # Kinds of routes whose requests may run more than once. All others, unknown
 # ones too, may run once at most.
 _IDEMPOTENT_KINDS = ('safe', 'download')
@@ -92,9 +95,16 @@
         target_latency_s: target latency in seconds.
         timeout_s: time in seconds after which a response is of no use to the
             client.
+        priority: priority of requests, 0 is the highest.
     """
 
-    __slots__ = ('idempotent', 'shares', 'target_latency_s', 'timeout_s')
+    __slots__ = (
+        'idempotent',
+        'priority',
+        'shares',
+        'target_latency_s',
+        'timeout_s',
+    )
 
     def __init__(
         self,
@@ -102,12 +112,14 @@
         idempotent: bool,
         target_latency_s: float,
         timeout_s: float,
+        priority: int = 0,
     ) -> None:
         """Create a route."""
         self.shares = shares
         self.idempotent = idempotent
         self.target_latency_s = target_latency_s
         self.timeout_s = timeout_s
+        self.priority = priority
 
     def service_for(self, flow_hash: int) -> str:
         """Return the service of a new flow; ``shares`` must not be empty.
@@ -199,6 +211,7 @@
         document.get('Kind') in _IDEMPOTENT_KINDS,
         number_field(document, 'TargetLatencyMs', timeout_ms) / _MS,
         timeout_ms / _MS,
+        min(int(number_field(document, 'Priority', 0)), _MAX_PRIORITY),
     )
     return address + port.to_bytes(2, 'big'), route
 
--- a/siskinbank/platform/settings.py
+++ b/siskinbank/platform/settings.py
@@ -5,6 +5,7 @@
 from siskinbank.platform.documents import (
     DocumentError,
     decode,
+    number_field,
     port_number,
     split_address,
     text_field,
@@ -16,6 +17,7 @@
 READY_PATH = '/api/ready'
 
 SETTINGS_VARIABLE = 'SISKINBANK_SETTINGS'
+_KILO = 1000
 
 
 class Settings:
@@ -35,13 +37,17 @@
         service: service of that host, or None at an entry.
         seeds: IP addresses of entries that are contacted first.
         store: address of the platform's store.
+        link_kbps: rate of the machine's link in kbit/s, 0 if unknown.
+        cores: processor time a second in cores, 0 if unknown.
     """
 
     __slots__ = (
+        'cores',
         'data_centre',
         'host_address',
         'instance',
         'ip',
+        'link_kbps',
         'outbound_address',
         'packet_port',
         'peer_port',
@@ -75,6 +81,14 @@
         # `platform` holds only the address of the store.
         store = _object_field(document, 'platform')
         self.store = split_address(text_field(store, 'Address'))
+        limits = document.get('Limits')
+        if not isinstance(limits, dict):
+            limits = {}
+        self.link_kbps = int(_optional_number(limits, 'LinkMbps') * _KILO)
+        # `CpuShare` is a share of a processor that is `Cores` times as fast.
+        self.cores = _optional_number(limits, 'CpuShare') * _optional_number(
+            limits, 'Cores'
+        )
 
 
 def read_settings(path: str) -> Settings:
@@ -103,6 +117,14 @@
     return split_address(value) if isinstance(value, str) else None
 
 
+def _optional_number(document: dict[str, object], name: str) -> float:
+    """Return a number that a process can run without, 0 if it is invalid."""
+    try:
+        return number_field(document, name, 0)
+    except DocumentError:
+        return 0
+
+
 def _first_port(document: dict[str, object]) -> int:
     ports = document.get('InternalPortRange')
     if not isinstance(ports, list) or not ports:
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -213,6 +213,9 @@
         opening.version = self._follower.configuration.version
         opening.target_latency_ms = messages.wait_ms(route.target_latency_s)
         opening.wait_limit_ms = messages.wait_ms(max_wait_s(route.timeout_s))
+        opening.timeout_ms = int(route.timeout_s * _MS)
+        opening.priority = route.priority
+        opening.idempotent = route.idempotent
         opening.candidates = [host.packed for host in chosen]
         self._node.send(opening.pop_next(), opening.pack())
 
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -186,9 +186,9 @@
 
 _HELLO = Struct('!BBI')
 _LISTING = Struct('!BIIHH')
-_OPENING_HEADER = Struct('!BBIQ4sHH4sHB')
+_OPENING_HEADER = Struct('!BBIQ4sHHIBB4sHB')
 _FLOW_NOTE = Struct('!B12sIB')
-_STATUS = Struct('!BIIBHHHQIBH')
+_STATUS = Struct('!BIIBHHHQIBHH')
 _ANNOUNCEMENT = Struct('!BBQIIII')
 _RECORD = Struct('!BBIIHIQQIIIQQ')
 _PIECE = Struct('!BQHH')
@@ -254,6 +254,10 @@
         target_latency_ms: target latency of the client's request, in
             milliseconds.
         wait_limit_ms: longest allowed wait at a host, in milliseconds.
+        timeout_ms: time in milliseconds after which a response is of no use
+            to the client.
+        priority: priority of the route, 0 is the highest.
+        idempotent: whether the route's requests may run more than once.
         best: address of the host with the shortest expected wait so far.
         best_wait_ms: that wait in milliseconds, MAX_WAIT_MS if there is none.
         candidates: addresses of further candidate hosts, in order of
@@ -267,9 +271,12 @@
         'candidates',
         'entry',
         'hops',
+        'idempotent',
         'packet',
+        'priority',
         'service',
         'target_latency_ms',
+        'timeout_ms',
         'version',
         'wait_limit_ms',
     )
@@ -283,6 +290,9 @@
         self.version = 0
         self.target_latency_ms = 0
         self.wait_limit_ms = 0
+        self.timeout_ms = 0
+        self.priority = 0
+        self.idempotent = False
         self.best = entry
         self.best_wait_ms = MAX_WAIT_MS
         self.candidates: list[bytes] = []
@@ -300,7 +310,9 @@
         opening = cls(fields[4], raw[end:])
         opening.hops, opening.service, opening.version = fields[1:4]
         opening.target_latency_ms, opening.wait_limit_ms = fields[5:7]
-        opening.best, opening.best_wait_ms = fields[7:9]
+        opening.timeout_ms, opening.priority = fields[7:9]
+        opening.idempotent = bool(fields[9])
+        opening.best, opening.best_wait_ms = fields[10:12]
         opening.candidates = unpack_addresses(raw[start:end])
         return opening
 
@@ -330,6 +342,9 @@
             self.entry,
             self.target_latency_ms,
             self.wait_limit_ms,
+            min(self.timeout_ms, _MAX_AGE_MS),
+            self.priority,
+            self.idempotent,
             self.best,
             self.best_wait_ms,
             len(self.candidates),
@@ -396,6 +411,8 @@
             ``OwnHost.is_trusted``.
         interval_ms: time until the next status update to the same entry, in
             milliseconds.
+        processing_ms: mean processing time of a request in milliseconds, 0 if
+            unknown.
     """
 
     __slots__ = (
@@ -403,6 +420,7 @@
         'data_centre',
         'flows',
         'interval_ms',
+        'processing_ms',
         'record_age_ms',
         'service',
         'slots',
@@ -423,6 +441,7 @@
         self.record_age_ms = _MAX_AGE_MS
         self.trusted = False
         self.interval_ms = 0
+        self.processing_ms = 0
 
     @classmethod
     def read(cls, raw: bytes) -> Status:
@@ -440,9 +459,9 @@
             status.flows,
             status.version,
             status.record_age_ms,
-        ) = fields[3:-2]
-        status.trusted = bool(fields[-2])
-        status.interval_ms = fields[-1]
+        ) = fields[3:9]
+        status.trusted = bool(fields[9])
+        status.interval_ms, status.processing_ms = fields[10:]
         return status
 
     def pack(self) -> bytes:
@@ -459,6 +478,7 @@
             min(self.record_age_ms, _MAX_AGE_MS),
             self.trusted,
             min(self.interval_ms, _MAX_INTERVAL_MS),
+            min(self.processing_ms, _MAX_INTERVAL_MS),
         )
 
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -129,6 +129,19 @@
             found = [route.idempotent for route in routes.values()]
             self.assertEqual(found, [idempotent], kind)
 
+    def test_priorities(self) -> None:
+        """A route without a priority has the highest; low ones are capped."""
+        document = json.loads(
+            encode_configuration(1, [RouteDocument('a', ('1.2.3.4', 80))]),
+        )
+        self.assertEqual(_priority(document), 0)
+        for stated, expected in ((2, 2), (0, 0), (1000, 255)):
+            document['Routes'][0]['Priority'] = stated
+            self.assertEqual(_priority(document), expected)
+        document['Routes'][0]['Priority'] = 'high'
+        with self.assertRaises(DocumentError):
+            _priority(document)
+
     def test_weighted_services(self) -> None:
         """Services are chosen by weight; one of weight 0 gets no flows."""
         document = json.loads(
@@ -163,3 +176,8 @@
             raw = json.dumps({**good, **change}).encode()
             with self.subTest(change=change), self.assertRaises(DocumentError):
                 decode_configuration(raw)
+
+
+def _priority(document: dict[str, object]) -> int:
+    _, routes, _ = decode_configuration(json.dumps(document).encode())
+    return next(iter(routes.values())).priority
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -91,6 +91,22 @@
             self.path.write_text(json.dumps(document))
             self.assertEqual(read_settings(str(self.path)).seeds, ())
 
+    def test_limits(self) -> None:
+        """Missing or malformed limits count as unknown; the process starts."""
+        document = json.loads(SETTINGS.encode())
+        for limits, expected in (
+            ({'LinkMbps': 5.5, 'CpuShare': 0.5, 'Cores': 3}, (5500, 1.5)),
+            ({'LinkMbps': 'fast', 'CpuShare': -1, 'Cores': 2}, (0, 0)),
+            ({'LinkMbps': 100}, (100_000, 0)),
+            ([], (0, 0)),
+            (None, (0, 0)),
+        ):
+            with self.subTest(limits=limits):
+                document['Limits'] = limits
+                settings = Settings(document)
+                found = (settings.link_kbps, settings.cores)
+                self.assertEqual(found, expected)
+
     def test_invalid_fields(self) -> None:
         """A malformed field is refused."""
         document = json.loads(SETTINGS.encode())
--- a/tests/relay/test_messages.py
+++ b/tests/relay/test_messages.py
@@ -23,6 +23,9 @@
         opening.best_wait_ms = 300
         opening.wait_limit_ms = 1500
         opening.target_latency_ms = 150
+        opening.timeout_ms = 90_000
+        opening.priority = 2
+        opening.idempotent = True
         opening.hops = 2
         decoded = messages.Opening.read(opening.pack())
         for name in messages.Opening.__slots__:
@@ -37,6 +40,11 @@
         status.record_age_ms = 1 << 50
         decoded = messages.Status.read(status.pack())
         self.assertEqual((decoded.busy, decoded.data_centre), (3, 8))
+        self.assertEqual(decoded.processing_ms, 0)
+        status.processing_ms = 1 << 20
+        self.assertEqual(
+            messages.Status.read(status.pack()).processing_ms, 0xFFFF
+        )
         record = messages.Record()
         record.cold_per_s = 2.5
         record.age_s = 0.25
