Let entries of low capacity leave rotation

Routers spread flows evenly over the entries of a data centre, whose links differ by a factor of twenty, so uploads through the slow ones miss their deadlines while the fast ones are nearly idle.

An entry fails its readiness probe while enough better entries are in rotation. Entries exchange their capacities with the message ENTRY_CAPACITY.

Not measured with whole processes yet.

--- a/siskinbank/relay/catalogue.py
+++ b/siskinbank/relay/catalogue.py
@@ -33,6 +33,8 @@
     'host.heard': 'R227',
     'peer.heard': 'R230',
     'peer.dropped': 'R232',
+    'rotation.left': 'R240',
+    'rotation.joined': 'R241',
     'flow.placed': 'R300',
     'flow.taken': 'R301',
     'flow.passed': 'R302',
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -28,6 +28,7 @@
 from siskinbank.relay import messages
 from siskinbank.relay.configuration_transfer import ConfigurationTransfer
 from siskinbank.relay.datagrams import open_udp_socket, read_datagrams
+from siskinbank.relay.entry_capacities import BY_CAPACITY, EntryCapacities
 from siskinbank.relay.flow_searcher import FlowSearcher
 from siskinbank.relay.follower import StoreFollower
 from siskinbank.relay.gossip import Gossip
@@ -65,11 +66,13 @@
 class Entry:
     """An entry process."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Node, rotation: str = BY_CAPACITY) -> None:
         """Initialize the entry, open its port and join the other entries.
 
         Args:
             node: the process that runs the entry.
+            rotation: when the entry fails the readiness probe on behalf of
+                better ones, see ``EntryCapacities``.
 
         Raises:
             OSError: if the port for clients' packets can't be opened.
@@ -89,6 +92,9 @@
             node, self._follower, self._process_early_packets
         )
         self._gossip = Gossip(node, self._hosts, self._follower, self._transfer)
+        self._capacities = EntryCapacities(
+            node, self._gossip.entries, self._is_discovery_done, rotation
+        )
         self._monitor = HostMonitor(node, self._hosts, self._follower)
         self._searcher = FlowSearcher(
             node,
@@ -380,11 +386,16 @@
         self._process_early_packets()
 
     def _is_ready(self) -> bool:
-        return self._is_discovery_done() and not self._gossip.stopping
+        return (
+            self._is_discovery_done()
+            and not self._gossip.stopping
+            and self._capacities.in_rotation
+        )
 
     def _begin_stop(self) -> None:
         self._gossip.stopping = True
         self._gossip.announce()
+        self._capacities.begin_stop()
         self._node.loop.after(_STOP_DELAY_S, self._node.stop)
 
     def _sweep(self) -> None:
--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -108,6 +108,10 @@
         node.loop.every(_SWEEP_INTERVAL_S, self._sweep)
         self._send_hellos()
 
+    def entries(self) -> list[bytes]:
+        """Return the packed addresses of all other entries."""
+        return list(self._last_seen)
+
     def announce(self) -> None:
         """Announce version and ages to all other entries."""
         self._send_announcement(list(self._last_seen))
--- a/siskinbank/relay/main.py
+++ b/siskinbank/relay/main.py
@@ -12,6 +12,9 @@
 
 __all__ = ('main',)
 
+# When an entry fails the readiness probe on behalf of better ones.
+_ROTATION_VARIABLE = b'SISKINBANK_ENTRY_ROTATION'
+
 
 def main(role: str) -> int:
     """Run an entry or a sidecar until the platform stops it.
@@ -43,7 +46,8 @@
         return Sidecar(node)
     from siskinbank.relay.entry import Entry
 
-    return Entry(node)
+    rotation = environ.get(_ROTATION_VARIABLE, b'capacity')
+    return Entry(node, rotation.decode('utf-8', 'replace'))
 
 
 if __name__ == '__main__':
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -26,7 +26,9 @@
     'CONFIGURATION_REQUEST',
     'DRAINING',
     'DatagramError',
+    'ENTRY_CAPACITY',
     'EVACUATED',
+    'EntryCapacity',
     'FLOW_NOTE_BYTES',
     'FLOW_QUERY',
     'FORWARD',
@@ -127,6 +129,9 @@
 # the address of the sidecar follows.
 RECORD_REQUEST = 21
 
+# Capacity of an entry, for the other entries of its data centre.
+ENTRY_CAPACITY = 22
+
 # Names of the kinds in metrics, by kind.
 KIND_NAMES = (
     'unknown',
@@ -151,6 +156,7 @@
     'listing_request',
     'listing',
     'record_request',
+    'entry_capacity',
 )
 
 # Flags of a record: the host is in the store, is draining, is in an evacuated
@@ -177,6 +183,7 @@
 _MS_PER_S = 1000
 _MAX_AGE_MS = 0xFFFFFFFF
 _MAX_INTERVAL_MS = 0xFFFF
+_MAX_CAPACITY = 0xFFFFFFFF
 
 # Flags of a hello: the sender is a sidecar; it asks for the addresses of other
 # processes; it asks for the record of its host.
@@ -184,6 +191,10 @@
 WANTS_PEERS = 2
 WANTS_RECORD = 4
 
+# Flags of a capacity: the entry is in rotation; it is about to stop.
+_IN_ROTATION = 1
+_STOPPING = 2
+
 _HELLO = Struct('!BBI')
 _LISTING = Struct('!BIIHH')
 _OPENING_HEADER = Struct('!BBIQ4sHHIBB4sHB')
@@ -193,6 +204,7 @@
 _RECORD = Struct('!BBIIHIQQIIIQQ')
 _PIECE = Struct('!BQHH')
 _RELAYED = Struct('!B4sB')
+_ENTRY_CAPACITY = Struct('!BIIBH')
 
 FLOW_NOTE_BYTES = _FLOW_NOTE.size
 
@@ -623,6 +635,66 @@
         )
 
 
+class EntryCapacity:
+    """Capacity of an entry and whether it is in rotation.
+
+    Attributes:
+        data_centre: digest of the data centre.
+        capacity: packets per second that the entry can carry, 0 if unknown.
+        serving: whether the entry is ready and in rotation.
+        stopping: whether the entry is about to stop.
+        interval_ms: time until the next message to the same entry, in
+            milliseconds; 0 to an entry of another data centre, which gets no
+            further ones.
+    """
+
+    __slots__ = (
+        'capacity',
+        'data_centre',
+        'interval_ms',
+        'serving',
+        'stopping',
+    )
+
+    def __init__(self, data_centre: int) -> None:
+        """Create a message of an entry of which nothing else is known."""
+        self.data_centre = data_centre
+        self.capacity = 0
+        self.serving = False
+        self.stopping = False
+        self.interval_ms = 0
+
+    @classmethod
+    def read(cls, raw: bytes) -> EntryCapacity:
+        """Decode a datagram.
+
+        Raises:
+            DatagramError: the datagram does not have the length of a message.
+        """
+        if len(raw) != _ENTRY_CAPACITY.size:
+            raise DatagramError(f'capacity of {len(raw)} bytes')
+        fields = _unpack(_ENTRY_CAPACITY, raw)
+        message = cls(fields[1])
+        message.capacity = fields[2]
+        message.serving = bool(fields[3] & _IN_ROTATION)
+        message.stopping = bool(fields[3] & _STOPPING)
+        message.interval_ms = fields[4]
+        return message
+
+    def pack(self) -> bytes:
+        """Return the encoded datagram."""
+        flags = _IN_ROTATION if self.serving else 0
+        if self.stopping:
+            flags |= _STOPPING
+        return _ENTRY_CAPACITY.pack(
+            ENTRY_CAPACITY,
+            self.data_centre,
+            min(self.capacity, _MAX_CAPACITY),
+            flags,
+            min(self.interval_ms, _MAX_INTERVAL_MS),
+        )
+
+
 def wait_ms(seconds: float) -> int:
     """Return a wait in milliseconds, capped below MAX_WAIT_MS."""
     return min(int(seconds * _MS_PER_S), MAX_WAIT_MS - 1)
--- a/siskinbank/relay/meters.py
+++ b/siskinbank/relay/meters.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms in the Prometheus text format."""
+"""Counters, gauges and latency histograms in the Prometheus text format."""
 
 from __future__ import annotations
 
@@ -56,20 +56,21 @@
 
 
 class Meters:
-    """Counters and histograms of one process, created on first use.
+    """Counters, gauges and histograms of one process, created on first use.
 
     Attributes:
         sent: messages sent to other processes.
         received: messages received from other processes.
     """
 
-    __slots__ = ('_counts', '_histograms', 'received', 'sent')
+    __slots__ = ('_counts', '_gauges', '_histograms', 'received', 'sent')
 
     def __init__(self) -> None:
         """Create an empty collection."""
         self.sent = Traffic()
         self.received = Traffic()
         self._counts: dict[str, int] = {}
+        self._gauges: dict[str, int] = {}
         self._histograms: dict[str, list[int]] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
@@ -80,6 +81,10 @@
         """Return the value of a counter, 0 if it does not exist."""
         return self._counts.get(name, 0)
 
+    def gauge(self, name: str, amount: int) -> None:
+        """Set a gauge to the present amount."""
+        self._gauges[name] = amount
+
     def time(self, name: str, seconds: float) -> None:
         """Record a duration in a histogram."""
         buckets = self._histograms.get(name)
@@ -95,9 +100,9 @@
 
     def text(self) -> str:
         """Return all metrics in the Prometheus exposition format."""
+        amounts = self._counts | self._gauges
         lines = [
-            f'siskinbank_{name} {self._counts[name]}'
-            for name in sorted(self._counts)
+            f'siskinbank_{name} {amounts[name]}' for name in sorted(amounts)
         ]
         lines.extend(self.sent.lines('sent'))
         lines.extend(self.received.lines('received'))
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -215,6 +215,8 @@
                 store=('127.0.0.1', 1),
                 packet_port=31000,
                 peer_port=31001,
+                link_kbps=0,
+                cores=0,
                 outbound_address=(ip, 31002),
                 host_address=(ip, 31003),
             ),
--- a/tests/relay/test_messages.py
+++ b/tests/relay/test_messages.py
@@ -98,6 +98,7 @@
             messages.Opening.read,
             messages.Status.read,
             messages.Announcement.read,
+            messages.EntryCapacity.read,
             messages.Record.read,
             messages.read_flow_note,
             messages.read_piece,
