Let flows of a split route use free slots of another service

Cause: on a route split 90 to 10 between two services, nine flows in ten wait in the queues of the first while the hosts of the second are idle. The entry chose the service by weight alone.

Change: if no host of the service selected by weight has a free slot by its last status and the entry's own placements since, the flow goes to another service of the route that has one, by weight among several. Copies of a first packet stay at their service while the flow is remembered, one of its hosts accepts flows and the configuration in force names it. After a refusal, another service with free slots is tried, within the limit of three placements.

--- a/siskinbank/entry/flow_cache.py
+++ b/siskinbank/entry/flow_cache.py
@@ -27,6 +27,8 @@
         queueing_host: the host whose sidecar queues the first packet until a
             slot is free, empty if none does.
         last_seen: time of the last packet, in seconds.
+        service: the service that was selected for the first packet, empty if
+            this entry has placed no copy of it.
         tried: hosts that the first packet was sent to.
     """
 
@@ -36,6 +38,7 @@
         'ip',
         'last_seen',
         'queueing_host',
+        'service',
         'tried',
     )
 
@@ -44,6 +47,7 @@
         self.ip = ip
         self.confirmed = False
         self.queueing_host = ''
+        self.service = ''
         self.last_seen = last_seen
         self.tried: tuple[str, ...] = (ip,)
         self._holders: dict[str, tuple[bool, int]] = {}
--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -14,12 +14,17 @@
     text_field,
 )
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 __all__ = (
     'HostRecord',
     'Route',
     'WarmUp',
     'decode_configuration',
     'decode_host',
+    'weighted_service',
 )
 
 _MS = 1000
@@ -128,13 +133,7 @@
             flow_hash: a hash of the flow key, which is the same in all copies
                 of a flow's first packet, so that they go to one service.
         """
-        total = sum(weight for _, weight in self.shares)
-        point = flow_hash % _WEIGHT_STEPS / _WEIGHT_STEPS * total
-        for service, weight in self.shares:
-            point -= weight
-            if point < 0:
-                return service
-        return self.shares[-1][0]
+        return weighted_service(self.shares, flow_hash)
 
 
 class WarmUp:
@@ -153,6 +152,24 @@
         self.duration_s = duration_s
 
 
+def weighted_service(
+    shares: Sequence[tuple[str, float]], flow_hash: int
+) -> str:
+    """Return a service in proportion to the weights.
+
+    Args:
+        shares: the services, each with its weight above 0; not empty.
+        flow_hash: a hash of the flow key, of which the lower 16 bits count.
+    """
+    total = sum(weight for _, weight in shares)
+    point = flow_hash % _WEIGHT_STEPS / _WEIGHT_STEPS * total
+    for service, weight in shares:
+        point -= weight
+        if point < 0:
+            return service
+    return shares[-1][0]
+
+
 def decode_host(raw: bytes) -> HostRecord:
     """Decode the record of a host.
 
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -12,6 +12,10 @@
     refusal_is_final,
 )
 from siskinbank.choice.placement import candidates, rank_hosts
+from siskinbank.choice.service_overflow import (
+    select_other_service,
+    select_service,
+)
 from siskinbank.entry.flow_cache import CachedFlow, FlowCache
 from siskinbank.platform.packets import (
     FLOW_KEY,
@@ -65,16 +69,19 @@
 class Entry:
     """An entry process."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Node, split_overflow: bool = False) -> None:
         """Initialize the entry, open its port and join the other entries.
 
         Args:
             node: the process that runs the entry.
+            split_overflow: whether new flows may go to another service of
+                their route than the weights select.
 
         Raises:
             OSError: if the port for clients' packets can't be opened.
         """
         self._node = node
+        self._split_overflow = split_overflow
         settings = node.settings
         self._data_centre = messages.digest(settings.data_centre)
         self._started = node.loop.now
@@ -177,7 +184,7 @@
         key = packet[FLOW_KEY]
         now = self._node.loop.now
         flow_hash = crc32(key)
-        service = route.service_for(flow_hash)
+        service = self._select_service(route, flow_hash, flow)
         hosts = self._hosts.of_service(messages.digest(service))
         ordered = rank_hosts(
             hosts,
@@ -189,15 +196,16 @@
         queueing_host = flow.queueing_host if flow else ''
         chosen = candidates(hosts, ordered, tried, queueing_host)
         if not chosen:
-            self._refuse_unplaced(packet, hosts)
+            self._refuse_unplaced(packet, self._route_hosts(route, hosts))
             return
         first = chosen[0]
         first.pending += 1
         if flow is None:
-            self._flows.add(key, first.ip, now)
+            flow = self._flows.add(key, first.ip, now)
         else:
             flow.last_seen = now
             flow.add_tried(first.ip)
+        flow.service = service
         self._node.log(
             'flow.placed',
             flow=describe_flow(key),
@@ -207,6 +215,8 @@
             candidates=len(chosen),
             version=self._follower.configuration.version,
             tries=len(tried),
+            service=service,
+            overflow=int(service != route.service_for(flow_hash)),
         )
         opening = messages.Opening(self._node.packed_ip, packet)
         opening.service = messages.digest(service)
@@ -219,6 +229,72 @@
         opening.candidates = [host.packed for host in chosen]
         self._node.send(opening.pop_next(), opening.pack())
 
+    def _select_service(
+        self,
+        route: Route,
+        flow_hash: int,
+        flow: CachedFlow | None,
+    ) -> str:
+        """Return the service that gets a copy of a first packet."""
+        by_weight = route.service_for(flow_hash)
+        if not self._split_overflow or len(route.shares) == 1:
+            return by_weight
+        remembered = flow.service if flow else ''
+        service = select_service(
+            route.shares,
+            remembered,
+            flow_hash,
+            self._hosts_of,
+            self._node.loop.now,
+        )
+        if service not in {by_weight, remembered}:
+            self._node.meters.count('flows_overflowed_total')
+        return service
+
+    def _select_after_refusal(self, key: bytes, flow: CachedFlow) -> bool:
+        """Select another service with free slots for a refused first packet.
+
+        Returns:
+            Whether there is one.
+        """
+        route = self._route(key)
+        if not self._split_overflow or route is None:
+            return False
+        flow_hash = crc32(key)
+        other = select_other_service(
+            route.shares,
+            flow.service,
+            flow_hash,
+            self._hosts_of,
+            self._node.loop.now,
+        )
+        if not other:
+            return False
+        if other != route.service_for(flow_hash):
+            self._node.meters.count('flows_overflowed_total')
+        flow.service = other
+        return True
+
+    def _hosts_of(self, service: str) -> list[TrackedHost]:
+        return self._hosts.of_service(messages.digest(service))
+
+    def _route_hosts(
+        self, route: Route, selected: list[TrackedHost]
+    ) -> list[TrackedHost]:
+        """Return the hosts that may accept a later copy of a first packet.
+
+        Args:
+            route: the route of the flow.
+            selected: the hosts of the service that was selected.
+        """
+        if not self._split_overflow:
+            return selected
+        return [
+            host
+            for service, _ in route.shares
+            for host in self._hosts_of(service)
+        ]
+
     def _refuse_unplaced(
         self,
         packet: bytes,
@@ -348,7 +424,10 @@
         host = self._hosts.get(ip)
         if host and reason not in reasons.TRANSIENT:
             host.status.state = reason
-        if tries < _MAX_PLACEMENTS and reason in reasons.HOST_SPECIFIC:
+        if tries < _MAX_PLACEMENTS and (
+            reason in reasons.HOST_SPECIFIC
+            or self._select_after_refusal(key, flow)
+        ):
             self._open_flow(packet)
         elif refusal_is_final(reason, sequence_numbers(packet)[1]):
             self._reset(packet, name)
--- a/siskinbank/relay/main.py
+++ b/siskinbank/relay/main.py
@@ -10,7 +10,10 @@
 from siskinbank.platform.settings import SETTINGS_VARIABLE
 from siskinbank.relay.node import Node
 
-__all__ = ('main',)
+__all__ = ('SPLIT_OVERFLOW_VARIABLE', 'main', 'read_switch')
+
+SPLIT_OVERFLOW_VARIABLE = 'SISKINBANK_SPLIT_OVERFLOW'
+_SWITCHES = {b'on': True, b'off': False}
 
 
 def main(role: str) -> int:
@@ -43,7 +46,19 @@
         return Sidecar(node)
     from siskinbank.relay.entry import Entry
 
-    return Entry(node)
+    return Entry(node, split_overflow=read_switch(SPLIT_OVERFLOW_VARIABLE))
+
+
+def read_switch(name: str) -> bool:
+    """Return whether an environment variable is ``on``; the default is off.
+
+    Raises:
+        DocumentError: the variable is neither ``on`` nor ``off``.
+    """
+    text = environ.get(name.encode(), b'off')
+    if text not in _SWITCHES:
+        raise DocumentError(f'{name} is {text!r}, expected on or off')
+    return _SWITCHES[text]
 
 
 if __name__ == '__main__':
