Report entries without effect and differences in siskinbank check

Cause: a valid configuration may hold entries that never match or limits that contradict each other, and the check said nothing. A misspelt data centre with `state: out` made a new data centre and left the one that was meant in service; a service with the ingress `fou` and no address got the target 0.0.0.0, which no packet has. The difference to the version in force needed a second command.

Change: `check` prints warnings with file, line and path: data centres without hosts, services without hosts that an overlay changes, services whose hosts all refuse work, the wildcard address at `fou`, limits that don't apply to the ingresses, cold limits that never apply, warm-ups without effect. An incomplete overlay entry of an unknown service or host is named with similar names, beside the missing keys. `--against` takes the output of `render`, with or without `--publish`, and lists what differs. Warnings and differences leave the exit code as it is, and processes accept the same documents as before.

--- a/siskinbank/commands/render.py
+++ b/siskinbank/commands/render.py
@@ -6,6 +6,7 @@
 import click
 import yaml
 
+from siskinbank.config.changes import list_changes
 from siskinbank.config.models import DocumentModel
 from siskinbank.config.overlay import load_files, remove_unserved
 from siskinbank.config.sections import split_sections
@@ -52,9 +53,7 @@
     old = _load(against, ())
     if old is None:
         return 1
-    for line in _list_changes(
-        old.model_dump(mode='json'), model.model_dump(mode='json'), ''
-    ):
+    for line in list_changes(old, model):
         click.echo(line)
     return 0
 
@@ -78,19 +77,3 @@
         },
         'sections': {name: raw.decode() for name, raw in sections.items()},
     }
-
-
-def _list_changes(old: Any, new: Any, path: str) -> list[str]:
-    if isinstance(old, dict) and isinstance(new, dict):
-        lines = []
-        for key in sorted(old.keys() | new.keys()):
-            key_path = f'{path}.{key}' if path else str(key)
-            lines.extend(_list_changes(old.get(key), new.get(key), key_path))
-        return lines
-    if old == new:
-        return []
-    if old is None:
-        return [f'+ {path}: {json.dumps(new)}']
-    if new is None:
-        return [f'- {path}: {json.dumps(old)}']
-    return [f'~ {path}: {json.dumps(old)} -> {json.dumps(new)}']
--- a/siskinbank/config/overlay.py
+++ b/siskinbank/config/overlay.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from siskinbank.config.check import check_content
+from siskinbank.config.consistency import add_unknown_names, add_warnings
 from siskinbank.config.documents import Document, KeyPath, read_document
 from siskinbank.config.models import DocumentModel
 from siskinbank.ingress.registry import ingresses
@@ -16,9 +17,17 @@
     base: str,
     overlays: Sequence[str],
     findings: Findings,
+    warnings: Findings | None = None,
 ) -> DocumentModel | None:
     """Read, merge and validate a base file and its overlays.
 
+    Args:
+        base: the name of the base file.
+        overlays: the names of the overlays.
+        findings: collects the problems.
+        warnings: collects entries that have no effect or contradict others,
+            unless it is None.
+
     Returns:
         The effective document, or None when findings were added.
     """
@@ -26,6 +35,7 @@
     documents = [read_document(file, findings) for file in (base, *overlays)]
     if any(not document.content for document in documents):
         return None
+    add_unknown_names(documents, findings)
     content = merge(documents, findings)
 
     def locate(path: KeyPath) -> Place:
@@ -34,6 +44,8 @@
     model = check_content(content, locate, findings)
     if model is not None:
         _check_ingresses(model, locate, findings)
+        if warnings is not None:
+            add_warnings(model, documents, locate, warnings)
     return model if len(findings) == count_before else None
 
 
--- a/siskinbank/config/sections.py
+++ b/siskinbank/config/sections.py
@@ -20,6 +20,7 @@
 __all__ = (
     'DocumentKey',
     'Manifest',
+    'combine_sections',
     'join_sections',
     'make_site',
     'parse_manifest',
@@ -93,6 +94,24 @@
     return sections
 
 
+def combine_sections(sections: dict[str, Any]) -> dict[str, Any]:
+    """Return the effective document of published sections, not validated.
+
+    Args:
+        sections: the parsed sections by name.
+
+    Raises:
+        KeyError: the section ``site`` is missing.
+        TypeError: the section ``site`` is not a mapping.
+    """
+    services = {
+        name.removeprefix(_SERVICE_PREFIX): section
+        for name, section in sections.items()
+        if name.startswith(_SERVICE_PREFIX)
+    }
+    return {**sections[_SITE_SECTION], 'services': services}
+
+
 def join_sections(
     manifest: Manifest,
     sections: dict[str, Any],
@@ -113,18 +132,11 @@
     if not isinstance(site_section, dict):
         findings.add(Place(source, 1, _SITE_SECTION), 'missing', 'publish it')
         return None
-    services = {
-        name.removeprefix(_SERVICE_PREFIX): section
-        for name, section in sections.items()
-        if name.startswith(_SERVICE_PREFIX)
-    }
 
     def locate(path: KeyPath) -> Place:
         return Place(source, 1, dotted(path))
 
-    model = check_content(
-        {**site_section, 'services': services}, locate, findings
-    )
+    model = check_content(combine_sections(sections), locate, findings)
     if model is None:
         return None
     return make_site(model, manifest)
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -102,6 +102,81 @@
             '~ services.bitacora.slots: 1 -> 2\n',
         )
 
+    def test_check_against_version_in_force(self) -> None:
+        """Differences don't change the exit code; OLD may be published."""
+        files = ('examples/base.yaml', 'examples/norte.yaml')
+        with tempfile.TemporaryDirectory() as directory:
+            old = Path(directory) / 'old'
+            # The first service in the rendering and in the publication.
+            for service, text, arguments in (
+                ('bitacora', 'slots: 2', ()),
+                ('campo', r'\"slots\":2', ('--publish', '3')),
+            ):
+                with self.subTest(arguments):
+                    rendered = run('render', *files, *arguments).stdout
+                    changed = text.replace('2', '1')
+                    self.assertIn(text, rendered)
+                    old.write_text(
+                        rendered.replace(text, changed, 1), encoding='utf-8'
+                    )
+                    result = run('check', *files, '--against', str(old))
+                    self.assertEqual(result.returncode, 0, result.stderr)
+                    self.assertIn('norte: 2 services', result.stdout)
+                    self.assertTrue(
+                        result.stdout.endswith(
+                            f'~ services.{service}.slots: 1 -> 2\n'
+                            f'1 differences from {old}\n'
+                        ),
+                        result.stdout,
+                    )
+
+    def test_check_against_invalid_version(self) -> None:
+        """A damaged version in force is reported with exit code 1."""
+        files = ('examples/base.yaml', 'examples/norte.yaml')
+        with tempfile.TemporaryDirectory() as directory:
+            old = Path(directory) / 'old'
+            for text, expected in (
+                ('site: norte\n', 'old:1: data_centres: missing'),
+                (
+                    '{"manifest": {}, "sections": {}}',
+                    'old:1: sections: not the',
+                ),
+                (
+                    '{"manifest": {}, "sections": {"site": "{"}}',
+                    'old:1: sections: not the',
+                ),
+                (
+                    '{"manifest": {}, "sections": {"site": 3}}',
+                    'old:1: sections: not the',
+                ),
+                ('{"manifest": {}, "sections": 3}', 'old:1: sections: not the'),
+                ('', 'old:1: not a mapping'),
+            ):
+                with self.subTest(text):
+                    old.write_text(text, encoding='utf-8')
+                    result = run('check', *files, '--against', str(old))
+                    self.assertEqual(result.returncode, 1, result.stdout)
+                    self.assertIn(expected, result.stdout)
+                    self.assertEqual(result.stderr, '1 findings\n')
+
+    def test_check_warnings(self) -> None:
+        """A warning is printed and leaves the exit code 0."""
+        files = ('examples/base.yaml', 'examples/norte.yaml')
+        with tempfile.TemporaryDirectory() as directory:
+            overlay = Path(directory) / 'out.yaml'
+            overlay.write_text(
+                'data_centres: {norte-ovied: {state: out}}\n', encoding='utf-8'
+            )
+            result = run('check', *files, str(overlay))
+        self.assertEqual(result.returncode, 0, result.stderr)
+        self.assertEqual(result.stderr, '')
+        self.assertTrue(
+            result.stdout.startswith(
+                f'{overlay}:1: data_centres.norte-ovied: warning: no host is in '
+            ),
+            result.stdout,
+        )
+
     def test_render_publishes(self) -> None:
         """The published form has the generation and all sections."""
         files = ('examples/base.yaml', 'examples/norte.yaml')
