Take only refused packets for the end of a leaving host

Cause: a stopped sidecar of a leaving host opened a TCP connection to the host, and took its refusal for the end of the host.

The end-to-end test of a sidecar stopped before its host closes the listener first: it failed with a reset before.

--- a/siskinbank/lab/rig/host.py
+++ b/siskinbank/lab/rig/host.py
@@ -66,13 +66,17 @@
     def close(self) -> None:
         """Close the sockets and lose all flows, as a crash does."""
         self._flows.clear()
-        if self._health_server:
-            self._health_server.close()
-            self._health_server = None
+        self.close_listener()
         if self._transport:
             self._transport.close()
             self._transport = None
 
+    def close_listener(self) -> None:
+        """Refuse health checks, as a leaving host may, and serve its flows."""
+        if self._health_server:
+            self._health_server.close()
+            self._health_server = None
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Accept, answer or bounce a packet."""
         packet = Packet.read(data)
--- a/siskinbank/relay/planned_stop.py
+++ b/siskinbank/relay/planned_stop.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from siskinbank.relay.listener_check import check_listener
-
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from siskinbank.relay.node import Node
@@ -20,10 +18,6 @@
 # below the six.
 _LEAVING_STOP_TIMEOUT_S = 5.5
 _STOP_CHECK_INTERVAL_S = 0.05
-# Interval between checks whether a leaving host still runs, in seconds, and
-# timeout of a check.
-_HOST_CHECK_INTERVAL_S = 0.5
-_HOST_CHECK_TIMEOUT_S = 0.4
 # Minimum duration of a planned stop, in seconds: time for new flows to go to
 # other hosts.
 _STOP_DELAY_S = 0.15
@@ -33,8 +27,10 @@
     """Stops a sidecar once its host no longer needs it.
 
     Load pattern: in a release a sidecar may be stopped before its draining
-    host, whose open flows reach it through this sidecar only. If the host has
-    ended, entries that search for its flows are told so.
+    host, whose open flows reach it through this sidecar only. Only a packet that
+    the host's port refuses shows that it has ended: a leaving host may close its
+    listener for health checks while it serves. Entries that search for its flows
+    are told then.
     """
 
     __slots__ = (
@@ -77,29 +73,12 @@
             timeout_s = _LEAVING_STOP_TIMEOUT_S
         self._stop_at = self._node.loop.now + timeout_s
         self._node.loop.after(_STOP_DELAY_S, self._stop_when_idle)
-        self._check_host()
 
     def note_unreachable(self) -> None:
-        """Record that nothing listens on the port of the host."""
+        """Record that the port of the host refuses packets."""
         self._is_host_running = False
-
-    def _check_host(self) -> None:
-        address = self._node.settings.host_address
-        if address and self._is_host_running:
-            check_listener(
-                self._node.loop,
-                address,
-                self._note_host_check,
-                _HOST_CHECK_TIMEOUT_S,
-            )
-
-    def _note_host_check(self, listening: bool) -> None:
-        if listening:
-            self._node.loop.after(_HOST_CHECK_INTERVAL_S, self._check_host)
-            return
-        self._is_host_running = False
-        self._host.note_unreachable(self._node.loop.now)
-        self._reporter.send_status_to_all()
+        if self._host.stopping:
+            self._reporter.send_status_to_all()
 
     def _stop_when_idle(self) -> None:
         in_use = self._host.busy > 0 or (
--- a/tests/relay/test_end_to_end.py
+++ b/tests/relay/test_end_to_end.py
@@ -269,13 +269,15 @@
     async def test_flows_of_leaving_host_survive_sidecar_stop(self) -> None:
         """Load pattern: a release stops a sidecar before its draining host.
 
-        The sidecar serves the open flow until the host ends.
+        The sidecar serves the open flow until the host ends, also if the host
+        refuses health checks first.
         """
         client = self.fleet.clients[0]
         flow = await client.connect(TARGET)
         body = await client.send_request(flow, 'before')
         index = int(body.split()[1].removeprefix('i-'))
         await self.fleet.register(index, draining=True)
+        self.fleet.hosts[index].close_listener()
         await asyncio.sleep(_MAX_APPLY_S)
         sidecar = self.fleet.sidecars[index]
         sidecar.signal(SIGTERM)
--- /dev/null
+++ b/tests/relay/test_planned_stop.py
@@ -0,0 +1,32 @@
+"""Tests of the planned stop of a sidecar."""
+
+from siskinbank.admission import reasons
+from tests.relay.test_reset_on_absence import FleetCase
+
+
+class TestLeavingHost(FleetCase):
+    """Load pattern: a release stops sidecars before their leaving hosts."""
+
+    def setUp(self) -> None:
+        """Remove the record of the host, and stop its sidecar."""
+        super().setUp()
+        self.fleet.unlisted.add(self.host)
+        self.fleet.run(2, self.packet)
+        self.fleet.sidecars[self.host]._planned_stop.begin()  # noqa: SLF001
+
+    def state(self) -> int:
+        """Return the state of the host as the entry knows it."""
+        host = self.fleet.entry._hosts.get(self.host)  # noqa: SLF001
+        self.assertIsNotNone(host)
+        return host.status.state  # type: ignore[union-attr]
+
+    def test_host_refuses_packets(self) -> None:
+        """Flows of a host that has ended are reset, not left to time out."""
+        self.fleet.run(1, self.packet)
+        self.assertEqual(self.state(), reasons.STOPPING)
+        self.assertEqual(self.fleet.resets, [])
+        index = self.fleet.hosts.index(self.host)
+        self.fleet._host_sockets[index].close()  # noqa: SLF001
+        self.fleet.run(0.5, self.packet)
+        self.assertEqual(self.state(), reasons.ENDED)
+        self.assertNotEqual(self.fleet.resets, [])
