Test rotation by capacity with real processes; document it

A test with real entries of 5 and 100 Mbit/s is added: the slow one fails its probe, still serves requests, and returns after the fast one was killed. The stand-in of the settings file gains the link rate.

--- a/siskinbank/choice/entry_rotation.py
+++ b/siskinbank/choice/entry_rotation.py
@@ -12,9 +12,9 @@
 
 # A full packet on the wire: entries forward packets of up to 1,231 bytes.
 _PACKET_BITS = 1231 * 8
-# Packets per second that one core forwards, rounded down: 16 to 18 us of processor
-# time per full packet were measured on loopback with one packet per turn of the
-# event loop. Several packets per turn take 6 to 8 us each.
+# Packets per second that one core forwards, rounded down: 16 to 18 us of
+# processor time per full packet were measured on loopback with one packet per
+# turn of the event loop. Several packets per turn take 6 to 8 us each.
 _PACKETS_PER_CORE_S = 50_000
 _BITS_PER_KBIT = 1000
 # An entry that has been heard from within this time, in seconds, is known:
@@ -26,8 +26,8 @@
 _FRESH_INTERVALS = 3
 # Time for which the condition for leaving must hold, in seconds: as long as a
 # report is fresh at the usual interval of a second. Each report that an entry
-# leaves on is then confirmed or replaced meanwhile, and two entries that see the
-# same change do not flap together.
+# leaves on is confirmed or replaced meanwhile, and two entries that see the same
+# change do not flap together.
 _HOLD_S = 3.0
 
 
--- a/siskinbank/platform/encoding.py
+++ b/siskinbank/platform/encoding.py
@@ -162,7 +162,7 @@
     """The settings file of one process.
 
     ``ports`` are those for packets, readiness checks, peers and outbound
-    packets.
+    packets, ``link_mbps`` the rate of the link in Mbit/s, 0 to leave it out.
     """
 
     name: str
@@ -173,6 +173,7 @@
     store: tuple[str, int]
     service: str = ''
     host: tuple[str, int] | None = None
+    link_mbps: int = 0
 
     def encode(self) -> bytes:
         """Return the file's content as JSON."""
@@ -196,6 +197,8 @@
             listen['outbound'] = f'{self.ip}:{outbound}'
             document['app'] = f'{self.host[0]}:{self.host[1]}'
             document['Service'] = self.service
+        if self.link_mbps:
+            document['Limits'] = {'LinkMbps': self.link_mbps}
         return _json(document)
 
 
--- a/siskinbank/relay/entry_capacities.py
+++ b/siskinbank/relay/entry_capacities.py
@@ -160,8 +160,9 @@
         ]
 
     def _send_if_changed(self) -> None:
-        if self._reported != (self._is_serving(), self._stopping):
-            self._reported = (self._is_serving(), self._stopping)
+        state = (self._is_serving(), self._stopping)
+        if self._reported != state:
+            self._reported = state
             self._send(self._rotation.others)
 
     def _send_in_turn(self) -> None:
--- a/tests/relay/test_end_to_end.py
+++ b/tests/relay/test_end_to_end.py
@@ -4,13 +4,19 @@
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 from signal import SIGHUP, SIGTERM
 
 from siskinbank.lab.rig.client import ClientStandIn, FlowFailed
 from siskinbank.lab.rig.fleet import TARGET, RelayFleet
-from siskinbank.platform.encoding import Packet, RouteDocument
+from siskinbank.platform.encoding import (
+    Packet,
+    ProcessSettings,
+    RouteDocument,
+)
 from siskinbank.platform.packets import ACK, BOUNCED, SYN
+from siskinbank.platform.settings import READY_PATH
 from siskinbank.platform.store import HOSTS_PREFIX
 
 # Limit of the platform from a change by operator or host to its effect, in
@@ -65,6 +71,26 @@
         after = await client.send_request(flow, 'after')
         self.assertEqual(before.split()[1], after.split()[1])
 
+    async def test_slow_entry_leaves_rotation(self) -> None:
+        """It returns when the fast one is killed, and serves throughout."""
+        slow, fast = self.fleet.entries
+        for program, link_mbps in ((slow, 5), (fast, 100)):
+            program.kill()
+            program.settings = replace(
+                program.settings, data_centre='a', link_mbps=link_mbps
+            )
+            program.start()
+        await self.eventually(lambda: _has_status(slow.settings, 200), 10)
+        await self.eventually(lambda: _has_status(slow.settings, 503), 10)
+        self.assertTrue(await _has_status(fast.settings, 200))
+        body = await self.fleet.clients[0].request(TARGET, 'while out')
+        self.assertTrue(body.startswith('while out '), body)
+        fast.kill()
+        await self.eventually(lambda: _has_status(slow.settings, 200), 5)
+        # Lines leave every quarter second.
+        await asyncio.sleep(0.5)
+        self.assertIn(' R241 rotation.joined ', slow.log)
+
     async def test_flow_survives_restart_of_all_processes(self) -> None:
         """Entries and sidecars are killed at once; the hosts keep the flow."""
         client = self.fleet.clients[0]
@@ -308,3 +334,18 @@
 
 def _wait(process: object) -> int:
     return process.wait(6)  # type: ignore[attr-defined, no-any-return]
+
+
+async def _has_status(settings: ProcessSettings, status: int) -> bool:
+    """Return whether the readiness probe of a process gets a status."""
+    try:
+        reader, writer = await asyncio.open_connection(
+            settings.ip, settings.ports[1]
+        )
+    except ConnectionRefusedError:
+        # The process is starting; the caller limits the time.
+        return False
+    writer.write(f'GET {READY_PATH} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
+    line = await reader.readline()
+    writer.close()
+    return line.split()[1] == str(status).encode()
--- a/tests/relay/test_entry_capacities.py
+++ b/tests/relay/test_entry_capacities.py
@@ -2,12 +2,14 @@
 
 import random
 import unittest
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from siskinbank.relay import messages
+from siskinbank.relay import entry, main, messages
 from tests.relay.simulated_entries import EntryCluster
+from tests.relay.simulated_fleet import OTHER_ENTRIES, SimulatedFleet
 
 FAST = 100_000
 MEDIUM = 30_000
@@ -287,6 +289,79 @@
                 )
 
 
+class TestEntry(unittest.TestCase):
+    """A real entry with a slow link beside four fast ones."""
+
+    def setUp(self) -> None:
+        """Let the fast entries report, so that the slow one leaves."""
+        self.fleet = SimulatedFleet(2)
+        self.addCleanup(self.fleet.close)
+        self.node = self.fleet._nodes[self.fleet.entry_ip]  # noqa: SLF001
+        self.node.settings.link_kbps = SLOW
+
+    def test_readiness(self) -> None:
+        """It fails the probe while the others are in rotation."""
+        self.report(SETTLE_S)
+        self.assertFalse(self.node.is_ready())
+        self.fleet.run(RETURN_S)
+        self.assertTrue(self.node.is_ready())
+
+    def test_one_reports_only(self) -> None:
+        """It stays while the data centre of the others is not known."""
+        self.report(SETTLE_S, OTHER_ENTRIES[:1])
+        self.assertTrue(self.node.is_ready())
+
+    def test_stop(self) -> None:
+        """The first message after a stop says so, at once."""
+        self.report(1)
+        received: list[bytes] = []
+        self.fleet.loss = lambda source, target, datagram: bool(
+            source == self.fleet.entry_ip
+            and datagram[0] == messages.ENTRY_CAPACITY
+            and received.append(datagram)
+        )
+        self.node.on_stop()
+        self.assertEqual(len(received), len(OTHER_ENTRIES))
+        report = messages.EntryCapacity.read(received[0])
+        self.assertEqual((report.stopping, report.serving), (True, False))
+        self.assertFalse(self.node.is_ready())
+
+    def report(
+        self, seconds: float, entries: tuple[str, ...] = OTHER_ENTRIES
+    ) -> None:
+        """Let fast entries report twice a second for some time."""
+        report = messages.EntryCapacity(messages.digest('a'))
+        report.capacity = 10_000
+        report.serving = True
+        report.interval_ms = 1000
+        for _ in range(int(seconds * 2)):
+            for ip in entries:
+                self.fleet._send(  # noqa: SLF001
+                    ip, self.fleet.entry_ip, report.pack()
+                )
+            self.fleet.run(0.5)
+
+
+class TestSetting(unittest.TestCase):
+    """The environment variable reaches the entry."""
+
+    def test_values(self) -> None:
+        """Entries rotate by capacity unless the operator says otherwise."""
+        cases = (
+            ({}, 'capacity'),
+            ({b'SISKINBANK_ENTRY_ROTATION': b'all'}, 'all'),
+            ({b'SISKINBANK_ENTRY_ROTATION': b'\xff'}, '\ufffd'),
+        )
+        for environ, expected in cases:
+            with (
+                self.subTest(environ=environ),
+                patch.object(main, 'environ', environ),
+                patch.object(entry, 'Entry') as create,
+            ):
+                main._create_program('entry', create)  # noqa: SLF001
+                create.assert_called_once_with(create, expected)
+
+
 class Scenario:
     """Random faults of a cluster, and the check of the property."""
 
--- a/tests/relay/test_start_and_logging.py
+++ b/tests/relay/test_start_and_logging.py
@@ -163,6 +163,13 @@
         self.assertIn('siskinbank_request_seconds_bucket{le="+Inf"} 3', lines)
         self.assertEqual(meters.value('resets_total'), 3)
 
+    def test_gauge(self) -> None:
+        """Only the last value is shown."""
+        meters = Meters()
+        for amount in (3, 2):
+            meters.gauge('entries_known', amount)
+        self.assertIn('siskinbank_entries_known 2', meters.text().splitlines())
+
 
 def _run(code: str) -> str:
     return subprocess.run(
