Rank hosts by their reported speed when a flow is placed

One host in four takes 2.2 times as long as the others, and the ranking by requests in progress and open flows gives it as many flows as the others.

The median is cached for a second. Sidecars report 0 (unknown) so far, so that nothing changes yet.

--- a/siskinbank/choice/placement.py
+++ b/siskinbank/choice/placement.py
@@ -5,11 +5,17 @@
 long flows send requests for minutes. The current queue of a host is known to
 its sidecar alone, so an entry names several candidates and sidecars forward a
 flow among them. The entry orders them by what changes slowly: open flows, the
-last known load, its own placements since, and the distance.
+last known load, its own placements since, the distance, and how fast the host
+is (``choice.host_speed``).
 """
 
 from __future__ import annotations
 
+from siskinbank.choice.host_speed import (
+    UNKNOWN,
+    is_speed_ignored,
+    load_factor,
+)
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -33,6 +39,9 @@
 # Cost of a host without a record from the store, in requests in progress: it
 # may have been replaced, but is no worse than a busy host.
 _UNTRUSTED_WEIGHT = 1
+# Weight of the new flow's own request at a host that is slower or faster than
+# the median.
+_OWN_WEIGHT = 1
 # Largest cost by which the hash of flow and host orders equal hosts, in
 # requests in progress.
 _SPREAD_WEIGHT = 0.1
@@ -44,6 +53,7 @@
     flow_hash: int,
     data_centre: int,
     now: float,
+    median_ms: int = UNKNOWN,
 ) -> list[TrackedHost]:
     """Return the candidates for a new flow, the best first.
 
@@ -52,11 +62,15 @@
         flow_hash: hash of the flow's key.
         data_centre: digest of the entry's own data centre.
         now: time in seconds, on a clock that runs on during suspension.
+        median_ms: median of the hosts' mean processing times in milliseconds,
+            UNKNOWN if their speed does not count.
     """
+    if is_speed_ignored(flow_hash):
+        median_ms = UNKNOWN
     accepting = [host for host in hosts if not host.status.state]
     responsive = [host for host in accepting if not host.is_silent(now)]
     scored = [
-        (_score(host, flow_hash, data_centre), index)
+        (_score(host, flow_hash, data_centre, median_ms), index)
         for index, host in enumerate(responsive)
     ]
     scored.sort()
@@ -108,9 +122,15 @@
     return queueing + others
 
 
-def _score(host: TrackedHost, flow_hash: int, data_centre: int) -> float:
+def _score(
+    host: TrackedHost, flow_hash: int, data_centre: int, median_ms: int
+) -> float:
     status = host.status
     load = status.busy + host.pending + status.flows * _FLOW_WEIGHT
+    factor = load_factor(status.processing_ms, median_ms)
+    # The new request takes as long as one in progress; among hosts of equal
+    # speed its own work makes no difference.
+    load = load * factor + _OWN_WEIGHT * (factor - 1)
     # As the factor is odd, addresses that differ in the last byte differ here.
     spread = (flow_hash ^ host.packed[3] * 0x9D) % _SPREAD_STEPS / _SPREAD_STEPS
     remote = _REMOTE_WEIGHT if status.data_centre != data_centre else 0
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -177,13 +177,15 @@
         key = packet[FLOW_KEY]
         now = self._node.loop.now
         flow_hash = crc32(key)
-        service = route.service_for(flow_hash)
-        hosts = self._hosts.of_service(messages.digest(service))
+        service = messages.digest(route.service_for(flow_hash))
+        hosts = self._hosts.of_service(service)
+        median_ms = self._hosts.median_ms(service, now)
         ordered = rank_hosts(
             hosts,
             flow_hash,
             self._data_centre,
             now,
+            median_ms,
         )
         tried = flow.tried if flow else ()
         queueing_host = flow.queueing_host if flow else ''
@@ -204,12 +206,14 @@
             host=first.ip,
             age_ms=int((now - first.last_seen) * _MS),
             busy=first.status.busy,
+            processing_ms=first.status.processing_ms,
+            median_ms=median_ms,
             candidates=len(chosen),
             version=self._follower.configuration.version,
             tries=len(tried),
         )
         opening = messages.Opening(self._node.packed_ip, packet)
-        opening.service = messages.digest(service)
+        opening.service = service
         opening.version = self._follower.configuration.version
         opening.target_latency_ms = messages.wait_ms(route.target_latency_s)
         opening.wait_limit_ms = messages.wait_ms(max_wait_s(route.timeout_s))
--- a/siskinbank/tracking/hosts.py
+++ b/siskinbank/tracking/hosts.py
@@ -4,6 +4,7 @@
 
 from _socket import inet_aton
 
+from siskinbank.choice.host_speed import median_ms
 from siskinbank.relay.messages import Status
 from siskinbank.tracking.liveness import HostProbes
 
@@ -19,6 +20,10 @@
 # A host without an update for this long, in seconds, is removed: the longest
 # lifetime of a flow on the platform.
 _EXPIRY_S = 60.0
+# Time for which a median of the processing times is used, in seconds: sorting
+# those of 3,200 hosts for each new flow would take most of an entry's
+# processor.
+_MEDIAN_TTL_S = 1.0
 
 
 class TrackedHost:
@@ -69,13 +74,15 @@
         probes: unanswered probes of sidecars, also of hosts not in the table.
     """
 
-    __slots__ = ('_by_ip', '_by_service', 'probes')
+    __slots__ = ('_by_ip', '_by_service', '_medians', 'probes')
 
     def __init__(self) -> None:
         """Create an empty table."""
         self.probes = HostProbes()
         self._by_ip: dict[str, TrackedHost] = {}
         self._by_service: dict[int, list[TrackedHost]] = {}
+        # Time of each median and the median, by service.
+        self._medians: dict[int, tuple[float, int]] = {}
 
     def __len__(self) -> int:
         """Return the number of hosts."""
@@ -93,6 +100,30 @@
         """Return the hosts of a service, given by its digest."""
         return self._by_service.get(service, [])
 
+    def median_ms(self, service: int, now: float) -> int:
+        """Return the median processing time of a service's hosts.
+
+        Args:
+            service: digest of the service.
+            now: time in seconds, on a clock that runs on during suspension.
+
+        Returns:
+            The median over the hosts whose sidecars are not silent in
+            milliseconds, 0 if unknown; up to a second old.
+        """
+        cached = self._medians.get(service)
+        if cached and now - cached[0] < _MEDIAN_TTL_S:
+            return cached[1]
+        found = median_ms(
+            [
+                host.status.processing_ms
+                for host in self.of_service(service)
+                if not host.is_silent(now)
+            ]
+        )
+        self._medians[service] = (now, found)
+        return found
+
     def update_status(self, ip: str, status: Status, now: float) -> bool:
         """Apply a status update; return whether the host has changed."""
         host = self._by_ip.get(ip)
@@ -151,6 +182,8 @@
 
     def _index(self) -> None:
         self._by_service = {}
+        # A service that has no hosts any more needs no median.
+        self._medians = {}
         for host in self._by_ip.values():
             group = self._by_service.setdefault(host.status.service, [])
             group.append(host)
