Measure processing time by route and report hosts' speed

Wait estimates used one mean for requests of 5 ms and of 72 ms. Requests that waited for a slot were not measured, so that a slow host with a queue stayed unknown, while errors and rejections that a host answers at once counted as fast requests.

Sidecars keep a mean for each of up to 64 routes and sum requests in progress, expected and queued by route. A request that waits is measured from the end of the request whose slot it gets. Only answers with a status of 2xx count. Status updates carry the mean of the last 33 or so; it is 0 until 20 requests were measured, after 10 s without one, while the host is cold and after its start. Uploads do not count in it. Drawn candidates are ordered by speed.

--- a/siskinbank/admission/arrivals.py
+++ b/siskinbank/admission/arrivals.py
@@ -47,6 +47,23 @@
 _CAPACITY_GROWTH_PER_S = 0.5
 # Weight of a new measurement in a moving average: about the last ten count.
 _AVERAGE_WEIGHT = 0.1
+# Routes whose processing time is kept: more than one host serves, so that
+# addresses that were withdrawn do not accumulate.
+_MAX_ROUTES = 64
+# Measurements of a route from which its own mean is used.
+_MIN_ROUTE_MEASUREMENTS = 5
+# Mean and number of measurements of a route without any.
+_NOT_MEASURED = (0, 0)
+# Weight of a new measurement in the mean that is compared with other hosts:
+# about the last 33 count, so that the means of equal hosts differ by less than
+# the ratio that the ranking ignores.
+_SPEED_WEIGHT = 0.03
+# Measurements before that mean is reported.
+_MIN_SPEED_MEASUREMENTS = 20
+# Time after the last measurement for which it is reported, in seconds. A host
+# that gets no requests may have recovered.
+_SPEED_TTL_S = 10.0
+_MS = 1000
 # Share of a request's time limit that it may spend in the queue; the rest is
 # for processing, the network, and the client's retry at another host.
 _MAX_WAIT_SHARE = 0.5
@@ -137,31 +154,97 @@
             self._accepted_at.pop(key)
         return len(self._accepted_at)
 
+    def keys(self) -> list[bytes]:
+        """Return the keys of the flows, in order of acceptance."""
+        return list(self._accepted_at)
+
 
 class ProcessingTime:
-    """Mean processing time of a host, from requests that did not wait.
+    """Mean processing times of a host, overall and by route.
+
+    Load pattern: requests of 5 ms and of 72 ms go to the same hosts, so the
+    overall mean is wrong for both. A host that fails answers fast, so callers
+    note only requests that were answered with success.
 
     Attributes:
-        seconds: the moving average.
+        seconds: the moving average over all requests.
     """
 
-    __slots__ = ('seconds',)
+    __slots__ = (
+        '_routes',
+        '_speed_count',
+        '_speed_s',
+        '_speed_until',
+        'seconds',
+    )
 
     def __init__(self) -> None:
         """Start from the initial processing time."""
         self.seconds = _INITIAL_PROCESSING_S
+        # Mean and number of measurements by route; the route measured last
+        # comes last.
+        self._routes: dict[bytes, tuple[float, int]] = {}
+        self._speed_s: float = 0
+        self._speed_count = 0
+        self._speed_until: float = 0
 
     def of_route(self, route: bytes) -> float:
         """Return the mean processing time of a route's requests, in seconds.
 
         Args:
             route: address and port of the route.
+
+        Returns:
+            The overall mean while the route has few measurements.
         """
-        return self.seconds
+        mean_s, count = self._routes.get(route, _NOT_MEASURED)
+        return mean_s if count >= _MIN_ROUTE_MEASUREMENTS else self.seconds
+
+    def speed_ms(self, now: float) -> int:
+        """Return the mean that is compared with other hosts, in milliseconds.
 
-    def note(self, elapsed_s: float) -> None:
-        """Add the processing time of one request to the average."""
+        Args:
+            now: time in seconds.
+
+        Returns:
+            0 if there are too few measurements, or none for some time.
+        """
+        is_known = (
+            self._speed_count >= _MIN_SPEED_MEASUREMENTS
+            and now < self._speed_until
+        )
+        return max(1, round(self._speed_s * _MS)) if is_known else 0
+
+    def note(self, elapsed_s: float, route: bytes = b'') -> None:
+        """Add the processing time of one request to the averages.
+
+        Args:
+            elapsed_s: processing time in seconds.
+            route: address and port of its route.
+        """
         self.seconds += (elapsed_s - self.seconds) * _AVERAGE_WEIGHT
+        mean_s, count = self._routes.pop(route, _NOT_MEASURED)
+        if len(self._routes) >= _MAX_ROUTES:
+            self._routes.pop(next(iter(self._routes)))
+        mean_s += (elapsed_s - mean_s) * max(_AVERAGE_WEIGHT, 1 / (count + 1))
+        self._routes[route] = (mean_s, count + 1)
+
+    def note_speed(self, elapsed_s: float, now: float) -> None:
+        """Add one request to the mean that is compared with other hosts.
+
+        Args:
+            elapsed_s: processing time in seconds.
+            now: time in seconds.
+        """
+        self._speed_count += 1
+        weight = max(_SPEED_WEIGHT, 1 / self._speed_count)
+        self._speed_s += (elapsed_s - self._speed_s) * weight
+        self._speed_until = now + _SPEED_TTL_S
+
+    def forget_speed(self) -> None:
+        """Forget the mean that is compared, as after a start of the host."""
+        self._speed_s = 0
+        self._speed_count = 0
 
     def wait_s(self, busy: int, slots: int) -> float:
         """Return how many seconds a new request would wait for a slot.
--- a/siskinbank/choice/placement.py
+++ b/siskinbank/choice/placement.py
@@ -76,6 +76,12 @@
     scored.sort()
     chosen = _add_random_candidates([pair[-1] for pair in scored], flow_hash)
     best = [responsive[position] for position in chosen]
+    # Sidecars try the candidates in this order until one has a free slot. A slow
+    # host that is drawn comes last, as it often has one when it has its share.
+    best = best[:_RANKED_CANDIDATES] + sorted(
+        best[_RANKED_CANDIDATES:],
+        key=lambda host: _speed_factor(host, median_ms),
+    )
     # Hosts whose sidecars are silent may be restarting; they are used only if
     # no other host accepts flows.
     return best or accepting[:MAX_CANDIDATES]
@@ -122,12 +128,16 @@
     return queueing + others
 
 
+def _speed_factor(host: TrackedHost, median_ms: int) -> float:
+    return load_factor(host.status.processing_ms, median_ms)
+
+
 def _score(
     host: TrackedHost, flow_hash: int, data_centre: int, median_ms: int
 ) -> float:
     status = host.status
     load = status.busy + host.pending + status.flows * _FLOW_WEIGHT
-    factor = load_factor(status.processing_ms, median_ms)
+    factor = _speed_factor(host, median_ms)
     # The new request takes as long as one in progress; among hosts of equal
     # speed its own work makes no difference.
     load = load * factor + _OWN_WEIGHT * (factor - 1)
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -11,6 +11,7 @@
     no_host_is_final,
     refusal_is_final,
 )
+from siskinbank.choice.host_speed import load_factor
 from siskinbank.choice.placement import candidates, rank_hosts
 from siskinbank.entry.flow_cache import CachedFlow, FlowCache
 from siskinbank.platform.packets import (
@@ -195,6 +196,8 @@
             return
         first = chosen[0]
         first.pending += 1
+        if load_factor(first.status.processing_ms, median_ms) > 1:
+            self._node.meters.count('flows_placed_slow_total')
         if flow is None:
             self._flows.add(key, first.ip, now)
         else:
--- a/siskinbank/relay/request_tracker.py
+++ b/siskinbank/relay/request_tracker.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from siskinbank.platform.packets import FIN, RST, describe_flow, flags_of
+from siskinbank.platform.packets import (
+    FIN,
+    RST,
+    describe_flow,
+    flags_of,
+    route_key,
+)
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -18,6 +24,9 @@
 # Time for which an answer may arrive after the end of its flow, in seconds:
 # both cross only the machine's own network.
 _ANSWER_GRACE_S = 0.01
+# First digit of the status of a request that was served. Errors are answered
+# faster than the host can serve requests.
+_SUCCESS = '2'
 
 
 class RequestTracker:
@@ -49,12 +58,15 @@
         if request is None:
             return
         host = self._host
+        now = self._node.loop.now
         if before is None:
-            request.waited = (
-                host.processing_time.wait_s(host.busy, host.slots) > 0
-            )
             host.busy += 1
-            host.expected_requests.note_request(key, self._node.loop.now)
+            host.expected_requests.note_request(key, now)
+        else:
+            host.in_progress.remove(before, now, host.slots, is_answered=False)
+        request.work_s = host.processing_time.of_route(route_key(key))
+        slots = host.slots if host.record else None
+        host.in_progress.add(request, now, slots)
         self._node.meters.count('requests_total')
         self._node.log(
             'request.start',
@@ -74,6 +86,9 @@
             if flow.request and flags_of(packet) & (FIN | RST):
                 self._schedule_end(key, flow, flow.request)
             return
+        request = flow.request
+        if request and answer.status.startswith(_SUCCESS):
+            self._measure(key, request, packet)
         if not answer.executed:
             self._host.queue_capacity.note_shed(self._host.busy - 1, now)
             self._node.meters.count('requests_shed_total')
@@ -87,9 +102,10 @@
         flow.request = None
         host = self._host
         host.busy -= 1
-        duration = self._node.loop.now - request.started_at
-        if not request.waited and outcome.isdigit():
-            host.processing_time.note(duration)
+        now = self._node.loop.now
+        duration = now - request.started_at
+        is_answered = outcome.isdigit()
+        host.in_progress.remove(request, now, host.slots, is_answered)
         self._node.meters.count('requests_ended_total')
         self._node.meters.time('request_seconds', duration)
         self._node.log(
@@ -102,6 +118,20 @@
         )
         self.on_end()
 
+    def _measure(self, key: bytes, request: Request, answer: bytes) -> None:
+        """Note the processing time of a request that was served."""
+        processed_from = request.processed_from
+        if processed_from is None or not request.is_measurable:
+            return
+        now = self._node.loop.now
+        host = self._host
+        elapsed_s = now - processed_from
+        host.processing_time.note(elapsed_s, route_key(key))
+        # The time of an upload depends on the link of its entry and client, and
+        # that of a cold host on its start.
+        if request.is_single_packet(answer) and not host.is_cold(now):
+            host.processing_time.note_speed(elapsed_s, now)
+
     def _schedule_end(
         self,
         key: bytes,
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -381,6 +381,7 @@
 
     def _on_stall(self, stalled_s: float) -> None:
         self._host.wait_for_record(self._node.loop.now)
+        self._host.in_progress.skip_measurements()
 
     def _sweep(self) -> None:
         now = self._node.loop.now
--- a/siskinbank/relay/status_reporter.py
+++ b/siskinbank/relay/status_reporter.py
@@ -209,6 +209,7 @@
         request_count = host.request_count(now) + self._count_queued()
         status.busy = min(request_count, _MAX_COUNT)
         status.flows = min(len(self._flows), _MAX_COUNT)
+        status.processing_ms = host.processing_time.speed_ms(now)
         status.version = host.version
         status.trusted = host.is_trusted(now)
         if host.record:
--- a/siskinbank/sidecar/tracked_flows.py
+++ b/siskinbank/sidecar/tracked_flows.py
@@ -22,6 +22,7 @@
 __all__ = ('Request', 'TrackedFlow', 'UnansweredPacket')
 
 _NO_SEQUENCE = -1
+_SEQUENCE_NUMBERS = 1 << 32
 
 
 class Request:
@@ -30,16 +31,40 @@
     Attributes:
         started_at: when its first packet was received.
         name: the id that the client gave the request, for the logs.
-        waited: whether it was queued because all slots were in use.
+        end_number: sequence number after its first packet.
+        processed_from: when the host started to process it, by the order of
+            arrival, in seconds; None while it waits.
+        is_measurable: whether that time is known well enough.
+        work_s: expected processing time, in seconds.
     """
 
-    __slots__ = ('name', 'started_at', 'waited')
+    __slots__ = (
+        'end_number',
+        'is_measurable',
+        'name',
+        'processed_from',
+        'started_at',
+        'work_s',
+    )
 
     def __init__(self, started_at: float, name: str) -> None:
         """Initialize a request that starts at ``started_at``."""
         self.started_at = started_at
         self.name = name
-        self.waited = False
+        self.end_number = 0
+        self.processed_from: float | None = None
+        self.is_measurable = True
+        self.work_s: float = 0
+
+    def is_single_packet(self, answer: bytes) -> bool:
+        """Return whether its first packet is all that the host received.
+
+        Args:
+            answer: the first packet of the host's answer.
+        """
+        acknowledged = sequence_numbers(answer)[1]
+        beyond = (acknowledged - self.end_number) % _SEQUENCE_NUMBERS
+        return not 0 < beyond < _SEQUENCE_NUMBERS // 2
 
 
 class TrackedFlow:
@@ -95,6 +120,7 @@
             return None
         self._last_request = number
         self.request = Request(now, request_id(packet))
+        self.request.end_number = number + len(packet) - HEADER_BYTES
         return self.request
 
     def track_answer(self, packet: bytes, now: float) -> Answer | None:
--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -10,6 +10,11 @@
     QueueCapacity,
     RefusalBackoff,
 )
+from siskinbank.admission.requests_in_progress import (
+    RequestsInProgress,
+    wait_for_slot_s,
+)
+from siskinbank.platform.packets import route_key
 from siskinbank.relay import messages
 from siskinbank.relay.loop import NEVER
 from siskinbank.tracking.store_position import StorePosition
@@ -46,7 +51,8 @@
         version: newest configuration version that was announced.
         stopping: whether the sidecar is about to stop.
         busy: number of requests in progress.
-        processing_time: mean processing time of a request at the host.
+        in_progress: these requests, in order.
+        processing_time: mean processing times of requests at the host.
         expected_requests: accepted flows whose first request has not arrived
             yet.
         queue_capacity: learned capacity of the host's queue.
@@ -70,6 +76,7 @@
         'confirmed_at',
         'expected_requests',
         'has_accepted_flow',
+        'in_progress',
         'processing_time',
         'queue_capacity',
         'record',
@@ -94,6 +101,7 @@
         self.version = 0
         self.stopping = False
         self.busy = 0
+        self.in_progress = RequestsInProgress()
         self.processing_time = ProcessingTime()
         self.expected_requests = ExpectedRequests()
         self.queue_capacity = QueueCapacity()
@@ -228,16 +236,32 @@
             request_count, now
         )
 
-    def wait_s(self, now: float, ahead: int = 0) -> float:
+    def wait_s(
+        self, now: float, ahead: int = 0, ahead_work_s: float | None = None
+    ) -> float:
         """Return how long a new request would wait for a slot, in seconds.
 
         Args:
             now: time in seconds on the clock that counts suspension.
             ahead: number of queued flows that get a slot before it.
+            ahead_work_s: sum of their processing times in seconds, None to
+                count each with the mean over all routes.
         """
-        return self.processing_time.wait_s(
-            self.request_count(now) + ahead, self.slots
+        count = self.request_count(now) + ahead
+        if count < self.slots:
+            return 0
+        processing_time = self.processing_time
+        work_s = self.in_progress.work_s()
+        work_s.extend(
+            processing_time.of_route(route_key(key))
+            for key in self.expected_requests.keys()
+        )
+        if ahead and ahead_work_s is not None:
+            work_s.extend(ahead_work_s / ahead for _ in range(ahead))
+        work_s.extend(
+            processing_time.seconds for _ in range(count - len(work_s))
         )
+        return wait_for_slot_s(work_s, self.slots)
 
     def refusal_reason(self, service: int, now: float) -> int:
         """Return the reason why the host accepts no flow now, or NONE.
@@ -253,6 +277,10 @@
             return persistent
         return reasons.COLD if self.cold_flows_left(now) == 0 else reasons.NONE
 
+    def is_cold(self, now: float) -> bool:
+        """Return whether the host is cold: its speed says nothing yet."""
+        return now < self._cold_until
+
     def cold_flows_left(self, now: float) -> int | None:
         """Return the number of flows that a cold host may still accept.
 
@@ -261,7 +289,7 @@
             or its service states no rate.
         """
         record = self.record
-        if record is None or not record.cold_per_s or now >= self._cold_until:
+        if record is None or not record.cold_per_s or not self.is_cold(now):
             return None
         return self._cold.flows_left(now, record.cold_per_s)
 
@@ -302,6 +330,7 @@
             self._unreachable_at = NEVER
             self._observed_since = now
             self.refusal_backoff.note_accepted()
+            self.processing_time.forget_speed()
         return True
 
     def _persistent_reason(self, service: int, now: float) -> int:
--- a/tests/admission/test_arrivals.py
+++ b/tests/admission/test_arrivals.py
@@ -1,5 +1,6 @@
 """Tests of the admission of new flows, with the load patterns behind it."""
 
+import random
 import unittest
 
 from siskinbank.admission import reasons
@@ -87,6 +88,90 @@
         self.assertAlmostEqual(processing.wait_s(21, 2), 1, places=3)
 
 
+class TestRoutes(unittest.TestCase):
+    """Load pattern: requests of 5 ms and of 72 ms go to the same hosts."""
+
+    def test_mean_by_route(self) -> None:
+        """Guards against waits that are estimated by another route's time."""
+        processing = ProcessingTime()
+        for _ in range(4):
+            processing.note(0.005, b'roll')
+        self.assertEqual(processing.of_route(b'roll'), processing.seconds)
+        for _ in range(100):
+            processing.note(0.005, b'roll')
+            processing.note(0.072, b'intro')
+        self.assertAlmostEqual(processing.of_route(b'roll'), 0.005)
+        self.assertAlmostEqual(processing.of_route(b'intro'), 0.072)
+        self.assertEqual(processing.of_route(b'new'), processing.seconds)
+
+    def test_withdrawn_routes(self) -> None:
+        """Guards against growth with each address that was ever used."""
+        processing = ProcessingTime()
+        for withdrawn in range(1000):
+            for _ in range(5):
+                work_s = 0.001 * (withdrawn + 1)
+                processing.note(work_s, bytes([withdrawn % 256, 1]))
+                processing.note(0.3, b'steady')
+        self.assertAlmostEqual(processing.of_route(b'steady'), 0.3)
+        known = [
+            number
+            for number in range(256)
+            if processing.of_route(bytes([number, 1])) != processing.seconds
+        ]
+        self.assertEqual(len(known), 63)
+
+
+class TestSpeed(unittest.TestCase):
+    """The mean that entries compare with other hosts."""
+
+    def test_few_measurements(self) -> None:
+        """Guards against a rank that rests on the first requests."""
+        processing = ProcessingTime()
+        for number in range(1, 25):
+            processing.note_speed(0.05, 100)
+            known = processing.speed_ms(100)
+            self.assertEqual(known, 50 if number >= 20 else 0)
+        processing.forget_speed()
+        self.assertEqual(processing.speed_ms(100), 0)
+
+    def test_no_requests_for_some_time(self) -> None:
+        """Guards against starvation of a host that was slow when last used."""
+        processing = ProcessingTime()
+        for _ in range(20):
+            processing.note_speed(0.25, 100)
+        self.assertEqual(processing.speed_ms(109), 250)
+        self.assertEqual(processing.speed_ms(110), 0)
+
+    def test_recovery(self) -> None:
+        """A host that was five times slower is like others after 100 requests.
+
+        Guards against an average that outlasts the slowness for long.
+        """
+        processing = ProcessingTime()
+        for _ in range(100):
+            processing.note_speed(0.25, 100)
+        for _ in range(100):
+            processing.note_speed(0.05, 100)
+        self.assertLess(processing.speed_ms(100), 65)
+
+    def test_mixed_requests(self) -> None:
+        """Guards against equal hosts that are ranked by chance.
+
+        Replay: the routes of the first deployment, 30% of 5 ms.
+        """
+        rng = random.Random(1)
+        processing = ProcessingTime()
+        speeds = []
+        for _ in range(5000):
+            work_s = rng.choices((0.056, 0.073, 0.005), (55, 15, 30))[0]
+            processing.note_speed(work_s * rng.uniform(0.7, 1.3), 100)
+            speeds.append(processing.speed_ms(100))
+        known = sorted(speeds[100:])
+        median = known[len(known) // 2]
+        unlike = [ms for ms in known if abs(ms - median) > 0.23 * median]
+        self.assertLess(len(unlike), len(known) // 100)
+
+
 class TestQueueCapacity(unittest.TestCase):
     """Load pattern: a backlog that fills the queue of every host."""
 
--- a/tests/choice/test_host_speed.py
+++ b/tests/choice/test_host_speed.py
@@ -1,6 +1,7 @@
 """Tests of the speed of hosts in the ranking of candidates."""
 
 import unittest
+from statistics import mean
 
 from siskinbank.choice.host_speed import (
     UNKNOWN,
@@ -12,12 +13,33 @@
 from siskinbank.relay.messages import Status
 from siskinbank.tracking.hosts import HostTable
 from tests.choice.test_placement import LOCAL_DATA_CENTRE, make_host
+from tests.choice.uneven_hosts import PROCESSING_S, SLOTS, Replay, Slowness
 
+HOSTS = 16
+SLOW_HOSTS = list(range(0, HOSTS, 4))
+SLOW_SPEED = 0.46
+# Requests that all hosts can process, per second.
+EVEN_CAPACITY = HOSTS * SLOTS / PROCESSING_S
+UNEVEN_CAPACITY = EVEN_CAPACITY * (3 + SLOW_SPEED) / 4
+DURATION_S = 60.0
+SEEDS = (1, 2, 3)
 MEDIAN_MS = 50
 # A hash of a flow for which speed counts.
 FLOW_HASH = 0xF0000000
 
 
+def _slow(number: int, now: float) -> float:
+    return 1 if number % 4 else 1 / SLOW_SPEED
+
+
+def _slow_for_6_s(number: int, now: float) -> float:
+    return 5 if not number % 4 and 30 <= now < 36 else 1
+
+
+def _all_slow(number: int, now: float) -> float:
+    return 3 if now >= 20 else 1
+
+
 class TestFactor(unittest.TestCase):
     """Factors of single hosts."""
 
@@ -76,6 +98,120 @@
         self.assertEqual(found, before)
 
 
+class TestReplay(unittest.TestCase):
+    """Replay: 16 hosts behind 4 entries, long flows of 20 s and short ones."""
+
+    def test_one_host_in_four_is_slow(self) -> None:
+        """Guards against slow hosts with more work than they can do.
+
+        Slow hosts have 0.46 of the others' speed, and the demand is 0.8 of the
+        total capacity.
+        """
+        p99_s = {}
+        utilization = {}
+        for by_speed in (False, True):
+            replays = [
+                self._replay(_slow, by_speed, seed, 0.8 * UNEVEN_CAPACITY)
+                for seed in SEEDS
+            ]
+            p99_s[by_speed] = mean(replay.p99_wait_s(20) for replay in replays)
+            utilization[by_speed] = mean(
+                replay.utilization(SLOW_HOSTS) for replay in replays
+            )
+        self.assertLess(p99_s[True], 0.9 * p99_s[False])
+        self.assertGreater(utilization[False], 0.88)
+        self.assertLess(utilization[True], 0.86)
+
+    def test_few_requests(self) -> None:
+        """Guards against flows to slow hosts while fast ones are idle.
+
+        Still each host gets flows, so that it is measured.
+        """
+        replays = [
+            self._replay(_slow, by_speed, 1, 0.2 * UNEVEN_CAPACITY)
+            for by_speed in (False, True)
+        ]
+        before, after = (replay.utilization(SLOW_HOSTS) for replay in replays)
+        self.assertLess(after, before / 2)
+        self.assertGreater(min(replays[1].placed(20, DURATION_S)), 5)
+
+    def test_recovery(self) -> None:
+        """Guards against starvation of hosts that were slow for 6 s.
+
+        They were five times slower, and get flows meanwhile and their share
+        afterwards. Long flows that were open there still wait.
+        """
+        before, after = (
+            self._replay(_slow_for_6_s, by_speed, 1, 0.5 * EVEN_CAPACITY)
+            for by_speed in (False, True)
+        )
+        self.assertLessEqual(after.p99_wait_s(20), 1.05 * before.p99_wait_s(20))
+        self.assertGreater(min(after.placed(30, 36)), 0)
+        counts = after.placed(42, DURATION_S)
+        share = mean(counts[number] for number in SLOW_HOSTS) / mean(counts)
+        self.assertGreater(share, 0.7)
+        self.assertLess(share, 1.5)
+
+    def test_all_hosts_slow(self) -> None:
+        """Guards against herding when the load makes all hosts slow at once."""
+        before, after = (
+            self._replay(_all_slow, by_speed, 1, 0.25 * EVEN_CAPACITY)
+            for by_speed in (False, True)
+        )
+        self.assertLessEqual(after.p99_wait_s(20), 1.1 * before.p99_wait_s(20))
+        # By chance hosts get 0.6 to 1.6 of the mean, with and without speed.
+        counts = after.placed(20, DURATION_S)
+        self.assertLess(max(counts), 1.8 * mean(counts))
+        self.assertGreater(min(counts), 0.5 * mean(counts))
+        times = [host.status(after.now).processing_ms for host in after.hosts]
+        median = median_ms(times)
+        self.assertGreater(median, 2.5 * MEDIAN_MS)
+        factors = {load_factor(time_ms, median) for time_ms in times}
+        self.assertEqual(factors, {1})
+
+    def _replay(
+        self, slowness: Slowness, by_speed: bool, seed: int, per_s: float
+    ) -> Replay:
+        replay = Replay(HOSTS, slowness, by_speed, seed)
+        replay.run(DURATION_S, per_s)
+        return replay
+
+
+class TestLostStatuses(unittest.TestCase):
+    """Failures of sidecars and links."""
+
+    def test_lost_statuses(self) -> None:
+        """The last value counts until the sidecar is silent.
+
+        Guards against a slow host that counts as fast on the first loss.
+        """
+        table = HostTable()
+        for number, processing_ms in enumerate((110, 50, 51)):
+            status = Status(7, LOCAL_DATA_CENTRE)
+            status.processing_ms = processing_ms
+            status.flows = 1
+            table.update_status(f'10.0.0.{number}', status, 100)
+        hosts = table.of_service(7)
+        for now, ranks in ((101.2, [2]), (101.4, [])):
+            median = table.median_ms(7, now)
+            found = rank_hosts(hosts, FLOW_HASH, LOCAL_DATA_CENTRE, now, median)
+            slow = [
+                rank for rank, host in enumerate(found) if host.ip == '10.0.0.0'
+            ]
+            self.assertEqual(slow, ranks)
+            for fast in hosts[1:]:
+                table.note_message(fast.ip, now)
+
+    def test_restarted_sidecar(self) -> None:
+        """Guards against a host that gets all flows, or none, after it."""
+        hosts = [make_host(number, processing_ms=50) for number in range(8)]
+        before = rank_hosts(hosts, FLOW_HASH, 1, 100, MEDIAN_MS)
+        hosts[3].status.processing_ms = UNKNOWN
+        self.assertEqual(
+            rank_hosts(hosts, FLOW_HASH, 1, 100, MEDIAN_MS), before
+        )
+
+
 class TestMedianOfTable(unittest.TestCase):
     """The median over the hosts that an entry knows."""
 
--- a/tests/choice/uneven_hosts.py
+++ b/tests/choice/uneven_hosts.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from siskinbank.admission.arrivals import queueing_decision
+from siskinbank.admission.arrivals import ProcessingTime, queueing_decision
 from siskinbank.choice.host_speed import median_ms
 from siskinbank.choice.placement import rank_hosts
 from siskinbank.relay.messages import Status
@@ -23,11 +23,6 @@
 LONG_SHARE = 0.7
 STATUS_INTERVAL_S = 0.4
 LIMIT_S = 2.0
-# Weight of a measurement in the mean processing time, and measurements before
-# it is reported.
-AVERAGE_WEIGHT = 0.1
-MIN_MEASUREMENTS = 5
-_MS = 1000
 
 #: Returns the factor of a host's processing times at a time in seconds.
 Slowness = Callable[[int, float], float]
@@ -39,22 +34,18 @@
     Attributes:
         busy: requests in progress and queued.
         flows: open long flows.
-        placed: new flows placed here.
         waits: time of each request and its wait for a slot, in seconds.
         worked_s: time in which requests used slots, in seconds.
-        mean_s: mean processing time in seconds.
-        measured: number of requests measured.
+        processing_time: the averages of the host's sidecar.
     """
 
     def __init__(self) -> None:
         """Create an idle host."""
         self.busy = 0
         self.flows = 0
-        self.placed = 0
         self.waits: list[tuple[float, float]] = []
         self.worked_s: float = 0
-        self.mean_s: float = 0
-        self.measured = 0
+        self.processing_time = ProcessingTime()
         self._free_at: list[float] = [0 for _ in range(SLOTS)]
 
     def wait_s(self, now: float) -> float:
@@ -71,22 +62,20 @@
         self.busy += 1
         return end
 
-    def note_end(self, work_s: float) -> None:
+    def note_end(self, work_s: float, now: float) -> None:
         """End a request and measure it."""
         self.busy -= 1
-        self.measured += 1
-        weight = max(AVERAGE_WEIGHT, 1 / self.measured)
-        self.mean_s += (work_s - self.mean_s) * weight
+        self.processing_time.note(work_s)
+        self.processing_time.note_speed(work_s, now)
 
-    def status(self, lost_reports: bool) -> Status:
+    def status(self, now: float) -> Status:
         """Return the status that the sidecar sends."""
         status = Status(SERVICE, DATA_CENTRE)
         status.trusted = True
         status.slots = SLOTS
         status.busy = self.busy
         status.flows = self.flows
-        if self.measured >= MIN_MEASUREMENTS and not lost_reports:
-            status.processing_ms = int(self.mean_s * _MS)
+        status.processing_ms = self.processing_time.speed_ms(now)
         return status
 
 
@@ -95,7 +84,8 @@
 
     Attributes:
         hosts: the hosts.
-        placed_first: number of flows for which each host came first.
+        now: simulated time in seconds.
+        placements: time and host of each new flow.
     """
 
     def __init__(
@@ -111,6 +101,7 @@
         """
         self.hosts = [ReplayHost() for _ in range(hosts)]
         self.now: float = 0
+        self.placements: list[tuple[float, int]] = []
         self._slowness = slowness
         self._by_speed = by_speed
         self._rng = random.Random(seed)
@@ -118,7 +109,7 @@
         self._number = 0
         self._views = [
             [
-                TrackedHost(f'10.0.0.{number}', host.status(True), 0)
+                TrackedHost(f'10.0.0.{number}', host.status(0), 0)
                 for number, host in enumerate(self.hosts)
             ]
             for _ in range(ENTRIES)
@@ -143,14 +134,28 @@
             self.now, _, call = heapq.heappop(self._events)
             call()
 
-    def waits(self, since_s: float = 0, until_s: float = 1e9) -> list[float]:
-        """Return the sorted waits of the requests of a period."""
-        return sorted(
+    def p99_wait_s(self, since_s: float = 0) -> float:
+        """Return the 99th percentile of the waits since a time."""
+        waits = sorted(
             wait
             for host in self.hosts
             for at, wait in host.waits
-            if since_s <= at < until_s
+            if at > since_s
         )
+        return waits[len(waits) * 99 // 100]
+
+    def utilization(self, hosts: list[int]) -> float:
+        """Return the share of their slots' time that hosts worked."""
+        worked_s = sum(self.hosts[number].worked_s for number in hosts)
+        return worked_s / (self.now * SLOTS * len(hosts))
+
+    def placed(self, since_s: float, until_s: float) -> list[int]:
+        """Return the number of new flows by host in a period."""
+        counts = [0 for _ in self.hosts]
+        for at, number in self.placements:
+            if since_s <= at < until_s:
+                counts[number] += 1
+        return counts
 
     def _at(self, time: float, call: Callable[[], None]) -> None:
         self._number += 1
@@ -167,7 +172,7 @@
     def _send_status(self, number: int, until_s: float) -> None:
         """Update all entries now and at each interval."""
         for entry, view in enumerate(self._views):
-            view[number].status = self.hosts[number].status(False)
+            view[number].status = self.hosts[number].status(self.now)
             view[number].pending = 0
             view[number].last_seen = self.now
             if not number:
@@ -206,7 +211,7 @@
             * self._slowness(number, self.now)
         )
         end = host.serve(self.now, work_s)
-        self._at(end, lambda: host.note_end(work_s))
+        self._at(end, lambda: host.note_end(work_s, end))
 
     def _place(self) -> int:
         """Place a flow; sidecars forward it among its candidates."""
@@ -232,5 +237,5 @@
                 break
             if best is None or wait < best:
                 best, best_host = wait, number
-        self.hosts[best_host].placed += 1
+        self.placements.append((self.now, best_host))
         return best_host
--- a/tests/relay/test_status_reporter.py
+++ b/tests/relay/test_status_reporter.py
@@ -42,9 +42,8 @@
             settings=SimpleNamespace(data_centre=DATA_CENTRE, seeds=()),
             send=self._send,
         )
-        self.reporter = StatusReporter(
-            node, OwnHost(1, 100, 0), self.flows, int
-        )
+        self.host = OwnHost(1, 100, 0)
+        self.reporter = StatusReporter(node, self.host, self.flows, int)
         self.node = node
 
     def greet(self, entry: str) -> None:
@@ -121,6 +120,24 @@
             self.assertGreaterEqual(min(due.values()), now_ms)
 
 
+class TestProcessingTime(ReporterTestCase):
+    """The mean processing time in status updates."""
+
+    def test_restarted_sidecar(self) -> None:
+        """Guards against a rank by few measurements, or by old ones."""
+        self.greet(LOCAL[0])
+        self.assertEqual(self._reported_ms(), 0)
+        for _ in range(30):
+            self.host.processing_time.note_speed(0.05, self.node.loop.now)
+        self.assertEqual(self._reported_ms(), 50)
+        self.node.loop.now += 20
+        self.assertEqual(self._reported_ms(), 0)
+
+    def _reported_ms(self) -> int:
+        self.turn()
+        return self.sent[0][1].processing_ms
+
+
 class TestMoves(ReporterTestCase):
     """Load pattern: flows open and close, so entries change their group."""
 
--- a/tests/tracking/test_own_host.py
+++ b/tests/tracking/test_own_host.py
@@ -3,12 +3,17 @@
 import unittest
 
 from siskinbank.admission import reasons
+from siskinbank.platform.packets import route_key
 from siskinbank.relay import messages
+from siskinbank.sidecar.tracked_flows import Request
 from siskinbank.tracking.own_host import OwnHost
 from siskinbank.tracking.store_position import StorePosition
 
 SERVICE = messages.digest('matcher')
 OTHER = messages.digest('catalogue')
+# Keys of flows to two routes.
+SHORT = bytes(range(12))
+LONG = bytes(range(1, 13))
 HEALTHY = messages.REGISTERED | messages.OPERATOR_READ
 
 
@@ -274,3 +279,51 @@
         self.assertEqual(self.flags_at(104, record(20, 20, era=3)), self.flags)
         self.assertEqual(self.flags_at(108, record(21, 21, era=3)), self.flags)
         self.assertEqual(self.flags_at(109.5, record(22, 22, era=3)), HEALTHY)
+
+
+class TestWait(unittest.TestCase):
+    """The wait for a slot, by the routes of what precedes a request."""
+
+    def setUp(self) -> None:
+        """Create a host with two slots that knows the times of two routes."""
+        self.host = OwnHost(SERVICE, 100, 0)
+        self.host.apply_record(record(), 100)
+        for _ in range(50):
+            self.host.processing_time.note(0.005, route_key(SHORT))
+            self.host.processing_time.note(0.072, route_key(LONG))
+
+    def test_requests_in_progress_and_expected(self) -> None:
+        """Guards against an estimate by the mean over all routes."""
+        self.assertEqual(self.host.wait_s(100), 0)
+        for _ in range(2):
+            self._start(0.072)
+        self.assertAlmostEqual(self.host.wait_s(100), 0.036)
+        self.host.note_admitted(SHORT, 100)
+        self.assertAlmostEqual(self.host.wait_s(100), 0.0385)
+        self.host.note_admitted(LONG, 100)
+        self.assertAlmostEqual(self.host.wait_s(100), 0.0745)
+
+    def test_queued_flows(self) -> None:
+        """Their times are counted as given, else each with the mean."""
+        for _ in range(2):
+            self._start(0.072)
+        mean_s = self.host.processing_time.seconds
+        self.assertAlmostEqual(self.host.wait_s(100, 4), 0.036 + 4 * mean_s / 2)
+        self.assertAlmostEqual(self.host.wait_s(100, 4, 0.02), 0.046)
+
+    def test_new_incarnation(self) -> None:
+        """Guards against the speed of the machine that a host was moved from."""
+        for _ in range(30):
+            self.host.processing_time.note_speed(0.2, 100)
+        self.host.apply_record(record(11), 101)
+        self.assertEqual(self.host.processing_time.speed_ms(101), 200)
+        moved = record(12)
+        moved.born_ms = 9000
+        self.host.apply_record(moved, 102)
+        self.assertEqual(self.host.processing_time.speed_ms(102), 0)
+
+    def _start(self, work_s: float) -> None:
+        request = Request(100, 'a')
+        request.work_s = work_s
+        self.host.busy += 1
+        self.host.in_progress.add(request, 100, self.host.slots)
