--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -11,6 +11,7 @@
     no_host_is_final,
     refusal_is_final,
 )
+from siskinbank.choice.host_speed import load_factor
 from siskinbank.choice.placement import candidates, rank_hosts
 from siskinbank.choice.service_overflow import (
     select_other_service,
@@ -196,12 +197,15 @@
         now = self._node.loop.now
         flow_hash = crc32(key)
         service = self._select_service(route, flow_hash, flow)
-        hosts = self._hosts.of_service(messages.digest(service))
+        service_digest = messages.digest(service)
+        hosts = self._hosts.of_service(service_digest)
+        median_ms = self._hosts.median_ms(service_digest, now)
         ordered = rank_hosts(
             hosts,
             flow_hash,
             self._data_centre,
             now,
+            median_ms,
         )
         tried = flow.tried if flow else ()
         queueing_host = flow.queueing_host if flow else ''
@@ -211,6 +215,8 @@
             return
         first = chosen[0]
         first.pending += 1
+        if load_factor(first.status.processing_ms, median_ms) > 1:
+            self._node.meters.count('flows_placed_slow_total')
         if flow is None:
             flow = self._flows.add(key, first.ip, now)
         else:
@@ -223,6 +229,8 @@
             host=first.ip,
             age_ms=int((now - first.last_seen) * _MS),
             busy=first.status.busy,
+            processing_ms=first.status.processing_ms,
+            median_ms=median_ms,
             candidates=len(chosen),
             version=self._follower.configuration.version,
             tries=len(tried),
@@ -230,7 +238,7 @@
             overflow=int(service != route.service_for(flow_hash)),
         )
         opening = messages.Opening(self._node.packed_ip, packet)
-        opening.service = messages.digest(service)
+        opening.service = service_digest
         opening.version = self._follower.configuration.version
         opening.target_latency_ms = messages.wait_ms(route.target_latency_s)
         opening.wait_limit_ms = messages.wait_ms(max_wait_s(route.timeout_s))
