Serve queued first packets by priority, reject overtaken ones

Cause: the queue of first packets knew no priorities. When demand exceeds the capacity, first packets of high priority waited behind those of low priority.

Change: the order is a pure function in admission/service_order.py: requests that can be in time before late ones before those that can't meet their time limit, each by priority. The processing time is that of the route. The wait estimate of a first packet counts only packets that are served before it. A queued first packet that requests of higher priority have overtaken is rejected once its estimated wait exceeds its limit, instead of when its client gives up.

Tests of the queue name the target latency in the message now, where it comes from; what they check is unchanged.

--- a/siskinbank/admission/pending_queue.py
+++ b/siskinbank/admission/pending_queue.py
@@ -1,23 +1,25 @@
 """First packets that a sidecar queues until its host has a free slot.
 
-Load pattern: all processes and hosts lost power for a second or two. When they
-are back, all clients from that time send at once, with retransmitted first
-packets that can no longer be answered within the latency that users expect,
-while new requests keep arriving. Served first in, first out, the new ones wait
-behind the backlog until they are late as well, and seconds pass before any
-request is in time again. So flows that can still be in time go first; the late
-ones get the remaining slots, in order of arrival. When many can be in time,
-the newest goes first: in order of arrival, each would wait until it can hardly
-be in time any more, and then a request that takes a little longer to process
-makes it late.
+Load pattern: all slots of a host are in use, and more first packets arrive than
+slots become free. Which of them is served next is decided by ``service_order``;
+those that cannot be served in time because requests of higher priority arrived
+are rejected while their clients can still try another host.
 """
 
 from __future__ import annotations
 
+from siskinbank.admission.service_order import (
+    IN_TIME,
+    QueuedRequest,
+    service_order,
+)
+
 __all__ = ('PendingQueue', 'QueuedOpening', 'sent_ago_s')
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from siskinbank.relay.messages import Opening
 
 # When a client sends a first packet and its retransmissions, in seconds after
@@ -26,20 +28,12 @@
 # A client abandons a first packet 1.4 s after sending it; a packet handed to
 # the host later than this, in seconds, reaches the client too late.
 _ABANDONED_S = 1.35
-# From a free slot to the request's arrival and back to the client, in seconds:
-# four one-way trips to a client at 3 ms each, and the delay of a busy process.
-_NETWORK_S = 0.02
-# Processing before an answer is ready, in multiples of the usual time: the
-# request itself, and on average half of the request that occupies the slot.
-_PROCESSING_FACTOR = 1.5
-# With more queued flows than this that can be in time, the newest goes first.
-# At a host that is not overloaded, no more than this wait by chance.
-_MAX_IN_ORDER = 2
 # Requests that a host gets beyond its slots, to cover the round trip to the
 # client: the next one is there when a slot becomes free.
 _MAX_WAITING_AT_HOST = 1
 # Capacity of the queue in first packets; further flows are refused.
 _MAX_QUEUED = 256
+_MS = 1000
 
 
 def sent_ago_s(copy: int) -> float:
@@ -55,40 +49,55 @@
     return _SENT_AT_S[min(copy, len(_SENT_AT_S) - 1)]
 
 
-class QueuedOpening:
+class QueuedOpening(QueuedRequest):
     """A queued first packet.
 
     Attributes:
+        key: the key of the flow.
         opening: the packet with the routing data from its entry.
         queued_at: time in seconds when it arrived at this host.
-        sent: time in seconds when the client sent the first transmission.
-        target_latency_s: target latency of the client, in seconds.
     """
 
-    __slots__ = ('opening', 'queued_at', 'sent', 'target_latency_s')
+    __slots__ = ('key', 'opening', 'queued_at')
 
     def __init__(
         self,
+        key: bytes,
         opening: Opening,
         queued_at: float,
         sent: float,
-        target_latency_s: float,
+        work_s: float,
     ) -> None:
-        """Initialize the queue item."""
+        """Initialize the queue item.
+
+        Args:
+            key: the key of the flow.
+            opening: the packet with the routing data from its entry.
+            queued_at: time in seconds when it arrived at this host.
+            sent: time in seconds when the client sent the first transmission.
+            work_s: mean processing time of the route's requests, in seconds.
+        """
+        super().__init__(
+            opening.priority,
+            sent,
+            opening.target_latency_ms / _MS,
+            opening.timeout_ms / _MS,
+            work_s,
+        )
+        self.key = key
         self.opening = opening
         self.queued_at = queued_at
-        self.sent = sent
-        self.target_latency_s = target_latency_s
 
-    def in_time_at(self, now: float, work_s: float) -> bool:
-        """Return whether an answer would be in time, with a slot free now.
+    @property
+    def served_by(self) -> float:
+        """Time in seconds by which the packet must go to the host.
 
-        Args:
-            now: the time in seconds.
-            work_s: the host's mean processing time of a request in seconds.
+        Later it exceeds the longest allowed wait, or its client abandons it.
         """
-        needed = _PROCESSING_FACTOR * work_s + _NETWORK_S
-        return now + needed < self.sent + self.target_latency_s
+        return min(
+            self.queued_at + self.opening.wait_limit_ms / _MS,
+            self.sent + _ABANDONED_S,
+        )
 
 
 class PendingQueue:
@@ -113,60 +122,76 @@
         """Whether the queue is full."""
         return len(self._queued) >= _MAX_QUEUED
 
-    def enqueue(self, key: bytes, queued: QueuedOpening) -> None:
+    def enqueue(self, queued: QueuedOpening) -> None:
         """Add a packet to the queue."""
-        self._queued[key] = queued
+        self._queued[queued.key] = queued
 
-    def ahead_of(self, queued: QueuedOpening, now: float, work_s: float) -> int:
-        """Return how many flows would get a slot before a new one."""
-        if not queued.in_time_at(now, work_s):
-            return len(self._queued)
-        return self.count_in_time(now, work_s)
+    def ahead_of(self, new: QueuedRequest, now: float) -> int:
+        """Return how many queued packets get a slot before a new one."""
+        rank = new.rank(now)
+        return sum(
+            1 for queued in self._queued.values() if queued.rank(now) <= rank
+        )
 
-    def count_in_time(self, now: float, work_s: float) -> int:
+    def count_in_time(self, now: float) -> int:
         """Return how many queued flows can still be in time."""
         flows = self._queued.values()
-        return sum(1 for queued in flows if queued.in_time_at(now, work_s))
+        return sum(1 for queued in flows if queued.stage(now) == IN_TIME)
 
-    def next(
-        self,
-        now: float,
-        work_s: float,
-        free: int,
-    ) -> tuple[bytes, QueuedOpening] | None:
+    def next(self, now: float, free: int) -> QueuedOpening | None:
         """Remove and return the flow that goes to the host, None if none may.
 
         Args:
             now: the time in seconds.
-            work_s: the host's mean processing time of a request in seconds.
             free: slots without a request; negative if requests wait at the
                 host.
         """
-        if free <= -_MAX_WAITING_AT_HOST:
-            return None
-        in_time = [
-            key
-            for key, queued in self._queued.items()
-            if queued.in_time_at(now, work_s)
-        ]
-        if in_time:
-            chosen = in_time[0 if len(in_time) <= _MAX_IN_ORDER else -1]
-        elif self._queued:
-            chosen = next(iter(self._queued))
-        else:
+        if free <= -_MAX_WAITING_AT_HOST or not self._queued:
             return None
-        return chosen, self._queued.pop(chosen)
+        chosen = service_order(self._queued.values(), now)[0]
+        return self._queued.pop(chosen.key)
 
-    def remove_abandoned(self, now: float) -> list[tuple[bytes, QueuedOpening]]:
+    def remove_abandoned(self, now: float) -> list[QueuedOpening]:
         """Remove and return the flows that their clients have abandoned."""
         oldest = now - _ABANDONED_S
-        gone = [
-            key for key, queued in self._queued.items() if queued.sent < oldest
-        ]
-        return [(key, self._queued.pop(key)) for key in gone]
+        return self._remove(
+            [queued for queued in self._queued.values() if queued.sent < oldest]
+        )
+
+    def remove_hopeless(
+        self, now: float, wait_s: Callable[[int], float]
+    ) -> list[QueuedOpening]:
+        """Remove and return the flows overtaken by too many requests.
+
+        Load pattern: requests of higher priority arrive after a first packet
+        was queued. Without them each packet stays queued, as when it came.
 
-    def clear(self) -> list[tuple[bytes, QueuedOpening]]:
+        Args:
+            now: the time in seconds.
+            wait_s: returns the wait for a slot in seconds, by the number of
+                queued requests that are served before.
+        """
+        hopeless: list[QueuedOpening] = []
+        highest_priority: int | None = None
+        ahead = 0
+        for queued in service_order(self._queued.values(), now):
+            overtaken = (
+                highest_priority is not None
+                and highest_priority < queued.priority
+            )
+            if overtaken and now + wait_s(ahead) > queued.served_by:
+                hopeless.append(queued)
+                continue
+            ahead += 1
+            if highest_priority is None or queued.priority < highest_priority:
+                highest_priority = queued.priority
+        return self._remove(hopeless)
+
+    def clear(self) -> list[QueuedOpening]:
         """Remove and return all queued packets."""
-        all_queued = list(self._queued.items())
-        self._queued.clear()
-        return all_queued
+        return self._remove(list(self._queued.values()))
+
+    def _remove(self, removed: list[QueuedOpening]) -> list[QueuedOpening]:
+        for queued in removed:
+            self._queued.pop(queued.key)
+        return removed
--- /dev/null
+++ b/siskinbank/admission/service_order.py
@@ -0,0 +1,116 @@
+"""Order in which the requests queued at a sidecar are served.
+
+Load patterns: demand is several times the capacity of a host. Requests of low
+priority on long flows keep all slots in use, and requests of high priority
+would wait behind them although the capacity suffices for these alone. After a
+power loss all clients send at once, with first packets that can no longer be
+answered within the latency that users expect, while new requests keep arriving;
+served in order of arrival, the new ones wait behind the backlog until they are
+late as well.
+
+So requests that can still be in time come first, by priority; then the late
+ones, by priority; then those that cannot even meet their deadline. When many of
+one priority can be in time, the newest goes first: in order of arrival, each
+would wait until it can hardly be in time any more, and then a request that
+takes a little longer to process makes it late.
+"""
+
+from __future__ import annotations
+
+__all__ = ('HOPELESS', 'IN_TIME', 'LATE', 'QueuedRequest', 'service_order')
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from typing import TypeVar
+
+    AnyRequest = TypeVar('AnyRequest', bound='QueuedRequest')
+
+# Stages of a queued request, in the order in which they are served.
+IN_TIME = 0
+LATE = 1
+HOPELESS = 2
+
+# From a free slot to the request's arrival and back to the client, in seconds:
+# four one-way trips to a client at 3 ms each, and the delay of a busy process.
+_NETWORK_S = 0.02
+# Processing before an answer is ready, in multiples of the usual time: the
+# request itself, and on average half of the request that occupies the slot.
+_PROCESSING_FACTOR = 1.5
+# With more queued requests of a priority than this that can be in time, the
+# newest goes first. At a host that is not overloaded, no more than this wait by
+# chance.
+_MAX_IN_ORDER = 2
+
+
+class QueuedRequest:
+    """What the order depends on.
+
+    Attributes:
+        priority: priority of the route, 0 is the highest.
+        sent: time in seconds when the client sent the request first.
+        in_time_until: time in seconds until which a free slot still gives an
+            answer within the target latency.
+        useful_until: the same for the time limit.
+    """
+
+    __slots__ = ('in_time_until', 'priority', 'sent', 'useful_until')
+
+    def __init__(
+        self,
+        priority: int,
+        sent: float,
+        target_latency_s: float,
+        timeout_s: float,
+        work_s: float,
+    ) -> None:
+        """Initialize the request.
+
+        Args:
+            priority: priority of the route, 0 is the highest.
+            sent: time in seconds when the client sent the request first.
+            target_latency_s: target latency of the client, in seconds.
+            timeout_s: time in seconds after which an answer is of no use, 0 if
+                there is no limit.
+            work_s: mean processing time of the route's requests, in seconds.
+        """
+        needed = _PROCESSING_FACTOR * work_s + _NETWORK_S
+        self.priority = priority
+        self.sent = sent
+        self.in_time_until = sent + target_latency_s - needed
+        self.useful_until = (
+            sent + timeout_s - needed if timeout_s else float('inf')
+        )
+
+    def stage(self, now: float) -> int:
+        """Return IN_TIME, LATE or HOPELESS, with a slot free now."""
+        if now < self.in_time_until:
+            return IN_TIME
+        return LATE if now < self.useful_until else HOPELESS
+
+    def rank(self, now: float) -> tuple[int, int]:
+        """Return stage and priority; requests of a lower rank go first."""
+        return self.stage(now), self.priority
+
+
+def service_order(
+    requests: Iterable[AnyRequest], now: float
+) -> list[AnyRequest]:
+    """Return queued requests in the order in which they get free slots.
+
+    Args:
+        requests: the requests, in order of arrival.
+        now: time in seconds.
+    """
+    groups: dict[tuple[int, int], list[AnyRequest]] = {}
+    for request in requests:
+        groups.setdefault(request.rank(now), []).append(request)
+    ordered: list[AnyRequest] = []
+    for rank in sorted(groups):
+        group = groups[rank]
+        if rank[0] == IN_TIME:
+            ordered.extend(reversed(group[_MAX_IN_ORDER:]))
+            ordered.extend(group[:_MAX_IN_ORDER])
+        else:
+            ordered.extend(group)
+    return ordered
--- a/siskinbank/relay/flow_admission.py
+++ b/siskinbank/relay/flow_admission.py
@@ -15,6 +15,7 @@
     FLOW_KEY,
     HEADER_BYTES,
     describe_flow,
+    route_key,
     sequence_numbers,
 )
 from siskinbank.relay import messages
@@ -105,7 +106,7 @@
     def count_in_time(self) -> int:
         """Return the number of queued flows that precede a new one."""
         now = self._node.loop.now
-        return self.queue.count_in_time(now, self._host.processing_time.seconds)
+        return self.queue.count_in_time(now)
 
     def release(self) -> None:
         """Send queued flows to the host while it has free slots."""
@@ -117,16 +118,14 @@
         if reason == reasons.COLD:
             return
         if reason:
-            for key, queued in self.queue.clear():
-                self._forward_or_refuse(key, queued.opening, reason)
+            for queued in self.queue.clear():
+                self._forward_or_refuse(queued.key, queued.opening, reason)
             return
         while host.cold_flows_left(now) != 0:
-            found = self.queue.next(
-                now, host.processing_time.seconds, self._free_slots(now)
-            )
+            found = self.queue.next(now, self._free_slots(now))
             if found is None:
                 return
-            self._admit(*found)
+            self._admit(found)
 
     def _handle_open(self, raw: bytes, ip: str) -> None:
         opening = messages.Opening.read(raw)
@@ -165,16 +164,15 @@
             return
         copy = sequence_numbers(opening.packet)[1]
         sent = now - sent_ago_s(copy)
-        queued = QueuedOpening(
-            opening, now, sent, opening.target_latency_ms / _MS
-        )
+        work_s = host.processing_time.of_route(route_key(key))
+        queued = QueuedOpening(key, opening, now, sent, work_s)
         wait = self._wait_s(queued)
         best = opening.best_wait_s
         decision = queueing_decision(
             wait, opening.wait_limit_ms / _MS, best, has_candidates
         )
         if decision == 'here':
-            self._queue_opening(key, queued)
+            self._queue_opening(queued)
             return
         if decision == 'back':
             # The best host queues or refuses the flow and does not forward it.
@@ -191,12 +189,11 @@
         if self.queue.full:
             return None
         now = self._node.loop.now
-        host = self._host
-        ahead = self.queue.ahead_of(queued, now, host.processing_time.seconds)
-        return host.wait_s(now, ahead)
+        return self._host.wait_s(now, self.queue.ahead_of(queued, now))
 
-    def _queue_opening(self, key: bytes, queued: QueuedOpening) -> None:
-        self.queue.enqueue(key, queued)
+    def _queue_opening(self, queued: QueuedOpening) -> None:
+        key = queued.key
+        self.queue.enqueue(queued)
         self.release()
         if not self.queue.get(key):
             return
@@ -209,6 +206,7 @@
             busy=self._host.busy,
             copy=sequence_numbers(opening.packet)[1],
             hops=opening.hops,
+            priority=queued.priority,
         )
         note = messages.pack_flow_note(messages.QUEUED, key, 0)
         self._node.send(inet_ntoa(opening.entry), note)
@@ -230,20 +228,35 @@
         """Drop flows that clients have abandoned and admit queued ones."""
         self._check_scheduled = False
         now = self._node.loop.now
-        for key, queued in self.queue.remove_abandoned(now):
+        for queued in self.queue.remove_abandoned(now):
             self._node.meters.count('flows_given_up_total')
             self._node.log(
                 'flow.refused',
-                flow=describe_flow(key),
+                flow=describe_flow(queued.key),
                 reason='client-gave-up',
                 kept_ms=int((now - queued.queued_at) * _MS),
             )
         self.release()
+        self._reject_hopeless()
         if self.queue:
             self._schedule_check()
 
-    def _admit(self, key: bytes, queued: QueuedOpening) -> None:
+    def _reject_hopeless(self) -> None:
+        """Reject first packets that were overtaken by too many requests."""
+        now = self._node.loop.now
+        host = self._host
+        hopeless = self.queue.remove_hopeless(
+            now, lambda ahead: host.wait_s(now, ahead)
+        )
+        for queued in hopeless:
+            self._node.meters.count(
+                f'flows_overtaken_priority_{queued.priority}_total'
+            )
+            self._forward_or_refuse(queued.key, queued.opening, reasons.BUSY)
+
+    def _admit(self, queued: QueuedOpening) -> None:
         now = self._node.loop.now
+        key = queued.key
         opening = queued.opening
         host = self._host
         host.note_admitted(key, now)
--- a/tests/admission/test_pending_queue.py
+++ b/tests/admission/test_pending_queue.py
@@ -10,7 +10,6 @@
 )
 from siskinbank.relay.messages import Opening
 
-OPENING = Opening(b'', b'')
 TARGET_S = 0.25
 # Processing time at a cold host in seconds: 1.6 times the usual one of the
 # heaviest service that users run.
@@ -26,13 +25,22 @@
 DURATION_S = 6
 
 
+def queued_opening(
+    key: bytes, queued_at: float, sent: float, target_latency_s: float
+) -> QueuedOpening:
+    """Return a queued first packet of the only priority."""
+    opening = Opening(b'', b'')
+    opening.target_latency_ms = int(target_latency_s * 1000)
+    return QueuedOpening(key, opening, queued_at, sent, WORK_S)
+
+
 def backlog(target_latency_s: float) -> PendingQueue:
     """Return a queue with first packets retransmitted at the same time."""
     queue = PendingQueue()
     for number in range(BACKLOG):
         sent = -sent_ago_s(1 + number % 2)
         queue.enqueue(
-            b'old%d' % number, QueuedOpening(OPENING, 0, sent, target_latency_s)
+            queued_opening(b'old%d' % number, 0, sent, target_latency_s)
         )
     return queue
 
@@ -65,13 +73,12 @@
         while pending and pending[0] <= now:
             sent = pending.pop(0)
             queue.enqueue(
-                b'new%d' % step,
-                QueuedOpening(OPENING, now, sent, target_latency_s),
+                queued_opening(b'new%d' % step, now, sent, target_latency_s)
             )
-        found = queue.next(now, WORK_S, 1) if now >= free_at else None
+        found = queue.next(now, 1) if now >= free_at else None
         if found:
             free_at = now + rng.uniform(0.5, 1.5) * WORK_S
-            in_time += found[1].sent >= 0 and free_at - found[1].sent < TARGET_S
+            in_time += found.sent >= 0 and free_at - found.sent < TARGET_S
     return in_time / len(sent_times)
 
 
@@ -92,60 +99,58 @@
         """Only among those that can be in time; a few keep their order."""
         queue = PendingQueue()
         for key, sent in ((b'a', 99.97), (b'b', 99.98), (b'c', 99.99)):
-            queue.enqueue(key, QueuedOpening(OPENING, 100, sent, TARGET_S))
+            queue.enqueue(queued_opening(key, 100, sent, TARGET_S))
         order = []
-        while found := queue.next(100, WORK_S, 1):
-            order.append(found[0])
+        while found := queue.next(100, 1):
+            order.append(found.key)
         self.assertEqual(order, [b'c', b'a', b'b'])
 
     def test_late_flows_get_the_slots_that_are_left(self) -> None:
         """They go in order of arrival, after those that can be in time."""
         queue = PendingQueue()
         for key, sent in ((b'a', 99.4), (b'b', 99.8), (b'c', 99.99)):
-            queue.enqueue(key, QueuedOpening(OPENING, 100, sent, TARGET_S))
+            queue.enqueue(queued_opening(key, 100, sent, TARGET_S))
         order = []
-        while found := queue.next(100, WORK_S, 1):
-            order.append(found[0])
+        while found := queue.next(100, 1):
+            order.append(found.key)
         self.assertEqual(order, [b'c', b'a', b'b'])
 
     def test_one_request_waits_at_the_host(self) -> None:
         """One is ready when a slot becomes free; there is no second one."""
         queue = PendingQueue()
         for key, sent in ((b'a', 99.4), (b'b', 99.99)):
-            queue.enqueue(key, QueuedOpening(OPENING, 100, sent, TARGET_S))
-        self.assertIsNone(queue.next(100, WORK_S, -1))
-        found = queue.next(100, WORK_S, 0)
-        self.assertEqual(found and found[0], b'b')
-        self.assertIsNone(queue.next(100, WORK_S, -1))
-        found = queue.next(100, WORK_S, 0)
-        self.assertEqual(found and found[0], b'a')
+            queue.enqueue(queued_opening(key, 100, sent, TARGET_S))
+        self.assertIsNone(queue.next(100, -1))
+        found = queue.next(100, 0)
+        self.assertEqual(found and found.key, b'b')
+        self.assertIsNone(queue.next(100, -1))
+        found = queue.next(100, 0)
+        self.assertEqual(found and found.key, b'a')
 
     def test_count_ahead_of_a_new_flow(self) -> None:
         """A late flow goes after all; others only after those in time."""
         queue = PendingQueue()
-        queue.enqueue(b'a', QueuedOpening(OPENING, 100, 99.4, TARGET_S))
-        queue.enqueue(b'b', QueuedOpening(OPENING, 100, 100, TARGET_S))
-        new = QueuedOpening(OPENING, 100, 100, TARGET_S)
-        late = QueuedOpening(OPENING, 100, 99.4, TARGET_S)
-        self.assertEqual(queue.ahead_of(new, 100, WORK_S), 1)
-        self.assertEqual(queue.ahead_of(late, 100, WORK_S), 2)
+        queue.enqueue(queued_opening(b'a', 100, 99.4, TARGET_S))
+        queue.enqueue(queued_opening(b'b', 100, 100, TARGET_S))
+        new = queued_opening(b'new', 100, 100, TARGET_S)
+        late = queued_opening(b'late', 100, 99.4, TARGET_S)
+        self.assertEqual(queue.ahead_of(new, 100), 1)
+        self.assertEqual(queue.ahead_of(late, 100), 2)
 
     def test_abandoned_flows_are_removed(self) -> None:
         """Their clients would no longer answer the host."""
         queue = PendingQueue()
-        queue.enqueue(b'a', QueuedOpening(OPENING, 100, 99.4, TARGET_S))
-        queue.enqueue(b'b', QueuedOpening(OPENING, 100, 100, TARGET_S))
+        queue.enqueue(queued_opening(b'a', 100, 99.4, TARGET_S))
+        queue.enqueue(queued_opening(b'b', 100, 100, TARGET_S))
         gone = queue.remove_abandoned(101)
-        self.assertEqual([key for key, _ in gone], [b'a'])
+        self.assertEqual([queued.key for queued in gone], [b'a'])
         self.assertEqual(len(queue), 1)
 
     def test_capacity(self) -> None:
         """The queue holds some hundreds of packets."""
         queue = PendingQueue()
         while not queue.full:
-            queue.enqueue(
-                b'%d' % len(queue), QueuedOpening(OPENING, 0, 0, TARGET_S)
-            )
+            queue.enqueue(queued_opening(b'%d' % len(queue), 0, 0, TARGET_S))
         self.assertLessEqual(len(queue), 1000)
         self.assertEqual(len(queue.clear()), 256)
         self.assertFalse(queue.full)
--- /dev/null
+++ b/tests/admission/test_service_order.py
@@ -0,0 +1,149 @@
+"""Tests of the order in which queued requests are served."""
+
+import random
+import unittest
+
+from siskinbank.admission.pending_queue import PendingQueue, QueuedOpening
+from siskinbank.admission.service_order import (
+    HOPELESS,
+    IN_TIME,
+    LATE,
+    QueuedRequest,
+    service_order,
+)
+from siskinbank.relay.messages import Opening
+
+# Requests of both priorities as on the first deployment: target latency, time
+# limit and processing time in seconds.
+TARGET_S = 0.5
+TIMEOUT_S = 3.7
+WORK_S = 0.06
+# Latest start of processing for an answer in time, after the request was sent.
+NEEDED_S = 1.5 * WORK_S + 0.02
+SLOTS = 4
+
+
+def request(
+    priority: int, sent: float, target_latency_s: float = TARGET_S
+) -> QueuedRequest:
+    """Return a queued request."""
+    return QueuedRequest(priority, sent, target_latency_s, TIMEOUT_S, WORK_S)
+
+
+def queued(key: bytes, priority: int, sent: float) -> QueuedOpening:
+    """Return a first packet that was queued when it was sent."""
+    opening = Opening(b'', b'')
+    opening.priority = priority
+    opening.target_latency_ms = int(TARGET_S * 1000)
+    opening.timeout_ms = int(TIMEOUT_S * 1000)
+    opening.wait_limit_ms = int(TIMEOUT_S * 1000 / 2)
+    return QueuedOpening(key, opening, sent, sent, WORK_S)
+
+
+def order_without_priorities(
+    requests: list[QueuedRequest], now: float
+) -> list[QueuedRequest]:
+    """Return the order that was in force before there were priorities."""
+    left = list(requests)
+    ordered = []
+    while left:
+        in_time = [item for item in left if now < item.in_time_until]
+        chosen = left[0]
+        if in_time:
+            chosen = in_time[0 if len(in_time) <= 2 else -1]
+        left.remove(chosen)
+        ordered.append(chosen)
+    return ordered
+
+
+class TestServiceOrder(unittest.TestCase):
+    """Load pattern: demand exceeds the capacity of a host."""
+
+    def test_stages(self) -> None:
+        """A request is late or hopeless once a free slot comes too late."""
+        item = request(1, 100)
+        self.assertEqual(item.stage(100 + TARGET_S - NEEDED_S - 0.01), IN_TIME)
+        self.assertEqual(item.stage(100 + TARGET_S - NEEDED_S + 0.01), LATE)
+        self.assertEqual(item.stage(100 + TIMEOUT_S - NEEDED_S - 0.01), LATE)
+        self.assertEqual(
+            item.stage(100 + TIMEOUT_S - NEEDED_S + 0.01), HOPELESS
+        )
+
+    def test_no_time_limit(self) -> None:
+        """A request without a time limit is late, never hopeless."""
+        item = QueuedRequest(1, 100, TARGET_S, 0, WORK_S)
+        self.assertEqual(item.stage(1000), LATE)
+
+    def test_priority_within_each_stage(self) -> None:
+        """In time before late before hopeless, each by priority."""
+        now = 100
+        expected = [
+            request(1, now - 0.1),
+            request(2, now - 0.05),
+            request(1, now - 1),
+            request(2, now - 2),
+            request(1, now - 4),
+            request(2, now - 5),
+        ]
+        shuffled = list(expected)
+        for seed in range(20):
+            random.Random(seed).shuffle(shuffled)
+            self.assertEqual(service_order(shuffled, now), expected)
+
+    def test_equal_priorities(self) -> None:
+        """The order of existing deployments is unchanged: 500 random queues."""
+        rng = random.Random(3)
+        for _ in range(500):
+            sent = sorted(
+                100 - rng.uniform(0, 1.35) for _ in range(rng.randrange(12))
+            )
+            requests = [request(2, at, rng.choice((0.2, 0.5))) for at in sent]
+            self.assertEqual(
+                service_order(requests, 100),
+                order_without_priorities(requests, 100),
+            )
+
+
+class TestPriorityInQueue(unittest.TestCase):
+    """Load pattern: first packets of two priorities wait for a slot."""
+
+    def test_wait_counts_requests_served_before(self) -> None:
+        """Lower priorities do not add to the wait of a first packet."""
+        queue = PendingQueue()
+        for number in range(5):
+            queue.enqueue(queued(b'low%d' % number, 2, 100))
+        queue.enqueue(queued(b'high', 1, 100))
+        self.assertEqual(queue.ahead_of(request(1, 100), 100), 1)
+        self.assertEqual(queue.ahead_of(request(2, 100), 100), 6)
+        self.assertEqual(queue.ahead_of(request(1, 99), 100), 6)
+
+    def test_overtaken_packet_is_rejected(self) -> None:
+        """It is not held until its client gives up after 1.4 s."""
+        queue = PendingQueue()
+        queue.enqueue(queued(b'low', 2, 100))
+        for number in range(100):
+            queue.enqueue(queued(b'high%d' % number, 1, 100.1))
+        gone = queue.remove_hopeless(
+            100.1, lambda ahead: ahead * WORK_S / SLOTS
+        )
+        self.assertEqual([item.key for item in gone], [b'low'])
+        self.assertEqual(len(queue), 100)
+
+    def test_packet_that_may_still_be_served_stays(self) -> None:
+        """With fewer requests of higher priority before it."""
+        queue = PendingQueue()
+        queue.enqueue(queued(b'low', 2, 100))
+        for number in range(50):
+            queue.enqueue(queued(b'high%d' % number, 1, 100.1))
+        gone = queue.remove_hopeless(
+            100.1, lambda ahead: ahead * WORK_S / SLOTS
+        )
+        self.assertEqual(gone, [])
+
+    def test_one_priority_is_not_rejected(self) -> None:
+        """Equal priorities stay queued until their clients give up."""
+        queue = PendingQueue()
+        for number in range(250):
+            queue.enqueue(queued(b'%d' % number, 2, 100))
+        gone = queue.remove_hopeless(101, lambda ahead: ahead * WORK_S / SLOTS)
+        self.assertEqual(gone, [])
