Queue requests on open flows with first packets

Cause: requests on open flows went straight into the host's queue, which is first come, first served. With several times the capacity on long flows, first packets of high priority were hardly ever accepted.

Change: one queue at the sidecar for both. A request on an open flow waits there while the host has a request more than slots; its further packets follow it, and copies replace queued packets. Repeatable requests that can't meet their time limit are rejected with a reset, others are passed on.

--- a/siskinbank/admission/arrivals.py
+++ b/siskinbank/admission/arrivals.py
@@ -14,6 +14,7 @@
 from siskinbank.admission import reasons
 
 __all__ = (
+    'LOWEST_PRIORITY',
     'ColdLimit',
     'ExpectedRequests',
     'ProcessingTime',
@@ -60,6 +61,9 @@
 _FIRST_PAUSE_S = 0.25
 _MAX_PAUSE_S = 2.0
 
+# The lowest priority that messages hold.
+LOWEST_PRIORITY = 255
+
 # Clients send a first packet three times.
 _LAST_RETRANSMISSION = 2
 
@@ -100,20 +104,42 @@
     abandoned their flows, so their requests must not be expected for long.
     """
 
-    __slots__ = ('_accepted_at', '_mean_arrival_s')
+    __slots__ = ('_accepted_at', '_mean_arrival_s', '_priorities_and_sent')
 
     def __init__(self) -> None:
         """Create an empty set with the initial arrival time."""
         self._accepted_at: dict[bytes, float] = {}
+        self._priorities_and_sent: dict[bytes, tuple[int, float]] = {}
         self._mean_arrival_s = _INITIAL_ARRIVAL_S
 
-    def add(self, key: bytes, now: float) -> None:
-        """Expect the request of a flow."""
+    def add(
+        self, key: bytes, now: float, priority: int = 0, sent: float = 0
+    ) -> None:
+        """Expect the request of a flow.
+
+        Args:
+            key: the key of the flow.
+            now: time in seconds.
+            priority: priority of the flow's route.
+            sent: time in seconds when the client sent the first packet, 0 if
+                unknown.
+        """
         self._accepted_at[key] = now
+        self._priorities_and_sent[key] = (priority, sent or now)
+
+    def sent_at(self, key: bytes) -> float | None:
+        """Return when the client sent the first packet of an expected flow.
+
+        Returns:
+            The time in seconds, None if no request of the flow is expected.
+        """
+        found = self._priorities_and_sent.get(key)
+        return found[1] if found else None
 
     def note_request(self, key: bytes, now: float) -> None:
         """Remove a flow whose request arrived; update the mean time."""
-        accepted_at = self._accepted_at.pop(key, None)
+        accepted_at = self._accepted_at.get(key)
+        self.end(key)
         if accepted_at is not None:
             self._mean_arrival_s += (
                 now - accepted_at - self._mean_arrival_s
@@ -122,9 +148,15 @@
     def end(self, key: bytes) -> None:
         """Remove a flow that was not opened."""
         self._accepted_at.pop(key, None)
+        self._priorities_and_sent.pop(key, None)
+
+    def count(self, now: float, priority: int = LOWEST_PRIORITY) -> int:
+        """Return how many requests are expected; forget overdue ones.
 
-    def count(self, now: float) -> int:
-        """Return how many requests are expected; forget overdue ones."""
+        Args:
+            now: time in seconds.
+            priority: only requests of this or a higher priority count.
+        """
         oldest = now - min(
             _MAX_ARRIVAL_S, self._mean_arrival_s * _ARRIVAL_FACTOR
         )
@@ -134,8 +166,11 @@
             if accepted_at < oldest
         ]
         for key in overdue:
-            self._accepted_at.pop(key)
-        return len(self._accepted_at)
+            self.end(key)
+        if priority >= LOWEST_PRIORITY:
+            return len(self._accepted_at)
+        expected = self._priorities_and_sent.values()
+        return sum(1 for found in expected if found[0] <= priority)
 
 
 class ProcessingTime:
--- /dev/null
+++ b/siskinbank/admission/held_request.py
@@ -0,0 +1,108 @@
+"""A request on an open flow that a sidecar holds until its host has a slot.
+
+Load pattern: clients on long flows send several times what a host can process.
+Its own queue is first come, first served, so that each request which is passed
+on at once delays all later ones, whatever their priority is.
+"""
+
+from __future__ import annotations
+
+from siskinbank.admission.service_order import QueuedRequest
+from siskinbank.platform.packets import flags_of, sequence_numbers
+
+__all__ = ('HeldRequest',)
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from siskinbank.admission.known_routes import RouteParameters
+
+# Packets held for one flow: a client has no more than these in flight.
+_MAX_PACKETS = 16
+# A host discards a flow that is idle for 15 s. A request is passed on this long
+# after the last packet to the host, in seconds.
+_MAX_IDLE_S = 13.0
+
+
+class HeldRequest(QueuedRequest):
+    """The packets of a flow from the first one of a held request on.
+
+    Attributes:
+        key: the key of the flow.
+        queued_at: time in seconds when the first packet arrived.
+        repeatable: whether the request may run more than once.
+        pass_by: time in seconds by which the request is passed on, as the host
+            would discard the flow.
+    """
+
+    __slots__ = ('_packets', 'key', 'pass_by', 'queued_at', 'repeatable')
+
+    def __init__(
+        self,
+        key: bytes,
+        route: RouteParameters,
+        queued_at: float,
+        sent: float,
+        work_s: float,
+    ) -> None:
+        """Initialize a request without packets.
+
+        Args:
+            key: the key of the flow.
+            route: the parameters of its route.
+            queued_at: time in seconds when its first packet arrived.
+            sent: time in seconds when the client sent the request, or the
+                first packet of a flow that it opened for the request.
+            work_s: mean processing time of the route's requests, in seconds.
+        """
+        super().__init__(
+            route.priority,
+            sent,
+            route.target_latency_s,
+            route.timeout_s,
+            work_s,
+        )
+        self.key = key
+        self.queued_at = queued_at
+        self.repeatable = route.repeatable
+        self.pass_by = queued_at + _MAX_IDLE_S
+        self._packets: dict[tuple[int, int, int], bytes] = {}
+
+    @property
+    def packets(self) -> list[bytes]:
+        """The held packets in the order in which they arrived first."""
+        return list(self._packets.values())
+
+    def note_idle_since(self, last_seen: float) -> None:
+        """Note when the host saw the last packet of the flow, in seconds."""
+        self.pass_by = last_seen + _MAX_IDLE_S
+
+    def add(self, packet: bytes) -> bool:
+        """Add a packet, or replace the one that it retransmits.
+
+        Returns:
+            False if there are too many packets; the client sends it again.
+        """
+        identity = (
+            sequence_numbers(packet)[0],
+            flags_of(packet),
+            len(packet),
+        )
+        if identity not in self._packets and len(self._packets) >= _MAX_PACKETS:
+            return False
+        self._packets[identity] = packet
+        return True
+
+    def must_leave(self, now: float, wait_s: float, overtaken: bool) -> bool:
+        """Return whether the request may not stay in the queue.
+
+        A repeatable request leaves as soon as its time limit can't be met after
+        the expected wait: its client can try another host. Any other stays
+        while a free slot would still help.
+
+        Args:
+            now: time in seconds.
+            wait_s: expected wait for a slot in seconds.
+            overtaken: whether requests of higher priority are served before.
+        """
+        start = now + wait_s if self.repeatable else now
+        return start > self.useful_until or now > self.pass_by
--- a/siskinbank/admission/pending_queue.py
+++ b/siskinbank/admission/pending_queue.py
@@ -1,27 +1,32 @@
-"""First packets that a sidecar queues until its host has a free slot.
+"""Requests that a sidecar queues until its host has a free slot.
 
-Load pattern: all slots of a host are in use, and more first packets arrive than
-slots become free. Which of them is served next is decided by ``service_order``;
-those that cannot be served in time because requests of higher priority arrived
-are rejected while their clients can still try another host.
+Load pattern: all slots of a host are in use, and more requests arrive than
+slots become free, some on open flows and some as first packets. Which of them is
+served next is decided by ``service_order``; those that can't be served within
+their limits leave the queue while their clients can still try another host.
 """
 
 from __future__ import annotations
 
+from siskinbank.admission.held_request import HeldRequest
 from siskinbank.admission.service_order import (
+    HOPELESS,
     IN_TIME,
     QueuedRequest,
     service_order,
 )
 
-__all__ = ('PendingQueue', 'QueuedOpening', 'sent_ago_s')
+__all__ = ('PendingQueue', 'QueuedOpening', 'may_go_to_host', 'sent_ago_s')
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from typing import TypeAlias
 
     from siskinbank.relay.messages import Opening
 
+    AnyQueued: TypeAlias = 'QueuedOpening | HeldRequest'
+
 # When a client sends a first packet and its retransmissions, in seconds after
 # the first.
 _SENT_AT_S = (0, 0.2, 0.6)
@@ -33,6 +38,9 @@
 _MAX_WAITING_AT_HOST = 1
 # Capacity of the queue in first packets; further flows are refused.
 _MAX_QUEUED = 256
+# Capacity in requests on open flows; further ones are passed on at once. With 16
+# packets each they take 5 MB.
+_MAX_HELD = 256
 _MS = 1000
 
 
@@ -49,6 +57,15 @@
     return _SENT_AT_S[min(copy, len(_SENT_AT_S) - 1)]
 
 
+def may_go_to_host(free: int) -> bool:
+    """Return whether a host gets another request.
+
+    Args:
+        free: slots without a request; negative if requests wait at the host.
+    """
+    return free > -_MAX_WAITING_AT_HOST
+
+
 class QueuedOpening(QueuedRequest):
     """A queued first packet.
 
@@ -88,110 +105,164 @@
         self.opening = opening
         self.queued_at = queued_at
 
-    @property
-    def served_by(self) -> float:
-        """Time in seconds by which the packet must go to the host.
+    def must_leave(self, now: float, wait_s: float, overtaken: bool) -> bool:
+        """Return whether the packet may not stay in the queue.
+
+        Load pattern: requests of higher priority arrive after it was queued.
+        Without them it stays until its client abandons it.
 
-        Later it exceeds the longest allowed wait, or its client abandons it.
+        Args:
+            now: time in seconds.
+            wait_s: expected wait for a slot in seconds.
+            overtaken: whether requests of higher priority are served before.
         """
-        return min(
+        served_by = min(
             self.queued_at + self.opening.wait_limit_ms / _MS,
             self.sent + _ABANDONED_S,
         )
+        return overtaken and now + wait_s > served_by
 
 
 class PendingQueue:
-    """The queue of first packets of one sidecar, in order of arrival."""
+    """The queue of one sidecar, in order of arrival."""
 
-    __slots__ = ('_queued',)
+    __slots__ = ('_held_count', '_queued')
 
     def __init__(self) -> None:
         """Create an empty queue."""
-        self._queued: dict[bytes, QueuedOpening] = {}
+        self._queued: dict[bytes, AnyQueued] = {}
+        self._held_count = 0
 
     def __len__(self) -> int:
-        """Return the number of queued packets."""
+        """Return the number of queued first packets and requests."""
         return len(self._queued)
 
-    def get(self, key: bytes) -> QueuedOpening | None:
-        """Return the queued packet of a flow."""
-        return self._queued.get(key)
-
     @property
     def full(self) -> bool:
-        """Whether the queue is full."""
-        return len(self._queued) >= _MAX_QUEUED
+        """Whether the queue holds no more first packets."""
+        return len(self._queued) - self._held_count >= _MAX_QUEUED
 
-    def enqueue(self, queued: QueuedOpening) -> None:
-        """Add a packet to the queue."""
+    @property
+    def held_full(self) -> bool:
+        """Whether the queue holds no more requests on open flows."""
+        return self._held_count >= _MAX_HELD
+
+    def opening(self, key: bytes) -> QueuedOpening | None:
+        """Return the queued first packet of a flow."""
+        queued = self._queued.get(key)
+        return queued if isinstance(queued, QueuedOpening) else None
+
+    def held(self, key: bytes) -> HeldRequest | None:
+        """Return the held request of a flow."""
+        queued = self._queued.get(key)
+        return queued if isinstance(queued, HeldRequest) else None
+
+    def enqueue(self, queued: AnyQueued) -> None:
+        """Add a first packet or a request to the queue."""
         self._queued[queued.key] = queued
+        self._held_count += isinstance(queued, HeldRequest)
+
+    def remove(self, key: bytes) -> None:
+        """Remove the packets of a flow."""
+        queued = self._queued.pop(key, None)
+        self._held_count -= isinstance(queued, HeldRequest)
 
     def ahead_of(self, new: QueuedRequest, now: float) -> int:
-        """Return how many queued packets get a slot before a new one."""
+        """Return how many queued requests get a slot before a new one."""
         rank = new.rank(now)
         return sum(
             1 for queued in self._queued.values() if queued.rank(now) <= rank
         )
 
-    def count_in_time(self, now: float) -> int:
-        """Return how many queued flows can still be in time."""
-        flows = self._queued.values()
-        return sum(1 for queued in flows if queued.stage(now) == IN_TIME)
+    def load(self, now: float) -> int:
+        """Return how many queued requests count as load of the host.
+
+        Late first packets do not count: new flows go first, and the clients
+        will have abandoned most of them. A request on an open flow stays.
+        """
+        return self._held_count + sum(
+            1
+            for queued in self._queued.values()
+            if isinstance(queued, QueuedOpening)
+            and queued.stage(now) == IN_TIME
+        )
+
+    def next(
+        self,
+        now: float,
+        free: Callable[[AnyQueued], int],
+        new_flows: bool = True,
+    ) -> AnyQueued | None:
+        """Remove and return what goes to the host, None if nothing may.
 
-    def next(self, now: float, free: int) -> QueuedOpening | None:
-        """Remove and return the flow that goes to the host, None if none may.
+        A first packet that has to wait delays requests of a later stage only; a
+        request on an open flow delays all that come after it.
 
         Args:
             now: the time in seconds.
-            free: slots without a request; negative if requests wait at the
-                host.
+            free: returns the slots without a request, as far as a queued item
+                of its kind and priority may use them; negative if requests
+                wait at the host.
+            new_flows: whether the host accepts new flows at present.
         """
-        if free <= -_MAX_WAITING_AT_HOST or not self._queued:
-            return None
-        chosen = service_order(self._queued.values(), now)[0]
-        return self._queued.pop(chosen.key)
+        skips_openings = not new_flows
+        last_stage = HOPELESS
+        for queued in service_order(self._queued.values(), now):
+            is_opening = isinstance(queued, QueuedOpening)
+            if queued.stage(now) > last_stage:
+                return None
+            if is_opening and skips_openings:
+                continue
+            if may_go_to_host(free(queued)):
+                self.remove(queued.key)
+                return queued
+            if not is_opening:
+                return None
+            # Further ones have the same or a lower priority.
+            skips_openings = True
+            last_stage = queued.stage(now)
+        return None
 
     def remove_abandoned(self, now: float) -> list[QueuedOpening]:
         """Remove and return the flows that their clients have abandoned."""
         oldest = now - _ABANDONED_S
-        return self._remove(
-            [queued for queued in self._queued.values() if queued.sent < oldest]
-        )
+        abandoned = [
+            queued
+            for queued in self._queued.values()
+            if isinstance(queued, QueuedOpening) and queued.sent < oldest
+        ]
+        for queued in abandoned:
+            self.remove(queued.key)
+        return abandoned
 
     def remove_hopeless(
         self, now: float, wait_s: Callable[[int], float]
-    ) -> list[QueuedOpening]:
-        """Remove and return the flows overtaken by too many requests.
-
-        Load pattern: requests of higher priority arrive after a first packet
-        was queued. Without them each packet stays queued, as when it came.
+    ) -> list[AnyQueued]:
+        """Remove and return what can't be served within its limits.
 
         Args:
             now: the time in seconds.
             wait_s: returns the wait for a slot in seconds, by the number of
                 queued requests that are served before.
         """
-        hopeless: list[QueuedOpening] = []
-        highest_priority: int | None = None
+        hopeless: list[AnyQueued] = []
+        highest: int | None = None
         ahead = 0
         for queued in service_order(self._queued.values(), now):
-            overtaken = (
-                highest_priority is not None
-                and highest_priority < queued.priority
-            )
-            if overtaken and now + wait_s(ahead) > queued.served_by:
+            overtaken = highest is not None and highest < queued.priority
+            if queued.must_leave(now, wait_s(ahead), overtaken):
                 hopeless.append(queued)
                 continue
             ahead += 1
-            if highest_priority is None or queued.priority < highest_priority:
-                highest_priority = queued.priority
-        return self._remove(hopeless)
-
-    def clear(self) -> list[QueuedOpening]:
-        """Remove and return all queued packets."""
-        return self._remove(list(self._queued.values()))
-
-    def _remove(self, removed: list[QueuedOpening]) -> list[QueuedOpening]:
-        for queued in removed:
-            self._queued.pop(queued.key)
-        return removed
+            if highest is None or queued.priority < highest:
+                highest = queued.priority
+        for removed in hopeless:
+            self.remove(removed.key)
+        return hopeless
+
+    def clear(self) -> list[AnyQueued]:
+        """Remove and return all that is queued."""
+        all_queued = list(self._queued.values())
+        self._queued.clear()
+        self._held_count = 0
+        return all_queued
--- a/siskinbank/relay/catalogue.py
+++ b/siskinbank/relay/catalogue.py
@@ -45,4 +45,6 @@
     'request.start': 'R310',
     'request.end': 'R311',
     'packet.refused': 'R320',
+    'request.held': 'R330',
+    'request.released': 'R331',
 }
--- a/siskinbank/relay/flow_admission.py
+++ b/siskinbank/relay/flow_admission.py
@@ -7,7 +7,6 @@
 from siskinbank.admission import reasons
 from siskinbank.admission.arrivals import queueing_decision
 from siskinbank.admission.pending_queue import (
-    PendingQueue,
     QueuedOpening,
     sent_ago_s,
 )
@@ -25,7 +24,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from siskinbank.admission.held_request import HeldRequest
     from siskinbank.relay.node import Node
+    from siskinbank.relay.request_holding import RequestHolding
     from siskinbank.relay.status_reporter import StatusReporter
     from siskinbank.sidecar.tracked_flows import TrackedFlow
     from siskinbank.tracking.own_host import OwnHost
@@ -34,9 +35,6 @@
 
 # Maximum number of times that a first packet is forwarded.
 _MAX_HOPS = 8
-# Number of free slots assumed for a host that would shed another request: the
-# pending queue then releases no flow.
-_NO_FREE_SLOTS = -1000
 # Interval at which the pending queue is checked, in seconds, in addition to the
 # check at the end of each request: the usual duration of a request.
 _QUEUE_CHECK_INTERVAL_S = 0.03
@@ -47,13 +45,14 @@
     """Accepts, queues, forwards or refuses new flows for a host.
 
     Attributes:
-        queue: the pending queue: first packets that wait for a free slot.
+        queue: first packets and requests that wait for a free slot.
     """
 
     __slots__ = (
         '_check_scheduled',
         '_deliver',
         '_flows',
+        '_holding',
         '_host',
         '_node',
         '_reporter',
@@ -69,6 +68,7 @@
         flows: dict[bytes, TrackedFlow],
         unanswered: dict[bytes, UnansweredPacket],
         deliver: Callable[[bytes], None],
+        holding: RequestHolding,
     ) -> None:
         """Initialize flow admission and register the message handler.
 
@@ -79,8 +79,10 @@
             flows: the flows that the host holds, by flow key.
             unanswered: packets that the host has not answered, by flow key.
             deliver: called to send a packet to the host.
+            holding: passes on and rejects queued requests on open flows.
         """
-        self.queue = PendingQueue()
+        self.queue = holding.queue
+        self._holding = holding
         self._check_scheduled = False
         self._node = node
         self._host = host
@@ -88,6 +90,7 @@
         self._flows = flows
         self._unanswered = unanswered
         self._deliver = deliver
+        holding.on_hold = self._schedule_check
         node.handlers[messages.OPEN] = self._handle_open
 
     def note_host_refusal(
@@ -103,29 +106,40 @@
                 key, unanswered.opening, reasons.HOST_REFUSED
             )
 
-    def count_in_time(self) -> int:
-        """Return the number of queued flows that precede a new one."""
-        now = self._node.loop.now
-        return self.queue.count_in_time(now)
+    def queued_load(self) -> int:
+        """Return how many queued requests count as load of the host."""
+        return self.queue.load(self._node.loop.now)
 
     def release(self) -> None:
-        """Send queued flows to the host while it has free slots."""
+        """Send queued requests to the host while it has free slots.
+
+        If the host leaves or can't be reached, first packets go to other hosts,
+        and requests on open flows are passed on to it at once.
+        """
         if not self.queue:
             return
         now = self._node.loop.now
         host = self._host
         reason = host.refusal_reason(host.service, now)
-        if reason == reasons.COLD:
-            return
-        if reason:
+        if reason not in {reasons.NONE, reasons.COLD}:
             for queued in self.queue.clear():
-                self._forward_or_refuse(queued.key, queued.opening, reason)
+                if isinstance(queued, QueuedOpening):
+                    self._forward_or_refuse(queued.key, queued.opening, reason)
+                else:
+                    self._holding.pass_on(queued, reasons.name_of(reason))
             return
-        while host.cold_flows_left(now) != 0:
-            found = self.queue.next(now, self._free_slots(now))
-            if found is None:
-                return
-            self._admit(found)
+        while found := self._next(now):
+            if isinstance(found, QueuedOpening):
+                self._admit(found)
+            else:
+                self._holding.pass_on(found)
+
+    def _next(self, now: float) -> QueuedOpening | HeldRequest | None:
+        return self.queue.next(
+            now,
+            lambda queued: self._free_slots(queued, now),
+            self._host.cold_flows_left(now) != 0,
+        )
 
     def _handle_open(self, raw: bytes, ip: str) -> None:
         opening = messages.Opening.read(raw)
@@ -134,6 +148,7 @@
         entry = inet_ntoa(opening.entry)
         self._host.version = max(self._host.version, opening.version)
         self._reporter.note_entry(entry)
+        self._holding.routes.note(route_key(key), opening)
         flow = self._flows.get(key)
         if flow:
             flow.entry = entry
@@ -141,7 +156,7 @@
             # A retransmission of a packet that the host has already.
             self._deliver(packet)
             return
-        queued = self.queue.get(key)
+        queued = self.queue.opening(key)
         if queued:
             queued.opening = opening
             return
@@ -189,13 +204,14 @@
         if self.queue.full:
             return None
         now = self._node.loop.now
-        return self._host.wait_s(now, self.queue.ahead_of(queued, now))
+        ahead = self.queue.ahead_of(queued, now)
+        return self._host.wait_s(now, ahead, queued.priority)
 
     def _queue_opening(self, queued: QueuedOpening) -> None:
         key = queued.key
         self.queue.enqueue(queued)
         self.release()
-        if not self.queue.get(key):
+        if not self.queue.opening(key):
             return
         opening = queued.opening
         self._node.meters.count('flows_kept_total')
@@ -212,12 +228,15 @@
         self._node.send(inet_ntoa(opening.entry), note)
         self._schedule_check()
 
-    def _free_slots(self, now: float) -> int:
+    def _free_slots(
+        self, queued: QueuedOpening | HeldRequest, now: float
+    ) -> int:
         """Return the free slots, below 0 if requests wait for a slot."""
+        if not isinstance(queued, QueuedOpening):
+            return self._holding.free_slots(queued.priority, now)
         host = self._host
-        if host.is_full(now):
-            return _NO_FREE_SLOTS
-        return host.slots - host.request_count(now)
+        requests = host.request_count(now, queued.priority)
+        return host.free_slots(requests, now)
 
     def _schedule_check(self) -> None:
         if not self._check_scheduled:
@@ -242,13 +261,16 @@
             self._schedule_check()
 
     def _reject_hopeless(self) -> None:
-        """Reject first packets that were overtaken by too many requests."""
+        """Reject what cannot be served within its limits any more."""
         now = self._node.loop.now
         host = self._host
         hopeless = self.queue.remove_hopeless(
             now, lambda ahead: host.wait_s(now, ahead)
         )
         for queued in hopeless:
+            if not isinstance(queued, QueuedOpening):
+                self._holding.leave_hopeless(queued)
+                continue
             self._node.meters.count(
                 f'flows_overtaken_priority_{queued.priority}_total'
             )
@@ -259,7 +281,7 @@
         key = queued.key
         opening = queued.opening
         host = self._host
-        host.note_admitted(key, now)
+        host.note_admitted(key, now, queued.priority, queued.sent)
         unanswered = UnansweredPacket(
             inet_ntoa(opening.entry), now, opening.packet
         )
@@ -303,6 +325,9 @@
             opening.hops += 1
             self._node.send(opening.pop_next(), opening.pack())
             return
+        self._node.meters.count(
+            f'flows_refused_priority_{opening.priority}_total'
+        )
         note = messages.pack_flow_note(messages.REFUSED, key, 0, reason)
         self._node.send(inet_ntoa(opening.entry), note + opening.packet)
 
--- /dev/null
+++ b/siskinbank/relay/request_holding.py
@@ -0,0 +1,239 @@
+"""Holds requests on open flows until the host has a slot for them."""
+
+from __future__ import annotations
+
+from siskinbank.admission import reasons
+from siskinbank.admission.held_request import HeldRequest
+from siskinbank.admission.known_routes import KnownRoutes
+from siskinbank.admission.pending_queue import PendingQueue, may_go_to_host
+from siskinbank.platform.packets import (
+    FIN,
+    RST,
+    describe_flow,
+    flags_of,
+    request_id,
+    route_key,
+)
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinbank.relay.node import Node
+    from siskinbank.relay.request_tracker import RequestTracker
+    from siskinbank.sidecar.tracked_flows import TrackedFlow
+    from siskinbank.tracking.own_host import OwnHost
+
+__all__ = ('RequestHolding',)
+
+_MS = 1000
+
+
+class RequestHolding:
+    """Holds, passes on and rejects requests on open flows.
+
+    Attributes:
+        queue: first packets and requests that wait for a free slot.
+        routes: the known routes.
+        on_hold: called when a request has been queued.
+    """
+
+    __slots__ = (
+        '_deliver',
+        '_flows',
+        '_host',
+        '_node',
+        '_reset',
+        '_tracker',
+        'on_hold',
+        'queue',
+        'routes',
+    )
+
+    def __init__(
+        self,
+        node: Node,
+        tracker: RequestTracker,
+        flows: dict[bytes, TrackedFlow],
+        deliver: Callable[[bytes], None],
+        reset: Callable[..., None],
+    ) -> None:
+        """Initialize without held requests.
+
+        Args:
+            node: the process that runs the sidecar.
+            tracker: counts the requests at the host.
+            flows: the flows that the host holds, by flow key.
+            deliver: called to send a packet to the host.
+            reset: called to reset the flow of a client, with the header of its
+                last packet, the reason and its inputs for the log.
+        """
+        self.on_hold: Callable[[], object] = bool
+        self._node = node
+        self._host: OwnHost = tracker.host
+        self._tracker = tracker
+        self._flows = flows
+        self.queue = PendingQueue()
+        self.routes = KnownRoutes()
+        self._deliver = deliver
+        self._reset = reset
+
+    def take(self, key: bytes, flow: TrackedFlow, packet: bytes) -> bool:
+        """Hold a packet of an open flow if it has to wait.
+
+        The end of the flow by its client ends the hold: what is held goes to
+        the host before the packet does.
+
+        Returns:
+            False if the packet goes to the host now.
+        """
+        held = self.queue.held(key)
+        if held is None:
+            return self._hold(key, flow, packet)
+        if flags_of(packet) & (FIN | RST):
+            self.end(key, 'client-closed')
+            return False
+        flow.note_packet(packet, self._node.loop.now)
+        if not held.add(packet):
+            self._node.meters.count('held_packets_dropped_total')
+        return True
+
+    def free_slots(self, priority: int, now: float) -> int:
+        """Return the free slots for a request on an open flow.
+
+        Slots are kept for the expected requests of accepted flows only if their
+        priority is higher.
+        """
+        requests = self._host.request_count(now, priority - 1)
+        return self._host.free_slots(requests, now)
+
+    def end(self, key: bytes, reason: str) -> None:
+        """Pass the held request of a flow on to the host, if there is one."""
+        held = self.queue.held(key)
+        if held:
+            self.queue.remove(key)
+            self.pass_on(held, reason)
+
+    def pass_on(self, held: HeldRequest, reason: str = '') -> None:
+        """Send a request that has left the queue to the host.
+
+        Args:
+            held: the request.
+            reason: why it does not wait for a slot; empty if it has one.
+        """
+        flow = self._flows.get(held.key)
+        if reason:
+            self._log_release(held, reason, passed=True)
+        held_s = self._node.loop.now - held.queued_at
+        for packet in held.packets:
+            # The flows are dropped while a packet is sent if the host turns
+            # out to be unreachable.
+            if flow is None or self._flows.get(held.key) is not flow:
+                return
+            self._tracker.track_packet(held.key, flow, packet, held_s)
+            self._deliver(packet)
+
+    def leave_hopeless(self, held: HeldRequest) -> None:
+        """Reject a request whose limit can't be met, or pass it on."""
+        if not held.repeatable:
+            self.pass_on(held, 'time-limit')
+        elif self._node.loop.now > held.pass_by:
+            self.pass_on(held, 'host-idle')
+        else:
+            self._reject(held)
+
+    def drop(self, key: bytes, reason: str) -> list[bytes]:
+        """Remove the held request of a flow that the host has lost.
+
+        Returns:
+            Its packets, none if nothing is held.
+        """
+        held = self.queue.held(key)
+        if held is None:
+            return []
+        self.queue.remove(key)
+        self._log_release(held, reason, passed=False)
+        return held.packets
+
+    def repeat_reset(self, flow: TrackedFlow, packet: bytes) -> None:
+        """Reset a rejected flow again, as the first reset was lost."""
+        flow.note_packet(packet, self._node.loop.now)
+        self._reset(flow.header, 'time-limit', repeated=True)
+
+    def _hold(self, key: bytes, flow: TrackedFlow, packet: bytes) -> bool:
+        if not flow.may_hold(packet) or flags_of(packet) & (FIN | RST):
+            return False
+        now = self._node.loop.now
+        route = self.routes.get(route_key(key))
+        if route is None or not self._is_scheduling(now):
+            return False
+        if may_go_to_host(self.free_slots(route.priority, now)):
+            return False
+        host = self._host
+        sent = host.expected_requests.sent_at(key)
+        work_s = host.processing_time.of_route(route_key(key))
+        held = HeldRequest(key, route, now, sent or now, work_s)
+        held.note_idle_since(flow.last_seen)
+        held.add(packet)
+        flow.note_packet(packet, now)
+        host.expected_requests.note_request(key, now)
+        self.queue.enqueue(held)
+        self._node.meters.count('requests_held_total')
+        self._node.log(
+            'request.held',
+            id=request_id(packet),
+            flow=describe_flow(key),
+            priority=held.priority,
+            kept=len(self.queue),
+            busy=host.busy,
+        )
+        self.on_hold()
+        return True
+
+    def _is_scheduling(self, now: float) -> bool:
+        """Return whether requests may be held at present."""
+        host = self._host
+        if host.record is None or self.queue.held_full:
+            # Without a record the number of slots is unknown.
+            return False
+        reason = host.refusal_reason(host.service, now)
+        return reason in {reasons.NONE, reasons.COLD}
+
+    def _reject(self, held: HeldRequest) -> None:
+        flow = self._flows.get(held.key)
+        if flow is None:
+            return
+        flow.rejected = True
+        flow.ended_at = self._node.loop.now
+        priority = held.priority
+        self._node.meters.count(
+            f'requests_rejected_time_limit_priority_{priority}_total'
+        )
+        self._reset(
+            flow.header,
+            'time-limit',
+            id=request_id(held.packets[0]),
+            priority=priority,
+            held_ms=self._held_ms(held),
+            kept=len(self.queue),
+            busy=self._host.busy,
+        )
+
+    def _log_release(
+        self, held: HeldRequest, reason: str, passed: bool
+    ) -> None:
+        name = reason.replace('-', '_')
+        self._node.meters.count(f'requests_held_ended_{name}_total')
+        self._node.log(
+            'request.released',
+            id=request_id(held.packets[0]),
+            flow=describe_flow(held.key),
+            reason=reason,
+            passed=passed,
+            priority=held.priority,
+            held_ms=self._held_ms(held),
+            busy=self._host.busy,
+        )
+
+    def _held_ms(self, held: HeldRequest) -> int:
+        return int((self._node.loop.now - held.queued_at) * _MS)
--- a/siskinbank/relay/request_tracker.py
+++ b/siskinbank/relay/request_tracker.py
@@ -24,10 +24,11 @@
     """Counts requests in progress and logs the outcome of each.
 
     Attributes:
+        host: the known state of the host.
         on_end: called after a request has ended, as a slot may be free.
     """
 
-    __slots__ = ('_host', '_node', 'on_end')
+    __slots__ = ('_node', 'host', 'on_end')
 
     def __init__(self, node: Node, host: OwnHost) -> None:
         """Initialize the tracker.
@@ -38,17 +39,28 @@
         """
         self.on_end: Callable[[], object] = bool
         self._node = node
-        self._host = host
+        self.host = host
 
     def track_packet(
-        self, key: bytes, flow: TrackedFlow, packet: bytes
+        self,
+        key: bytes,
+        flow: TrackedFlow,
+        packet: bytes,
+        held_s: float = 0,
     ) -> None:
-        """Process a packet from a client, which may start a request."""
+        """Process a packet to the host, which may start a request.
+
+        Args:
+            key: the key of the flow.
+            flow: the flow.
+            packet: the client's packet.
+            held_s: how long it was held, in seconds.
+        """
         before = flow.request
         request = flow.track_packet(packet, self._node.loop.now)
         if request is None:
             return
-        host = self._host
+        host = self.host
         if before is None:
             request.waited = (
                 host.processing_time.wait_s(host.busy, host.slots) > 0
@@ -62,6 +74,7 @@
             flow=describe_flow(key),
             entry=flow.entry or '-',
             busy=host.busy,
+            held_ms=int(held_s * _MS),
         )
 
     def track_answer(
@@ -75,7 +88,7 @@
                 self._schedule_end(key, flow, flow.request)
             return
         if not answer.executed:
-            self._host.queue_capacity.note_shed(self._host.busy - 1, now)
+            self.host.queue_capacity.note_shed(self.host.busy - 1, now)
             self._node.meters.count('requests_shed_total')
         self.end(key, flow, answer.status)
 
@@ -85,7 +98,7 @@
         if request is None:
             return
         flow.request = None
-        host = self._host
+        host = self.host
         host.busy -= 1
         duration = self._node.loop.now - request.started_at
         if not request.waited and outcome.isdigit():
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -30,6 +30,7 @@
 from siskinbank.relay.node import Node
 from siskinbank.relay.planned_stop import PlannedStop
 from siskinbank.relay.records import record_for
+from siskinbank.relay.request_holding import RequestHolding
 from siskinbank.relay.request_tracker import RequestTracker
 from siskinbank.relay.status_reporter import StatusReporter
 from siskinbank.sidecar.tracked_flows import TrackedFlow, UnansweredPacket
@@ -98,7 +99,14 @@
             node,
             self._host,
             self._flows,
-            lambda: self._admission.count_in_time(),
+            lambda: self._admission.queued_load(),
+        )
+        self._holding = RequestHolding(
+            node,
+            self._tracker,
+            self._flows,
+            self._deliver,
+            self._reset_flow,
         )
         self._admission = FlowAdmission(
             node,
@@ -107,13 +115,14 @@
             self._flows,
             self._unanswered,
             self._deliver,
+            self._holding,
         )
         self._planned_stop = PlannedStop(
             node, self._host, self._flows, self._reporter
         )
         self._tracker.on_end = self._admission.release
         node.is_ready = lambda: not self._host.stopping
-        node.on_stop = self._planned_stop.begin
+        node.on_stop = self._begin_stop
         node.handlers[messages.FORWARD] = self._handle_forward
         node.handlers[messages.SEARCH] = self._handle_search
         node.handlers[messages.RELAYED] = self._handle_relayed
@@ -158,6 +167,7 @@
             self._tracker.track_answer(key, flow, packet)
             if flags & (FIN | RST) and not flow.ended_at:
                 flow.ended_at = self._node.loop.now
+                self._holding.end(key, 'host-closed')
         if unanswered or flags & SYN:
             self._send_held(key, flow)
         try:
@@ -191,6 +201,7 @@
                 unanswered.packet = packet
                 self._send_not_held(key, unanswered)
             return
+        self._holding.drop(key, 'host-forgot')
         self._tracker.end(key, flow, 'lost')
         if flow.ended_at:
             return
@@ -200,6 +211,9 @@
         elif flow.entry:
             self._send_absent(key, flow.entry, packet)
 
+    def _reset_flow(self, header: bytes, reason: str, **inputs: object) -> None:
+        self._node.reset_flow(self._client_socket, header, reason, **inputs)
+
     def _send_held(self, key: bytes, flow: TrackedFlow) -> None:
         if flow.entry:
             note = messages.pack_flow_note(
@@ -268,13 +282,20 @@
             unanswered.searching = searching
             unanswered.relayed = relayed
             self._unanswered[key] = unanswered
-        else:
-            flow.entry = entry
-            if searching:
-                self._send_held(key, flow)
-            self._tracker.track_packet(key, flow, packet)
-            if flags_of(packet) & RST:
-                self._tracker.end(key, flow, 'client-reset')
+            self._deliver(packet)
+            return
+        flow.entry = entry
+        if searching:
+            self._send_held(key, flow)
+        is_reset = bool(flags_of(packet) & RST)
+        if flow.rejected and not is_reset:
+            self._holding.repeat_reset(flow, packet)
+            return
+        if self._holding.take(key, flow, packet):
+            return
+        self._tracker.track_packet(key, flow, packet)
+        if is_reset:
+            self._tracker.end(key, flow, 'client-reset')
         self._deliver(packet)
 
     def _deliver(self, packet: bytes) -> None:
@@ -302,6 +323,9 @@
         self._planned_stop.note_unreachable()
         flows = list(self._flows.items())
         self._flows.clear()
+        # Clients of flows that are not reset retransmit what was held.
+        for held_key, _ in flows:
+            self._holding.drop(held_key, 'host-unreachable')
         for key, flow in flows:
             self._tracker.end(key, flow, 'host-gone')
             if flow.established and flow.header and not flow.ended_at:
@@ -338,6 +362,7 @@
             cold_per_s=record.cold_per_s,
         )
         self._reporter.send_status()
+        self._admission.release()
 
     def _drop_flows(self) -> None:
         """Drop the flows from before the start of the host's incarnation.
@@ -346,10 +371,18 @@
         read.
         """
         born_at = self._host.born_at
-        for key, flow in list(self._flows.items()):
-            if flow.opened_at < born_at:
-                self._flows.pop(key)
-                self._tracker.end(key, flow, 'host-restarted')
+        dropped = [
+            (key, flow, self._holding.drop(key, 'host-restarted'))
+            for key, flow in self._flows.items()
+            if flow.opened_at < born_at
+        ]
+        for lost_key, _, _ in dropped:
+            self._flows.pop(lost_key)
+        for key, flow, held_packets in dropped:
+            self._tracker.end(key, flow, 'host-restarted')
+            # The new incarnation refuses them, and the entry is told.
+            for packet in held_packets:
+                self._forward_to_host(packet, flow.entry, searching=False)
 
     def _hosts_due(self) -> bool:
         return self._should_read_store(self._follower.hosts_read_at)
@@ -382,6 +415,10 @@
     def _on_stall(self, stalled_s: float) -> None:
         self._host.wait_for_record(self._node.loop.now)
 
+    def _begin_stop(self) -> None:
+        self._planned_stop.begin()
+        self._admission.release()
+
     def _sweep(self) -> None:
         now = self._node.loop.now
         for key, flow in list(self._flows.items()):
@@ -390,6 +427,7 @@
                 self._tracker.end(key, flow, outcome)
             if outcome == _IDLE:
                 self._flows.pop(key)
+                self._holding.drop(key, _IDLE)
         cutoff = now - _UNANSWERED_TTL_S
         for key, unanswered in list(self._unanswered.items()):
             if unanswered.sent_at < cutoff:
@@ -398,7 +436,13 @@
 
 def _timeout_outcome(flow: TrackedFlow, now: float) -> str:
     """Return the outcome of a flow that has timed out, empty if it hasn't."""
-    expired = flow.ended_at and now - flow.ended_at > _ENDED_FLOW_TTL_S
+    # Packets of a flow that this sidecar has reset must not reach the host while
+    # that holds the flow.
+    expired = (
+        flow.ended_at
+        and not flow.rejected
+        and now - flow.ended_at > _ENDED_FLOW_TTL_S
+    )
     if expired or now - flow.last_seen > _IDLE_TIMEOUT_S:
         return _IDLE
     # The client has abandoned the request. The slot may still be in use, but
--- a/siskinbank/sidecar/tracked_flows.py
+++ b/siskinbank/sidecar/tracked_flows.py
@@ -22,6 +22,8 @@
 __all__ = ('Request', 'TrackedFlow', 'UnansweredPacket')
 
 _NO_SEQUENCE = -1
+# Sequence numbers wrap around at this value.
+_SEQUENCE_NUMBERS = 1 << 32
 
 
 class Request:
@@ -55,6 +57,8 @@
         header: first ``HEADER_BYTES`` bytes of the client's last packet.
         request: the request in progress.
         ended_at: when the end of the flow was detected, 0 while it is open.
+        rejected: whether this sidecar has reset the flow, as its request could
+            not be served in time; nothing of it reaches the host any more.
     """
 
     __slots__ = (
@@ -67,6 +71,7 @@
         'last_seen',
         'number',
         'opened_at',
+        'rejected',
         'request',
     )
 
@@ -81,12 +86,34 @@
         self.header = b''
         self.request: Request | None = None
         self.ended_at: float = 0
+        self.rejected = False
         self._last_request = _NO_SEQUENCE
 
-    def track_packet(self, packet: bytes, now: float) -> Request | None:
-        """Track a client's packet; return the request it starts, if any."""
+    def note_packet(self, packet: bytes, now: float) -> None:
+        """Note a client's packet that may not have reached the host yet."""
         self.last_seen = now
         self.header = packet[:HEADER_BYTES]
+
+    def may_hold(self, packet: bytes) -> bool:
+        """Return whether a packet starts a request that may be held.
+
+        It may if no part of the request can have reached the host before: the
+        flow was tracked from its opening or since an earlier request, and the
+        packet is no copy of one that was passed on. A request behind another
+        one that is in progress occupies no slot of its own.
+        """
+        if self.request or self.ended_at or not begins_request(packet):
+            return False
+        if self._last_request == _NO_SEQUENCE:
+            return self.number != 0
+        newer_by = (
+            sequence_numbers(packet)[0] - self._last_request
+        ) % _SEQUENCE_NUMBERS
+        return 0 < newer_by < _SEQUENCE_NUMBERS // 2
+
+    def track_packet(self, packet: bytes, now: float) -> Request | None:
+        """Track a client's packet; return the request it starts, if any."""
+        self.note_packet(packet, now)
         if not begins_request(packet):
             return None
         number = sequence_numbers(packet)[0]
--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -4,6 +4,7 @@
 
 from siskinbank.admission import reasons
 from siskinbank.admission.arrivals import (
+    LOWEST_PRIORITY,
     ColdLimit,
     ExpectedRequests,
     ProcessingTime,
@@ -14,7 +15,10 @@
 from siskinbank.relay.loop import NEVER
 from siskinbank.tracking.store_position import StorePosition
 
-__all__ = ('OwnHost',)
+__all__ = ('NO_FREE_SLOTS', 'OwnHost')
+
+# Number of free slots of a host that would shed another request: it gets none.
+NO_FREE_SLOTS = -1000
 
 # Time after which an unreachable host is tried again, in seconds.
 _UNREACHABLE_S = 1.0
@@ -157,9 +161,14 @@
             return self.has_accepted_flow
         return not self.is_waiting_for_record(now)
 
-    def request_count(self, now: float) -> int:
-        """Return the number of requests in progress and expected."""
-        return self.busy + self.expected_requests.count(now)
+    def request_count(self, now: float, priority: int = LOWEST_PRIORITY) -> int:
+        """Return the number of requests in progress and expected.
+
+        Args:
+            now: time in seconds on the clock that counts suspension.
+            priority: expected requests of a lower priority do not count.
+        """
+        return self.busy + self.expected_requests.count(now, priority)
 
     def may_accept_trial_flow(self, now: float) -> bool:
         """Return whether a host without a record may accept one flow."""
@@ -221,22 +230,36 @@
         """Return the reason why entries should avoid this host, or NONE."""
         return self._persistent_reason(self.service, now)
 
-    def is_full(self, now: float) -> bool:
-        """Return whether the host would shed another request."""
-        request_count = self.request_count(now)
-        return request_count >= self.slots and self.queue_capacity.is_full(
-            request_count, now
-        )
+    def free_slots(self, requests: int, now: float) -> int:
+        """Return the free slots with this many requests.
+
+        Args:
+            requests: requests at the host, and expected ones that go first.
+            now: time in seconds on the clock that counts suspension.
 
-    def wait_s(self, now: float, ahead: int = 0) -> float:
+        Returns:
+            A negative number if requests wait at the host, NO_FREE_SLOTS if the
+            host would shed another one.
+        """
+        if requests >= self.slots and self.queue_capacity.is_full(
+            requests, now
+        ):
+            return NO_FREE_SLOTS
+        return self.slots - requests
+
+    def wait_s(
+        self, now: float, ahead: int = 0, priority: int = LOWEST_PRIORITY
+    ) -> float:
         """Return how long a new request would wait for a slot, in seconds.
 
         Args:
             now: time in seconds on the clock that counts suspension.
-            ahead: number of queued flows that get a slot before it.
+            ahead: number of queued requests that get a slot before it.
+            priority: priority of the request; expected requests of a lower one
+                are served after it.
         """
         return self.processing_time.wait_s(
-            self.request_count(now) + ahead, self.slots
+            self.request_count(now, priority) + ahead, self.slots
         )
 
     def refusal_reason(self, service: int, now: float) -> int:
@@ -265,10 +288,20 @@
             return None
         return self._cold.flows_left(now, record.cold_per_s)
 
-    def note_admitted(self, key: bytes, now: float) -> None:
-        """Count a flow against the cold limit, and expect its request."""
+    def note_admitted(
+        self, key: bytes, now: float, priority: int = 0, sent: float = 0
+    ) -> None:
+        """Count a flow against the cold limit, and expect its request.
+
+        Args:
+            key: the key of the flow.
+            now: time in seconds on the clock that counts suspension.
+            priority: priority of the flow's route.
+            sent: time in seconds when the client sent the first packet, 0
+                if unknown.
+        """
         self._cold.note(now)
-        self.expected_requests.add(key, now)
+        self.expected_requests.add(key, now, priority, sent)
 
     def _note_era(
         self, previous: messages.Record, record: messages.Record, now: float
--- a/tests/admission/test_pending_queue.py
+++ b/tests/admission/test_pending_queue.py
@@ -75,7 +75,7 @@
             queue.enqueue(
                 queued_opening(b'new%d' % step, now, sent, target_latency_s)
             )
-        found = queue.next(now, 1) if now >= free_at else None
+        found = queue.next(now, lambda _: 1) if now >= free_at else None
         if found:
             free_at = now + rng.uniform(0.5, 1.5) * WORK_S
             in_time += found.sent >= 0 and free_at - found.sent < TARGET_S
@@ -101,7 +101,7 @@
         for key, sent in ((b'a', 99.97), (b'b', 99.98), (b'c', 99.99)):
             queue.enqueue(queued_opening(key, 100, sent, TARGET_S))
         order = []
-        while found := queue.next(100, 1):
+        while found := queue.next(100, lambda _: 1):
             order.append(found.key)
         self.assertEqual(order, [b'c', b'a', b'b'])
 
@@ -111,7 +111,7 @@
         for key, sent in ((b'a', 99.4), (b'b', 99.8), (b'c', 99.99)):
             queue.enqueue(queued_opening(key, 100, sent, TARGET_S))
         order = []
-        while found := queue.next(100, 1):
+        while found := queue.next(100, lambda _: 1):
             order.append(found.key)
         self.assertEqual(order, [b'c', b'a', b'b'])
 
@@ -120,11 +120,11 @@
         queue = PendingQueue()
         for key, sent in ((b'a', 99.4), (b'b', 99.99)):
             queue.enqueue(queued_opening(key, 100, sent, TARGET_S))
-        self.assertIsNone(queue.next(100, -1))
-        found = queue.next(100, 0)
+        self.assertIsNone(queue.next(100, lambda _: -1))
+        found = queue.next(100, lambda _: 0)
         self.assertEqual(found and found.key, b'b')
-        self.assertIsNone(queue.next(100, -1))
-        found = queue.next(100, 0)
+        self.assertIsNone(queue.next(100, lambda _: -1))
+        found = queue.next(100, lambda _: 0)
         self.assertEqual(found and found.key, b'a')
 
     def test_count_ahead_of_a_new_flow(self) -> None:
