--- a/siskinbank/admission/pending_queue.py
+++ b/siskinbank/admission/pending_queue.py
@@ -1,45 +1,47 @@
-"""First packets that a sidecar queues until its host has a free slot.
-
-Load pattern: all processes and hosts lost power for a second or two. When they
-are back, all clients from that time send at once, with retransmitted first
-packets that can no longer be answered within the latency that users expect,
-while new requests keep arriving. Served first in, first out, the new ones wait
-behind the backlog until they are late as well, and seconds pass before any
-request is in time again. So flows that can still be in time go first; the late
-ones get the remaining slots, in order of arrival. When many can be in time,
-the newest goes first: in order of arrival, each would wait until it can hardly
-be in time any more, and then a request that takes a little longer to process
-makes it late.
+"""Requests that a sidecar queues until its host has a free slot.
+
+Load pattern: all slots of a host are in use, and more requests arrive than
+slots become free, some on open flows and some as first packets. Which of them is
+served next is decided by ``service_order``; those that can't be served within
+their limits leave the queue while their clients can still try another host.
 """
 
 from __future__ import annotations
 
-__all__ = ('PendingQueue', 'QueuedOpening', 'sent_ago_s')
+from siskinbank.admission.held_request import HeldRequest
+from siskinbank.admission.service_order import (
+    HOPELESS,
+    IN_TIME,
+    QueuedRequest,
+    service_order,
+)
+
+__all__ = ('PendingQueue', 'QueuedOpening', 'may_go_to_host', 'sent_ago_s')
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import TypeAlias
+
     from siskinbank.relay.messages import Opening
 
+    AnyQueued: TypeAlias = 'QueuedOpening | HeldRequest'
+
 # When a client sends a first packet and its retransmissions, in seconds after
 # the first.
 _SENT_AT_S = (0, 0.2, 0.6)
 # A client abandons a first packet 1.4 s after sending it; a packet handed to
 # the host later than this, in seconds, reaches the client too late.
 _ABANDONED_S = 1.35
-# From a free slot to the request's arrival and back to the client, in seconds:
-# four one-way trips to a client at 3 ms each, and the delay of a busy process.
-_NETWORK_S = 0.02
-# Processing before an answer is ready, in multiples of the usual time: the
-# request itself, and on average half of the request that occupies the slot.
-_PROCESSING_FACTOR = 1.5
-# With more queued flows than this that can be in time, the newest goes first.
-# At a host that is not overloaded, no more than this wait by chance.
-_MAX_IN_ORDER = 2
 # Requests that a host gets beyond its slots, to cover the round trip to the
 # client: the next one is there when a slot becomes free.
 _MAX_WAITING_AT_HOST = 1
 # Capacity of the queue in first packets; further flows are refused.
 _MAX_QUEUED = 256
+# Capacity in requests on open flows; further ones are passed on at once. With 16
+# packets each they take 5 MB.
+_MAX_HELD = 256
+_MS = 1000
 
 
 def sent_ago_s(copy: int) -> float:
@@ -55,118 +57,212 @@
     return _SENT_AT_S[min(copy, len(_SENT_AT_S) - 1)]
 
 
-class QueuedOpening:
+def may_go_to_host(free: int) -> bool:
+    """Return whether a host gets another request.
+
+    Args:
+        free: slots without a request; negative if requests wait at the host.
+    """
+    return free > -_MAX_WAITING_AT_HOST
+
+
+class QueuedOpening(QueuedRequest):
     """A queued first packet.
 
     Attributes:
+        key: the key of the flow.
         opening: the packet with the routing data from its entry.
         queued_at: time in seconds when it arrived at this host.
-        sent: time in seconds when the client sent the first transmission.
-        target_latency_s: target latency of the client, in seconds.
     """
 
-    __slots__ = ('opening', 'queued_at', 'sent', 'target_latency_s')
+    __slots__ = ('key', 'opening', 'queued_at')
 
     def __init__(
         self,
+        key: bytes,
         opening: Opening,
         queued_at: float,
         sent: float,
-        target_latency_s: float,
+        work_s: float,
     ) -> None:
-        """Initialize the queue item."""
+        """Initialize the queue item.
+
+        Args:
+            key: the key of the flow.
+            opening: the packet with the routing data from its entry.
+            queued_at: time in seconds when it arrived at this host.
+            sent: time in seconds when the client sent the first transmission.
+            work_s: mean processing time of the route's requests, in seconds.
+        """
+        super().__init__(
+            opening.priority,
+            sent,
+            opening.target_latency_ms / _MS,
+            opening.timeout_ms / _MS,
+            work_s,
+        )
+        self.key = key
         self.opening = opening
         self.queued_at = queued_at
-        self.sent = sent
-        self.target_latency_s = target_latency_s
 
-    def in_time_at(self, now: float, work_s: float) -> bool:
-        """Return whether an answer would be in time, with a slot free now.
+    def must_leave(self, now: float, wait_s: float, overtaken: bool) -> bool:
+        """Return whether the packet may not stay in the queue.
+
+        Load pattern: requests of higher priority arrive after it was queued.
+        Without them it stays until its client abandons it.
 
         Args:
-            now: the time in seconds.
-            work_s: the host's mean processing time of a request in seconds.
+            now: time in seconds.
+            wait_s: expected wait for a slot in seconds.
+            overtaken: whether requests of higher priority are served before.
         """
-        needed = _PROCESSING_FACTOR * work_s + _NETWORK_S
-        return now + needed < self.sent + self.target_latency_s
+        served_by = min(
+            self.queued_at + self.opening.wait_limit_ms / _MS,
+            self.sent + _ABANDONED_S,
+        )
+        return overtaken and now + wait_s > served_by
 
 
 class PendingQueue:
-    """The queue of first packets of one sidecar, in order of arrival."""
+    """The queue of one sidecar, in order of arrival."""
 
-    __slots__ = ('_queued',)
+    __slots__ = ('_held_count', '_queued')
 
     def __init__(self) -> None:
         """Create an empty queue."""
-        self._queued: dict[bytes, QueuedOpening] = {}
+        self._queued: dict[bytes, AnyQueued] = {}
+        self._held_count = 0
 
     def __len__(self) -> int:
-        """Return the number of queued packets."""
+        """Return the number of queued first packets and requests."""
         return len(self._queued)
 
-    def get(self, key: bytes) -> QueuedOpening | None:
-        """Return the queued packet of a flow."""
-        return self._queued.get(key)
-
     @property
     def full(self) -> bool:
-        """Whether the queue is full."""
-        return len(self._queued) >= _MAX_QUEUED
+        """Whether the queue holds no more first packets."""
+        return len(self._queued) - self._held_count >= _MAX_QUEUED
 
-    def enqueue(self, key: bytes, queued: QueuedOpening) -> None:
-        """Add a packet to the queue."""
-        self._queued[key] = queued
+    @property
+    def held_full(self) -> bool:
+        """Whether the queue holds no more requests on open flows."""
+        return self._held_count >= _MAX_HELD
+
+    def opening(self, key: bytes) -> QueuedOpening | None:
+        """Return the queued first packet of a flow."""
+        queued = self._queued.get(key)
+        return queued if isinstance(queued, QueuedOpening) else None
+
+    def held(self, key: bytes) -> HeldRequest | None:
+        """Return the held request of a flow."""
+        queued = self._queued.get(key)
+        return queued if isinstance(queued, HeldRequest) else None
+
+    def enqueue(self, queued: AnyQueued) -> None:
+        """Add a first packet or a request to the queue."""
+        self._queued[queued.key] = queued
+        self._held_count += isinstance(queued, HeldRequest)
 
-    def ahead_of(self, queued: QueuedOpening, now: float, work_s: float) -> int:
-        """Return how many flows would get a slot before a new one."""
-        if not queued.in_time_at(now, work_s):
-            return len(self._queued)
-        return self.count_in_time(now, work_s)
+    def remove(self, key: bytes) -> None:
+        """Remove the packets of a flow."""
+        queued = self._queued.pop(key, None)
+        self._held_count -= isinstance(queued, HeldRequest)
 
-    def count_in_time(self, now: float, work_s: float) -> int:
-        """Return how many queued flows can still be in time."""
-        flows = self._queued.values()
-        return sum(1 for queued in flows if queued.in_time_at(now, work_s))
+    def ahead_of(self, new: QueuedRequest, now: float) -> int:
+        """Return how many queued requests get a slot before a new one."""
+        rank = new.rank(now)
+        return sum(
+            1 for queued in self._queued.values() if queued.rank(now) <= rank
+        )
+
+    def load(self, now: float) -> int:
+        """Return how many queued requests count as load of the host.
+
+        Late first packets do not count: new flows go first, and the clients
+        will have abandoned most of them. A request on an open flow stays.
+        """
+        return self._held_count + sum(
+            1
+            for queued in self._queued.values()
+            if isinstance(queued, QueuedOpening)
+            and queued.stage(now) == IN_TIME
+        )
 
     def next(
         self,
         now: float,
-        work_s: float,
-        free: int,
-    ) -> tuple[bytes, QueuedOpening] | None:
-        """Remove and return the flow that goes to the host, None if none may.
+        free: Callable[[AnyQueued], int],
+        new_flows: bool = True,
+    ) -> AnyQueued | None:
+        """Remove and return what goes to the host, None if nothing may.
+
+        A first packet that has to wait delays requests of a later stage only; a
+        request on an open flow delays all that come after it.
 
         Args:
             now: the time in seconds.
-            work_s: the host's mean processing time of a request in seconds.
-            free: slots without a request; negative if requests wait at the
-                host.
+            free: returns the slots without a request, as far as a queued item
+                of its kind and priority may use them; negative if requests
+                wait at the host.
+            new_flows: whether the host accepts new flows at present.
         """
-        if free <= -_MAX_WAITING_AT_HOST:
-            return None
-        in_time = [
-            key
-            for key, queued in self._queued.items()
-            if queued.in_time_at(now, work_s)
-        ]
-        if in_time:
-            chosen = in_time[0 if len(in_time) <= _MAX_IN_ORDER else -1]
-        elif self._queued:
-            chosen = next(iter(self._queued))
-        else:
-            return None
-        return chosen, self._queued.pop(chosen)
-
-    def remove_abandoned(self, now: float) -> list[tuple[bytes, QueuedOpening]]:
+        skips_openings = not new_flows
+        last_stage = HOPELESS
+        for queued in service_order(self._queued.values(), now):
+            is_opening = isinstance(queued, QueuedOpening)
+            if queued.stage(now) > last_stage:
+                return None
+            if is_opening and skips_openings:
+                continue
+            if may_go_to_host(free(queued)):
+                self.remove(queued.key)
+                return queued
+            if not is_opening:
+                return None
+            # Further ones have the same or a lower priority.
+            skips_openings = True
+            last_stage = queued.stage(now)
+        return None
+
+    def remove_abandoned(self, now: float) -> list[QueuedOpening]:
         """Remove and return the flows that their clients have abandoned."""
         oldest = now - _ABANDONED_S
-        gone = [
-            key for key, queued in self._queued.items() if queued.sent < oldest
+        abandoned = [
+            queued
+            for queued in self._queued.values()
+            if isinstance(queued, QueuedOpening) and queued.sent < oldest
         ]
-        return [(key, self._queued.pop(key)) for key in gone]
+        for queued in abandoned:
+            self.remove(queued.key)
+        return abandoned
+
+    def remove_hopeless(
+        self, now: float, wait_s: Callable[[int], float]
+    ) -> list[AnyQueued]:
+        """Remove and return what can't be served within its limits.
+
+        Args:
+            now: the time in seconds.
+            wait_s: returns the wait for a slot in seconds, by the number of
+                queued requests that are served before.
+        """
+        hopeless: list[AnyQueued] = []
+        highest: int | None = None
+        ahead = 0
+        for queued in service_order(self._queued.values(), now):
+            overtaken = highest is not None and highest < queued.priority
+            if queued.must_leave(now, wait_s(ahead), overtaken):
+                hopeless.append(queued)
+                continue
+            ahead += 1
+            if highest is None or queued.priority < highest:
+                highest = queued.priority
+        for removed in hopeless:
+            self.remove(removed.key)
+        return hopeless
 
-    def clear(self) -> list[tuple[bytes, QueuedOpening]]:
-        """Remove and return all queued packets."""
-        all_queued = list(self._queued.items())
+    def clear(self) -> list[AnyQueued]:
+        """Remove and return all that is queued."""
+        all_queued = list(self._queued.values())
         self._queued.clear()
+        self._held_count = 0
         return all_queued
--- a/siskinbank/relay/request_tracker.py
+++ b/siskinbank/relay/request_tracker.py
@@ -33,10 +33,11 @@
     """Counts requests in progress and logs the outcome of each.
 
     Attributes:
+        host: the known state of the host.
         on_end: called after a request has ended, as a slot may be free.
     """
 
-    __slots__ = ('_host', '_node', 'on_end')
+    __slots__ = ('_node', 'host', 'on_end')
 
     def __init__(self, node: Node, host: OwnHost) -> None:
         """Initialize the tracker.
@@ -47,17 +48,28 @@
         """
         self.on_end: Callable[[], object] = bool
         self._node = node
-        self._host = host
+        self.host = host
 
     def track_packet(
-        self, key: bytes, flow: TrackedFlow, packet: bytes
+        self,
+        key: bytes,
+        flow: TrackedFlow,
+        packet: bytes,
+        held_s: float = 0,
     ) -> None:
-        """Process a packet from a client, which may start a request."""
+        """Process a packet to the host, which may start a request.
+
+        Args:
+            key: the key of the flow.
+            flow: the flow.
+            packet: the client's packet.
+            held_s: how long it was held, in seconds.
+        """
         before = flow.request
         request = flow.track_packet(packet, self._node.loop.now)
         if request is None:
             return
-        host = self._host
+        host = self.host
         now = self._node.loop.now
         if before is None:
             host.busy += 1
@@ -74,6 +86,7 @@
             flow=describe_flow(key),
             entry=flow.entry or '-',
             busy=host.busy,
+            held_ms=int(held_s * _MS),
         )
 
     def track_answer(
@@ -90,7 +103,7 @@
         if request and answer.status.startswith(_SUCCESS):
             self._measure(key, request, packet)
         if not answer.executed:
-            self._host.queue_capacity.note_shed(self._host.busy - 1, now)
+            self.host.queue_capacity.note_shed(self.host.busy - 1, now)
             self._node.meters.count('requests_shed_total')
         self.end(key, flow, answer.status)
 
@@ -100,7 +113,7 @@
         if request is None:
             return
         flow.request = None
-        host = self._host
+        host = self.host
         host.busy -= 1
         now = self._node.loop.now
         duration = now - request.started_at
@@ -124,7 +137,7 @@
         if processed_from is None or not request.is_measurable:
             return
         now = self._node.loop.now
-        host = self._host
+        host = self.host
         elapsed_s = now - processed_from
         host.processing_time.note(elapsed_s, route_key(key))
         # The time of an upload depends on the link of its entry and client, and
