Test that slow entries that cannot hear each other stay in rotation

Six slow entries that each hear two fast ones only would all leave if entries of unknown data centre did not delay leaving; no test guarded against it at the level of messages. The test is added, and fails with two of eight entries in rotation when those entries are ignored.

--- a/tests/relay/test_entry_capacities.py
+++ b/tests/relay/test_entry_capacities.py
@@ -82,6 +82,20 @@
         crossing = [pair for pair in self.cluster.sent if pair[0] in local]
         self.assertEqual({target for _, target in crossing}, set(local))
 
+    def test_slow_entries_do_not_hear_each_other(self) -> None:
+        """Six slow entries each hear two fast ones only.
+
+        If each decided as one of three, all six would leave: two of eight
+        entries would be in rotation.
+        """
+        slow = {f'10.0.0.{number}' for number in range(3, 9)}
+        self.cluster.network = lambda source, target: (
+            None if {source, target} <= slow else 0.002
+        )
+        ips = self.start(FAST, FAST, *(SLOW for _ in slow))
+        self.cluster.run(30, lambda: _check_half(self.cluster))
+        self.assertEqual(self.cluster.in_rotation(), ips)
+
     def test_setting_all(self) -> None:
         """An entry that never leaves still reports to the others."""
         fast, slow = self.start(FAST)[0], '10.0.0.9'
