Keep all entries in rotation for a small gain in throughput

Entries with slightly lower limits than the others left rotation: one below (n-1)/n of the rest was enough. Each change moves flows that must be searched.

--- a/siskinbank/choice/entry_rotation.py
+++ b/siskinbank/choice/entry_rotation.py
@@ -17,6 +17,10 @@
 # turn of the event loop. Several packets per turn take 6 to 8 us each.
 _PACKETS_PER_CORE_S = 50_000
 _BITS_PER_KBIT = 1000
+# Entries leave only if the throughput under an even split grows by this factor:
+# each that leaves or returns moves its flows to entries that must search their
+# hosts, which a small gain is not worth.
+_MIN_GAIN = 1.25
 # An entry that has been heard from within this time, in seconds, is known:
 # routers also count entries that are down.
 _KNOWN_S = 60.0
@@ -107,7 +111,7 @@
     It maximizes the throughput of the set under an even split, which is the
     number of entries times the lowest capacity. At least half of the entries
     stay, as routers use all if fewer are in rotation. Among equal results the
-    largest set is chosen.
+    largest set is chosen, and all stay if the gain is small.
 
     Args:
         capacities: capacities of all entries, the best first. An unknown one
@@ -121,7 +125,8 @@
         rate = count * (capacities[count - 1] or highest)
         if rate > best_rate:
             best, best_rate = count, rate
-    return best
+    rate_of_all = total * (capacities[-1] or highest)
+    return best if best_rate >= _MIN_GAIN * rate_of_all else total
 
 
 class EntryRotation:
--- a/tests/choice/test_entry_rotation.py
+++ b/tests/choice/test_entry_rotation.py
@@ -49,6 +49,8 @@
             ('six fast, two slow', _mix(6, 0, 2), 6),
             ('one fast, one slow', _mix(1, 0, 1), 1),
             ('twice as fast: a tie keeps both', [200, 100], 2),
+            ('a small gain', [100, 100, 100, 70], 4),
+            ('a gain of a quarter', [100, 100, 100, 60], 3),
             ('half at least', [1000, 10, 1, 1, 1], 5),
             ('half of an odd number, rounded up', [900, 900, 10], 2),
             ('all unknown', [0, 0, 0], 3),
--- a/tests/relay/test_entry_capacities.py
+++ b/tests/relay/test_entry_capacities.py
@@ -373,7 +373,9 @@
                 patch.object(entry, 'Entry') as create,
             ):
                 main._create_program('entry', create)  # noqa: SLF001
-                create.assert_called_once_with(create, expected)
+                create.assert_called_once_with(
+                    create, expected, split_overflow=False
+                )
 
 
 class Scenario:
