--- a/siskinbank/admission/held_request.py
+++ b/siskinbank/admission/held_request.py
@@ -95,14 +95,15 @@
     def must_leave(self, now: float, wait_s: float, overtaken: bool) -> bool:
         """Return whether the request may not stay in the queue.
 
-        A repeatable request leaves as soon as its time limit can't be met after
-        the expected wait: its client can try another host. Any other stays
-        while a free slot would still help.
+        A request that may run once leaves when its time limit can't be met any
+        more. A repeatable one stays at the end of the order until its client
+        closes the flow: the host would work for nobody, and only the host may
+        reset an open flow.
 
         Args:
             now: time in seconds.
             wait_s: expected wait for a slot in seconds.
             overtaken: whether requests of higher priority are served before.
         """
-        start = now + wait_s if self.repeatable else now
-        return start > self.useful_until or now > self.pass_by
+        is_hopeless = not self.repeatable and now > self.useful_until
+        return is_hopeless or now > self.pass_by
