Measure a host's speed anew when it expired

After 10 s without a measurement the old mean came back with the next request, so that a host which was slow and got few flows stayed slow in the ranking. The mean now starts again and is reported after 20 requests.

--- a/siskinbank/admission/arrivals.py
+++ b/siskinbank/admission/arrivals.py
@@ -236,6 +236,9 @@
             elapsed_s: processing time in seconds.
             now: time in seconds.
         """
+        if now >= self._speed_until:
+            # The host may have recovered since.
+            self.forget_speed()
         self._speed_count += 1
         weight = max(_SPEED_WEIGHT, 1 / self._speed_count)
         self._speed_s += (elapsed_s - self._speed_s) * weight
--- a/tests/admission/test_arrivals.py
+++ b/tests/admission/test_arrivals.py
@@ -141,6 +141,10 @@
             processing.note_speed(0.25, 100)
         self.assertEqual(processing.speed_ms(109), 250)
         self.assertEqual(processing.speed_ms(110), 0)
+        for number in range(1, 21):
+            processing.note_speed(0.05, 111)
+            known = processing.speed_ms(111)
+            self.assertEqual(known, 50 if number >= 20 else 0)
 
     def test_recovery(self) -> None:
         """A host that was five times slower is like others after 100 requests.
