List the hosts that may hold a flow in one place

FlowSearcher._present_hosts and the list in HostMonitor._is_isolated were the same expression, and a rule added to one could miss the other. Both now call HostMonitor.present_hosts.

--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -108,7 +108,7 @@
         now = self._node.loop.now
         search = FlowSearch(now, packet)
         self._searches.begin(key, search)
-        hosts = self._present_hosts()
+        hosts = self._monitor.present_hosts()
         self._node.meters.count('searches_total')
         self._node.log('flow.search', flow=describe_flow(key), asked=len(hosts))
         self._queue_query(key, search, hosts)
@@ -128,7 +128,7 @@
         if search is None:
             return False
         if search.add_absent(ip):
-            hosts = self._present_hosts()
+            hosts = self._monitor.present_hosts()
             if not search.unanswered(_addresses(hosts)):
                 self._end_if_not_held(key, search, hosts)
         return True
@@ -206,7 +206,7 @@
         now = self._node.loop.now
         due = self._searches.due_for_repeat(now)
         if due:
-            hosts = self._present_hosts()
+            hosts = self._monitor.present_hosts()
             for key, search in due:
                 self._continue_search(key, search, hosts)
         self._schedule_round()
@@ -255,18 +255,6 @@
         )
         return True
 
-    def _present_hosts(self) -> list[TrackedHost]:
-        """Return the hosts that may hold a flow.
-
-        A flow stays at its host when a later configuration sends new flows of
-        its route to other services, so these are the hosts of all services.
-        """
-        return [
-            host
-            for host in self._hosts.all()
-            if not self._monitor.has_left(host.ip)
-        ]
-
 
 def _addresses(hosts: list[TrackedHost]) -> list[str]:
     return [host.ip for host in hosts]
--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from siskinbank.relay.follower import StoreFollower
     from siskinbank.relay.node import Node
-    from siskinbank.tracking.hosts import HostTable
+    from siskinbank.tracking.hosts import HostTable, TrackedHost
 
 __all__ = ('HostMonitor',)
 
@@ -108,6 +108,16 @@
         reason = gone_reason(self._evidence(ip), idempotent=False)
         return reason in {ENDED, UNREGISTERED}
 
+    def present_hosts(self) -> list[TrackedHost]:
+        """Return the hosts that may hold a flow.
+
+        A flow stays at its host when a later configuration sends new flows of
+        its route to other services, so these are the hosts of all services.
+        """
+        return [
+            host for host in self._hosts.all() if not self.has_left(host.ip)
+        ]
+
     def never_seen(self) -> list[str]:
         """Return the hosts in the store that have sent no status update yet."""
         listed = map(inet_ntoa, self._follower.listing.addresses)
@@ -163,9 +173,7 @@
         now = self._node.loop.now
         if self._isolation_checked_at == now:
             return self._isolated
-        hosts = [
-            host for host in self._hosts.all() if not self.has_left(host.ip)
-        ]
+        hosts = self.present_hosts()
         probes = self._hosts.probes
         silent = sum(
             1
--- a/tests/relay/test_host_monitor.py
+++ b/tests/relay/test_host_monitor.py
@@ -3,12 +3,14 @@
 import time
 import unittest
 
+from siskinbank.admission import reasons
 from siskinbank.relay import messages
 from tests.relay.test_flow_searcher import (
     HOSTS,
     STEP_S,
     Environment,
     flow_key,
+    packet_of,
 )
 
 HOST = '10.0.0.1'
@@ -58,6 +60,22 @@
         self.assertIn(HOST, self.probed(1.1))
 
 
+class TestPresentHosts(unittest.TestCase):
+    """Searches and the check for isolation use the same hosts."""
+
+    def test_ended_host(self) -> None:
+        """A host that ended is neither asked nor counted as silent."""
+        env = Environment()
+        status = messages.Status(1, 1)
+        status.state = reasons.ENDED
+        env.hosts.update_status(HOST, status, env.loop.now)
+        present = {host.ip for host in env.monitor.present_hosts()}
+        self.assertEqual(len(present), HOSTS - 1)
+        self.assertNotIn(HOST, present)
+        env.searcher.search(flow_key(1), packet_of(flow_key(1)))
+        self.assertEqual({ip for ip, _ in env.sent}, present)
+
+
 class TestCost(unittest.TestCase):
     """CPU time after the loss of a third of the hosts."""
 
