Begin a series of probes anew after a pause of the entry

A restarted series kept its begin, so a pause of the entry counted as time probed: where a sidecar pauses together with the entry, its flows were reset as soon as three probes were unanswered. The series now begins at the first check after the pause.

Both new tests fail without the change.

--- a/siskinbank/tracking/liveness.py
+++ b/siskinbank/tracking/liveness.py
@@ -153,8 +153,13 @@
         self._is_counted = True
         self._was_queried = False
 
-    def restart(self) -> None:
-        """Discard the probes that were sent."""
+    def restart(self, now: float) -> None:
+        """Begin anew and discard the probes that were sent.
+
+        Load pattern: entry and sidecar share a machine that pauses. Time in
+        which this process did not run is no time in which it probed.
+        """
+        self.begun_at = now
         self.unanswered = 0
         self._sent_at = NEVER
         self._is_counted = True
@@ -240,7 +245,7 @@
         due = []
         for ip, series in list(self._series.items()):
             if has_stalled:
-                series.restart()
+                series.restart(now)
             if now - series.begun_at > _EXPIRY_S:
                 self._series.pop(ip)
             elif series.check(now):
--- a/tests/relay/test_reset_beside_sound_host.py
+++ b/tests/relay/test_reset_beside_sound_host.py
@@ -84,6 +84,19 @@
                 with self.subTest(stalled_s=stalled_s, phase=phase):
                     self.assert_flow_kept()
 
+    def test_sidecar_pauses_together_with_entry(self) -> None:
+        """Load pattern: a machine runs entry and sidecar and pauses.
+
+        The entry probes the sidecar before the pause, and the sidecar runs
+        again 0.6 s after the entry. The pause must not count as time probed.
+        """
+        self.fleet.run(1, self.packet)
+        self.fleet.pause(self.host, 0.75 + 0.9 + 0.6)
+        self.fleet.run(0.75, self.packet)
+        self.fleet.pause(self.fleet.entry_ip, 0.9)
+        self.fleet.run(2.5, self.packet)
+        self.assert_flow_kept()
+
     def test_record_is_missing(self) -> None:
         """Load pattern: hosts serve on after their records are gone.
 
--- a/tests/tracking/test_liveness.py
+++ b/tests/tracking/test_liveness.py
@@ -125,6 +125,13 @@
         self.check(103.1, 103.2, 103.3)
         self.assertEqual(self.probes.unanswered(HOST, 103.3), ENOUGH)
 
+    def test_pause_is_no_time_probed(self) -> None:
+        """The series begins anew after a stall of this process."""
+        self.check(100.1, 100.2, 100.3)
+        self.check(101.2, 101.3, 101.4, 101.5)
+        self.assertEqual(self.probes.unanswered(HOST, 101.5), ENOUGH)
+        self.assertAlmostEqual(self.probes.probed_s(HOST, 101.5), 0.3)
+
     def test_old_check(self) -> None:
         """What was found before a stall doesn't count after it."""
         self.check(100.1, 100.2, 100.3, 100.4)
