Read the socket ahead for probes only while a sidecar is probed

HostMonitor._check_probes read the peer socket ten times a second also while no probe was outstanding. It now does so only while a sidecar is probed, as only then answers may wait behind other messages.

The new test counts the reads and fails without the change.

--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -195,7 +195,7 @@
         self.probe(self.never_seen())
 
     def _check_probes(self) -> None:
-        if not self._node.receive_pending():
+        if self._hosts.probes.any_begun and not self._node.receive_pending():
             # Answers may wait behind the messages that were handled.
             return
         hello = messages.pack_hello(0, self._data_centre)
--- a/siskinbank/tracking/liveness.py
+++ b/siskinbank/tracking/liveness.py
@@ -201,6 +201,11 @@
         """Return whether a sidecar is being probed."""
         return ip in self._series
 
+    @property
+    def any_begun(self) -> bool:
+        """Whether any sidecar is being probed."""
+        return bool(self._series)
+
     def begin(self, ip: str, now: float) -> None:
         """Begin to probe a sidecar, unless it is being probed."""
         if ip not in self._series:
--- a/tests/relay/test_host_monitor.py
+++ b/tests/relay/test_host_monitor.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from typing import Any
 
 from siskinbank.admission import reasons
 from siskinbank.relay import messages
@@ -54,6 +55,22 @@
         self.assertEqual(self.probed(1.7), [])
         self.assertIn(HOST, self.probed(0.6))
 
+    def test_reads_of_the_socket(self) -> None:
+        """The socket of peers is read ahead only while a sidecar is probed."""
+        reads = 0
+
+        def receive_pending() -> bool:
+            nonlocal reads
+            reads += 1
+            return True
+
+        node: Any = self.env.monitor._node  # noqa: SLF001
+        node.receive_pending = receive_pending
+        self.env.run(0.5)
+        self.assertEqual(reads, 0)
+        self.env.run(1)
+        self.assertGreater(reads, 0)
+
     def test_missing_host(self) -> None:
         """A host in the store that has sent nothing is probed, too."""
         self.env.hosts._by_ip.pop(HOST)  # noqa: SLF001
