Use one limit for the discovery of hosts by a starting entry

_DISCOVERY_S of the searcher and _DISCOVERY_TIMEOUT_S of the entry were one value under two names; changing one alone would let searches end while first packets still wait for hosts. Both use host_monitor.DISCOVERY_TIMEOUT_S.

--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -31,7 +31,7 @@
 from siskinbank.relay.flow_searcher import FlowSearcher
 from siskinbank.relay.follower import StoreFollower
 from siskinbank.relay.gossip import Gossip
-from siskinbank.relay.host_monitor import HostMonitor
+from siskinbank.relay.host_monitor import DISCOVERY_TIMEOUT_S, HostMonitor
 from siskinbank.relay.node import Node
 from siskinbank.tracking.hosts import HostTable, TrackedHost
 
@@ -47,9 +47,6 @@
 # within 1.4 s.
 _MAX_EARLY_PACKETS = 256
 _EARLY_PACKET_TTL_S = 1.0
-# Time after the start of the process, in seconds, by which all reachable hosts
-# are known.
-_DISCOVERY_TIMEOUT_S = 0.6
 # Wait for further hosts after the first status update, in seconds: several
 # round trips to the most distant data centre.
 _DISCOVERY_WAIT_S = 0.06
@@ -229,7 +226,7 @@
         Shortly after the start hosts may not be known yet; the packet is
         queued then.
         """
-        if self._node.loop.now - self._started < _DISCOVERY_TIMEOUT_S:
+        if self._node.loop.now - self._started < DISCOVERY_TIMEOUT_S:
             self._queue_early_packet(packet)
             return
         states = [host.status.state for host in hosts]
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -16,6 +16,7 @@
 )
 from siskinbank.platform.packets import describe_flow
 from siskinbank.relay import messages
+from siskinbank.relay.host_monitor import DISCOVERY_TIMEOUT_S
 from siskinbank.relay.loop import NEVER
 
 TYPE_CHECKING = False
@@ -37,9 +38,6 @@
 # Maximum pause between rounds, in seconds: half of a client's first
 # retransmission timeout.
 _MAX_PAUSE_S = 0.1
-# Time after the start of the process, in seconds, before which no search ends
-# without a host: status updates of hosts without a record arrive within it.
-_DISCOVERY_S = 0.6
 # Maximum number of unresponsive hosts listed in one log line.
 _MAX_LOGGED_HOSTS = 4
 
@@ -235,7 +233,7 @@
         hosts: list[TrackedHost],
     ) -> bool:
         """End a search and reset the flow if no host can hold it."""
-        is_starting = self._node.loop.now - self._started < _DISCOVERY_S
+        is_starting = self._node.loop.now - self._started < DISCOVERY_TIMEOUT_S
         if is_starting or not self._follower.listing.known:
             return False
         unresponsive = search.unanswered(_addresses(hosts))
--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -23,7 +23,12 @@
     from siskinbank.relay.node import Node
     from siskinbank.tracking.hosts import HostTable, TrackedHost
 
-__all__ = ('HostMonitor',)
+__all__ = ('DISCOVERY_TIMEOUT_S', 'HostMonitor')
+
+# Time after the start of the process, in seconds, by which all reachable hosts
+# are known, also those without a record, by their status updates. Until then no
+# search ends without a host, and first packets that no host accepts are queued.
+DISCOVERY_TIMEOUT_S = 0.6
 
 # Interval at which silent sidecars are looked for, and interval of probes, in
 # seconds.
--- a/tests/relay/test_flow_searcher.py
+++ b/tests/relay/test_flow_searcher.py
@@ -9,7 +9,7 @@
 from siskinbank.platform.records import Route
 from siskinbank.relay import messages
 from siskinbank.relay.flow_searcher import FlowSearcher
-from siskinbank.relay.host_monitor import HostMonitor
+from siskinbank.relay.host_monitor import DISCOVERY_TIMEOUT_S, HostMonitor
 from siskinbank.relay.loop import Loop
 from siskinbank.tracking.host_listing import HostListing
 from siskinbank.tracking.hosts import HostTable
@@ -204,6 +204,23 @@
         self.assertEqual(len(self.ask({})), HOSTS)
 
 
+class TestDiscovery(unittest.TestCase):
+    """Searches that start with the entry."""
+
+    def test_no_end_during_discovery(self) -> None:
+        """Hosts may be unknown as long as first packets are queued for them."""
+        env = Environment()
+        env.loop.now += DISCOVERY_TIMEOUT_S - DISCOVERY_S - STEP_S
+        env.searcher.search(flow_key(1), packet_of(flow_key(1)))
+        for ip, datagram in env.sent:
+            keys = messages.read_keys(datagram)
+            answer = messages.pack_keys(messages.NOT_HELD, keys)
+            env.handlers[messages.NOT_HELD](answer, ip)
+        self.assertEqual(env.resets, [])
+        env.run(4 * STEP_S)
+        self.assertEqual(env.resets, ['no-host-holds-it'])
+
+
 class TestEndedHosts(unittest.TestCase):
     """Load pattern: a loss of power in the midst of a release.
 
