--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -16,6 +16,7 @@
 )
 from siskinbank.platform.packets import describe_flow
 from siskinbank.relay import messages
+from siskinbank.relay.host_monitor import DISCOVERY_TIMEOUT_S
 from siskinbank.relay.loop import NEVER
 
 TYPE_CHECKING = False
@@ -37,9 +38,6 @@
 # Maximum pause between rounds, in seconds: half of a client's first
 # retransmission timeout.
 _MAX_PAUSE_S = 0.1
-# Time after the start of the process, in seconds, before which no search ends
-# without a host: status updates of hosts without a record arrive within it.
-_DISCOVERY_S = 0.6
 # Maximum number of unresponsive hosts listed in one log line.
 _MAX_LOGGED_HOSTS = 4
 
@@ -108,7 +106,7 @@
         now = self._node.loop.now
         search = FlowSearch(now, packet)
         self._searches.begin(key, search)
-        hosts = self._present_hosts()
+        hosts = self._monitor.present_hosts()
         self._node.meters.count('searches_total')
         self._node.log('flow.search', flow=describe_flow(key), asked=len(hosts))
         self._queue_query(key, search, hosts)
@@ -128,7 +126,7 @@
         if search is None:
             return False
         if search.add_absent(ip):
-            hosts = self._present_hosts()
+            hosts = self._monitor.present_hosts()
             if not search.unanswered(_addresses(hosts)):
                 self._end_if_not_held(key, search, hosts)
         return True
@@ -206,7 +204,7 @@
         now = self._node.loop.now
         due = self._searches.due_for_repeat(now)
         if due:
-            hosts = self._present_hosts()
+            hosts = self._monitor.present_hosts()
             for key, search in due:
                 self._continue_search(key, search, hosts)
         self._schedule_round()
@@ -235,7 +233,7 @@
         hosts: list[TrackedHost],
     ) -> bool:
         """End a search and reset the flow if no host can hold it."""
-        is_starting = self._node.loop.now - self._started < _DISCOVERY_S
+        is_starting = self._node.loop.now - self._started < DISCOVERY_TIMEOUT_S
         if is_starting or not self._follower.listing.known:
             return False
         unresponsive = search.unanswered(_addresses(hosts))
@@ -255,18 +253,6 @@
         )
         return True
 
-    def _present_hosts(self) -> list[TrackedHost]:
-        """Return the hosts that may hold a flow.
-
-        A flow stays at its host when a later configuration sends new flows of
-        its route to other services, so these are the hosts of all services.
-        """
-        return [
-            host
-            for host in self._hosts.all()
-            if not self._monitor.has_left(host.ip)
-        ]
-
 
 def _addresses(hosts: list[TrackedHost]) -> list[str]:
     return [host.ip for host in hosts]
--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -21,9 +21,14 @@
 if TYPE_CHECKING:
     from siskinbank.relay.follower import StoreFollower
     from siskinbank.relay.node import Node
-    from siskinbank.tracking.hosts import HostTable
+    from siskinbank.tracking.hosts import HostTable, TrackedHost
 
-__all__ = ('HostMonitor',)
+__all__ = ('DISCOVERY_TIMEOUT_S', 'HostMonitor')
+
+# Time after the start of the process, in seconds, by which all reachable hosts
+# are known, also those without a record, by their status updates. Until then no
+# search ends without a host, and first packets that no host accepts are queued.
+DISCOVERY_TIMEOUT_S = 0.6
 
 # Interval at which silent sidecars are looked for, and interval of probes, in
 # seconds.
@@ -108,6 +113,16 @@
         reason = gone_reason(self._evidence(ip), idempotent=False)
         return reason in {ENDED, UNREGISTERED}
 
+    def present_hosts(self) -> list[TrackedHost]:
+        """Return the hosts that may hold a flow.
+
+        A flow stays at its host when a later configuration sends new flows of
+        its route to other services, so these are the hosts of all services.
+        """
+        return [
+            host for host in self._hosts.all() if not self.has_left(host.ip)
+        ]
+
     def never_seen(self) -> list[str]:
         """Return the hosts in the store that have sent no status update yet."""
         listed = map(inet_ntoa, self._follower.listing.addresses)
@@ -163,9 +178,7 @@
         now = self._node.loop.now
         if self._isolation_checked_at == now:
             return self._isolated
-        hosts = [
-            host for host in self._hosts.all() if not self.has_left(host.ip)
-        ]
+        hosts = self.present_hosts()
         probes = self._hosts.probes
         silent = sum(
             1
@@ -187,7 +200,7 @@
         self.probe(self.never_seen())
 
     def _check_probes(self) -> None:
-        if not self._node.receive_pending():
+        if self._hosts.probes.any_begun and not self._node.receive_pending():
             # Answers may wait behind the messages that were handled.
             return
         hello = messages.pack_hello(0, self._data_centre)
--- a/tests/relay/test_host_monitor.py
+++ b/tests/relay/test_host_monitor.py
@@ -2,13 +2,16 @@
 
 import time
 import unittest
+from typing import Any
 
+from siskinbank.admission import reasons
 from siskinbank.relay import messages
 from tests.relay.test_flow_searcher import (
     HOSTS,
     STEP_S,
     Environment,
     flow_key,
+    packet_of,
 )
 
 HOST = '10.0.0.1'
@@ -52,12 +55,44 @@
         self.assertEqual(self.probed(1.7), [])
         self.assertIn(HOST, self.probed(0.6))
 
+    def test_reads_of_the_socket(self) -> None:
+        """The socket of peers is read ahead only while a sidecar is probed."""
+        reads = 0
+
+        def receive_pending() -> bool:
+            nonlocal reads
+            reads += 1
+            return True
+
+        node: Any = self.env.monitor._node  # noqa: SLF001
+        node.receive_pending = receive_pending
+        self.env.run(0.5)
+        self.assertEqual(reads, 0)
+        self.env.run(1)
+        self.assertGreater(reads, 0)
+
     def test_missing_host(self) -> None:
         """A host in the store that has sent nothing is probed, too."""
         self.env.hosts._by_ip.pop(HOST)  # noqa: SLF001
         self.assertIn(HOST, self.probed(1.1))
 
 
+class TestPresentHosts(unittest.TestCase):
+    """Searches and the check for isolation use the same hosts."""
+
+    def test_ended_host(self) -> None:
+        """A host that ended is neither asked nor counted as silent."""
+        env = Environment()
+        status = messages.Status(1, 1)
+        status.state = reasons.ENDED
+        env.hosts.update_status(HOST, status, env.loop.now)
+        present = {host.ip for host in env.monitor.present_hosts()}
+        self.assertEqual(len(present), HOSTS - 1)
+        self.assertNotIn(HOST, present)
+        env.searcher.search(flow_key(1), packet_of(flow_key(1)))
+        self.assertEqual({ip for ip, _ in env.sent}, present)
+
+
 class TestCost(unittest.TestCase):
     """CPU time after the loss of a third of the hosts."""
 
