Serve open flows before first packets of the same priority

A full queue refused first packets of high priority, and a host that refuses first packets, or whose data centre is evacuated, got all held requests at once.

Change: within a stage and priority, requests on open flows precede first packets, as before the queue was shared. A first packet of higher priority replaces the last one of a full queue. Held requests stay in the order while the host serves its open flows as usual. The port of a rejected flow can be used again.

--- a/siskinbank/admission/pending_queue.py
+++ b/siskinbank/admission/pending_queue.py
@@ -77,6 +77,8 @@
 
     __slots__ = ('key', 'opening', 'queued_at')
 
+    needs_flow = True
+
     def __init__(
         self,
         key: bytes,
@@ -174,6 +176,20 @@
             1 for queued in self._queued.values() if queued.rank(now) <= rank
         )
 
+    def replaceable_by(
+        self, new: QueuedRequest, now: float
+    ) -> QueuedOpening | None:
+        """Return the first packet that leaves a full queue for a new one.
+
+        Returns:
+            The one that would be served last, None if its priority is not lower
+            than that of the new one.
+        """
+        for queued in reversed(service_order(self._queued.values(), now)):
+            if isinstance(queued, QueuedOpening):
+                return queued if queued.priority > new.priority else None
+        return None
+
     def load(self, now: float) -> int:
         """Return how many queued requests count as load of the host.
 
@@ -260,9 +276,17 @@
             self.remove(removed.key)
         return hopeless
 
-    def clear(self) -> list[AnyQueued]:
-        """Remove and return all that is queued."""
-        all_queued = list(self._queued.values())
-        self._queued.clear()
-        self._held_count = 0
-        return all_queued
+    def clear(self, keep_held: bool = False) -> list[AnyQueued]:
+        """Remove and return all that is queued.
+
+        Args:
+            keep_held: whether requests on open flows stay.
+        """
+        removed = [
+            queued
+            for queued in self._queued.values()
+            if not keep_held or isinstance(queued, QueuedOpening)
+        ]
+        for queued in removed:
+            self.remove(queued.key)
+        return removed
--- a/siskinbank/admission/service_order.py
+++ b/siskinbank/admission/service_order.py
@@ -9,9 +9,11 @@
 late as well.
 
 So requests that can still be in time come first, by priority; then the late
-ones, by priority; then those that cannot even meet their deadline. When many of
-one priority can be in time, the newest goes first: in order of arrival, each
-would wait until it can hardly be in time any more, and then a request that
+ones, by priority; then those that cannot even meet their deadline. Within these,
+requests on open flows precede first packets: under overload many first packets
+are retries of requests that are late already, which their age does not show. When
+many of one priority can be in time, the newest goes first: in order of arrival,
+each would wait until it can hardly be in time any more, and then a request that
 takes a little longer to process makes it late.
 """
 
@@ -56,6 +58,9 @@
 
     __slots__ = ('in_time_until', 'priority', 'sent', 'useful_until')
 
+    #: Whether the request needs a new flow.
+    needs_flow = False
+
     def __init__(
         self,
         priority: int,
@@ -88,9 +93,12 @@
             return IN_TIME
         return LATE if now < self.useful_until else HOPELESS
 
-    def rank(self, now: float) -> tuple[int, int]:
-        """Return stage and priority; requests of a lower rank go first."""
-        return self.stage(now), self.priority
+    def rank(self, now: float) -> tuple[int, int, bool]:
+        """Return stage, priority and whether a new flow is needed.
+
+        Requests of a lower rank go first.
+        """
+        return self.stage(now), self.priority, self.needs_flow
 
 
 def service_order(
@@ -102,7 +110,7 @@
         requests: the requests, in order of arrival.
         now: time in seconds.
     """
-    groups: dict[tuple[int, int], list[AnyRequest]] = {}
+    groups: dict[tuple[int, int, bool], list[AnyRequest]] = {}
     for request in requests:
         groups.setdefault(request.rank(now), []).append(request)
     ordered: list[AnyRequest] = []
--- a/siskinbank/relay/flow_admission.py
+++ b/siskinbank/relay/flow_admission.py
@@ -18,6 +18,7 @@
     sequence_numbers,
 )
 from siskinbank.relay import messages
+from siskinbank.relay.request_holding import SCHEDULING
 from siskinbank.sidecar.tracked_flows import UnansweredPacket
 
 TYPE_CHECKING = False
@@ -111,29 +112,32 @@
         return self.queue.load(self._node.loop.now)
 
     def release(self) -> None:
-        """Send queued requests to the host while it has free slots.
-
-        If the host leaves or can't be reached, first packets go to other hosts,
-        and requests on open flows are passed on to it at once.
-        """
+        """Send queued requests to the host while it has free slots."""
         if not self.queue:
             return
         now = self._node.loop.now
         host = self._host
         reason = host.refusal_reason(host.service, now)
         if reason not in {reasons.NONE, reasons.COLD}:
-            for queued in self.queue.clear():
-                if isinstance(queued, QueuedOpening):
-                    self._forward_or_refuse(queued.key, queued.opening, reason)
-                else:
-                    self._holding.pass_on(queued, reasons.name_of(reason))
-            return
+            self._empty_queue(reason)
         while found := self._next(now):
             if isinstance(found, QueuedOpening):
                 self._admit(found)
             else:
                 self._holding.pass_on(found)
 
+    def _empty_queue(self, reason: int) -> None:
+        """Send first packets to other hosts, as this one accepts none.
+
+        If the host leaves or can't be reached, requests on open flows are
+        passed on to it at once.
+        """
+        for queued in self.queue.clear(keep_held=reason in SCHEDULING):
+            if isinstance(queued, QueuedOpening):
+                self._forward_or_refuse(queued.key, queued.opening, reason)
+            else:
+                self._holding.pass_on(queued, reasons.name_of(reason))
+
     def _next(self, now: float) -> QueuedOpening | HeldRequest | None:
         return self.queue.next(
             now,
@@ -201,14 +205,16 @@
 
     def _wait_s(self, queued: QueuedOpening) -> float | None:
         """Return the wait here in seconds, or None if the queue is full."""
-        if self.queue.full:
-            return None
         now = self._node.loop.now
+        if self.queue.full and not self.queue.replaceable_by(queued, now):
+            return None
         ahead = self.queue.ahead_of(queued, now)
         return self._host.wait_s(now, ahead, queued.priority)
 
     def _queue_opening(self, queued: QueuedOpening) -> None:
         key = queued.key
+        if self.queue.full:
+            self._make_room(queued)
         self.queue.enqueue(queued)
         self.release()
         if not self.queue.opening(key):
@@ -268,13 +274,23 @@
             now, lambda ahead: host.wait_s(now, ahead)
         )
         for queued in hopeless:
-            if not isinstance(queued, QueuedOpening):
+            if isinstance(queued, QueuedOpening):
+                self._reject_overtaken(queued)
+            else:
                 self._holding.leave_hopeless(queued)
-                continue
-            self._node.meters.count(
-                f'flows_overtaken_priority_{queued.priority}_total'
-            )
-            self._forward_or_refuse(queued.key, queued.opening, reasons.BUSY)
+
+    def _make_room(self, new: QueuedOpening) -> None:
+        """Reject the queued first packet that would be served last."""
+        last = self.queue.replaceable_by(new, self._node.loop.now)
+        if last:
+            self.queue.remove(last.key)
+            self._reject_overtaken(last)
+
+    def _reject_overtaken(self, queued: QueuedOpening) -> None:
+        self._node.meters.count(
+            f'flows_overtaken_priority_{queued.priority}_total'
+        )
+        self._forward_or_refuse(queued.key, queued.opening, reasons.BUSY)
 
     def _admit(self, queued: QueuedOpening) -> None:
         now = self._node.loop.now
--- a/siskinbank/relay/request_holding.py
+++ b/siskinbank/relay/request_holding.py
@@ -24,8 +24,13 @@
     from siskinbank.sidecar.tracked_flows import TrackedFlow
     from siskinbank.tracking.own_host import OwnHost
 
-__all__ = ('RequestHolding',)
+__all__ = ('SCHEDULING', 'RequestHolding')
 
+# Reasons to accept no new flow with which a host still serves its open flows as
+# usual, so that their requests are scheduled.
+SCHEDULING = frozenset(
+    (reasons.NONE, reasons.COLD, reasons.EVACUATED, reasons.REFUSING)
+)
 _MS = 1000
 
 
@@ -196,8 +201,7 @@
         if host.record is None or self.queue.held_full:
             # Without a record the number of slots is unknown.
             return False
-        reason = host.refusal_reason(host.service, now)
-        return reason in {reasons.NONE, reasons.COLD}
+        return host.refusal_reason(host.service, now) in SCHEDULING
 
     def _reject(self, held: HeldRequest) -> None:
         flow = self._flows.get(held.key)
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -160,8 +160,7 @@
                 return
             flow = self._add_flow(key, unanswered)
         if flags & SYN:
-            flow.number = sequence_numbers(packet)[0]
-            self._host.note_opened()
+            flow = self._note_opened(key, flow, packet, unanswered)
         else:
             flow.established = True
             self._tracker.track_answer(key, flow, packet)
@@ -175,6 +174,22 @@
         except OSError:
             self._node.meters.count('send_errors_total')
 
+    def _note_opened(
+        self,
+        key: bytes,
+        flow: TrackedFlow,
+        packet: bytes,
+        unanswered: UnansweredPacket | None,
+    ) -> TrackedFlow:
+        """Note that the host has accepted a flow; return the flow."""
+        number = sequence_numbers(packet)[0]
+        if flow.rejected and flow.number != number:
+            # The client uses the port of a rejected flow again.
+            flow = self._add_flow(key, unanswered)
+        flow.number = number
+        self._host.note_opened()
+        return flow
+
     def _add_flow(
         self, key: bytes, unanswered: UnansweredPacket | None
     ) -> TrackedFlow:
