--- a/siskinbank/admission/held_request.py
+++ b/siskinbank/admission/held_request.py
@@ -92,6 +92,10 @@
         self._packets[identity] = packet
         return True
 
+    def is_useless(self, now: float) -> bool:
+        """Return whether the client waits no longer and loses nothing."""
+        return self.repeatable and now > self.useful_until
+
     def must_leave(self, now: float, wait_s: float, overtaken: bool) -> bool:
         """Return whether the request may not stay in the queue.
 
--- a/siskinbank/relay/request_holding.py
+++ b/siskinbank/relay/request_holding.py
@@ -35,7 +35,7 @@
 
 
 class RequestHolding:
-    """Holds, passes on and rejects requests on open flows.
+    """Holds requests on open flows and passes them on.
 
     Attributes:
         queue: first packets and requests that wait for a free slot.
@@ -48,7 +48,6 @@
         '_flows',
         '_host',
         '_node',
-        '_reset',
         '_tracker',
         'on_hold',
         'queue',
@@ -61,7 +60,6 @@
         tracker: RequestTracker,
         flows: dict[bytes, TrackedFlow],
         deliver: Callable[[bytes], None],
-        reset: Callable[..., None],
     ) -> None:
         """Initialize without held requests.
 
@@ -70,8 +68,6 @@
             tracker: counts the requests at the host.
             flows: the flows that the host holds, by flow key.
             deliver: called to send a packet to the host.
-            reset: called to reset the flow of a client, with the header of its
-                last packet, the reason and its inputs for the log.
         """
         self.on_hold: Callable[[], object] = bool
         self._node = node
@@ -81,13 +77,13 @@
         self.queue = PendingQueue()
         self.routes = KnownRoutes()
         self._deliver = deliver
-        self._reset = reset
 
     def take(self, key: bytes, flow: TrackedFlow, packet: bytes) -> bool:
         """Hold a packet of an open flow if it has to wait.
 
-        The end of the flow by its client ends the hold: what is held goes to
-        the host before the packet does.
+        The end of the flow by its client ends the hold. What is held goes to
+        the host before the packet does, unless no client waits for it: after a
+        reset, or if it is past its time limit and repeatable.
 
         Returns:
             False if the packet goes to the host now.
@@ -96,7 +92,10 @@
         if held is None:
             return self._hold(key, flow, packet)
         if flags_of(packet) & (FIN | RST):
-            self.end(key, 'client-closed')
+            if flags_of(packet) & RST or held.is_useless(self._node.loop.now):
+                self.drop(key, 'client-gave-up')
+            else:
+                self.end(key, 'client-closed')
             return False
         flow.note_packet(packet, self._node.loop.now)
         if not held.add(packet):
@@ -139,16 +138,12 @@
             self._deliver(packet)
 
     def leave_hopeless(self, held: HeldRequest) -> None:
-        """Reject a request whose limit can't be met, or pass it on."""
-        if not held.repeatable:
-            self.pass_on(held, 'time-limit')
-        elif self._node.loop.now > held.pass_by:
-            self.pass_on(held, 'host-idle')
-        else:
-            self._reject(held)
+        """Pass on a request that may not stay in the queue."""
+        is_idle = self._node.loop.now > held.pass_by
+        self.pass_on(held, 'host-idle' if is_idle else 'time-limit')
 
     def drop(self, key: bytes, reason: str) -> list[bytes]:
-        """Remove the held request of a flow that the host has lost.
+        """Remove the held request of a flow that client or host has ended.
 
         Returns:
             Its packets, none if nothing is held.
@@ -160,11 +155,6 @@
         self._log_release(held, reason, passed=False)
         return held.packets
 
-    def repeat_reset(self, flow: TrackedFlow, packet: bytes) -> None:
-        """Reset a rejected flow again, as the first reset was lost."""
-        flow.note_packet(packet, self._node.loop.now)
-        self._reset(flow.header, 'time-limit', repeated=True)
-
     def _hold(self, key: bytes, flow: TrackedFlow, packet: bytes) -> bool:
         if not flow.may_hold(packet) or flags_of(packet) & (FIN | RST):
             return False
@@ -203,26 +193,6 @@
             return False
         return host.refusal_reason(host.service, now) in SCHEDULING
 
-    def _reject(self, held: HeldRequest) -> None:
-        flow = self._flows.get(held.key)
-        if flow is None:
-            return
-        flow.rejected = True
-        flow.ended_at = self._node.loop.now
-        priority = held.priority
-        self._node.meters.count(
-            f'requests_rejected_time_limit_priority_{priority}_total'
-        )
-        self._reset(
-            flow.header,
-            'time-limit',
-            id=request_id(held.packets[0]),
-            priority=priority,
-            held_ms=self._held_ms(held),
-            kept=len(self.queue),
-            busy=self._host.busy,
-        )
-
     def _log_release(
         self, held: HeldRequest, reason: str, passed: bool
     ) -> None:
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -106,7 +106,6 @@
             self._tracker,
             self._flows,
             self._deliver,
-            self._reset_flow,
         )
         self._admission = FlowAdmission(
             node,
@@ -160,7 +159,8 @@
                 return
             flow = self._add_flow(key, unanswered)
         if flags & SYN:
-            flow = self._note_opened(key, flow, packet, unanswered)
+            flow.number = sequence_numbers(packet)[0]
+            self._host.note_opened()
         else:
             flow.established = True
             self._tracker.track_answer(key, flow, packet)
@@ -174,22 +174,6 @@
         except OSError:
             self._node.meters.count('send_errors_total')
 
-    def _note_opened(
-        self,
-        key: bytes,
-        flow: TrackedFlow,
-        packet: bytes,
-        unanswered: UnansweredPacket | None,
-    ) -> TrackedFlow:
-        """Note that the host has accepted a flow; return the flow."""
-        number = sequence_numbers(packet)[0]
-        if flow.rejected and flow.number != number:
-            # The client uses the port of a rejected flow again.
-            flow = self._add_flow(key, unanswered)
-        flow.number = number
-        self._host.note_opened()
-        return flow
-
     def _add_flow(
         self, key: bytes, unanswered: UnansweredPacket | None
     ) -> TrackedFlow:
@@ -303,9 +287,6 @@
         if searching:
             self._send_held(key, flow)
         is_reset = bool(flags_of(packet) & RST)
-        if flow.rejected and not is_reset:
-            self._holding.repeat_reset(flow, packet)
-            return
         if self._holding.take(key, flow, packet):
             return
         self._tracker.track_packet(key, flow, packet)
@@ -452,13 +433,7 @@
 
 def _timeout_outcome(flow: TrackedFlow, now: float) -> str:
     """Return the outcome of a flow that has timed out, empty if it hasn't."""
-    # Packets of a flow that this sidecar has reset must not reach the host while
-    # that holds the flow.
-    expired = (
-        flow.ended_at
-        and not flow.rejected
-        and now - flow.ended_at > _ENDED_FLOW_TTL_S
-    )
+    expired = flow.ended_at and now - flow.ended_at > _ENDED_FLOW_TTL_S
     if expired or now - flow.last_seen > _IDLE_TIMEOUT_S:
         return _IDLE
     # The client has abandoned the request. The slot may still be in use, but
--- a/siskinbank/sidecar/tracked_flows.py
+++ b/siskinbank/sidecar/tracked_flows.py
@@ -81,8 +81,6 @@
         header: first ``HEADER_BYTES`` bytes of the client's last packet.
         request: the request in progress.
         ended_at: when the end of the flow was detected, 0 while it is open.
-        rejected: whether this sidecar has reset the flow, as its request could
-            not be served in time; nothing of it reaches the host any more.
     """
 
     __slots__ = (
@@ -95,7 +93,6 @@
         'last_seen',
         'number',
         'opened_at',
-        'rejected',
         'request',
     )
 
@@ -110,7 +107,6 @@
         self.header = b''
         self.request: Request | None = None
         self.ended_at: float = 0
-        self.rejected = False
         self._last_request = _NO_SEQUENCE
 
     def note_packet(self, packet: bytes, now: float) -> None:
