Pass on held requests of a host that drains while evacuated

Cause: the state of a draining host in an evacuated data centre is reported as evacuated, and requests on open flows stayed queued.

Change: requests may stay only while the record says that the host is not leaving.

Result: the new test fails without the change.

--- a/siskinbank/relay/flow_admission.py
+++ b/siskinbank/relay/flow_admission.py
@@ -18,7 +18,6 @@
     sequence_numbers,
 )
 from siskinbank.relay import messages
-from siskinbank.relay.request_holding import SCHEDULING
 from siskinbank.sidecar.tracked_flows import UnansweredPacket
 
 TYPE_CHECKING = False
@@ -132,7 +131,8 @@
         If the host leaves or can't be reached, requests on open flows are
         passed on to it at once.
         """
-        for queued in self.queue.clear(keep_held=reason in SCHEDULING):
+        keep_held = self._holding.may_stay(reason)
+        for queued in self.queue.clear(keep_held):
             if isinstance(queued, QueuedOpening):
                 self._forward_or_refuse(queued.key, queued.opening, reason)
             else:
--- a/siskinbank/relay/request_holding.py
+++ b/siskinbank/relay/request_holding.py
@@ -24,11 +24,11 @@
     from siskinbank.sidecar.tracked_flows import TrackedFlow
     from siskinbank.tracking.own_host import OwnHost
 
-__all__ = ('SCHEDULING', 'RequestHolding')
+__all__ = ('RequestHolding',)
 
 # Reasons to accept no new flow with which a host still serves its open flows as
 # usual, so that their requests are scheduled.
-SCHEDULING = frozenset(
+_SCHEDULING = frozenset(
     (reasons.NONE, reasons.COLD, reasons.EVACUATED, reasons.REFUSING)
 )
 _MS = 1000
@@ -112,6 +112,14 @@
         requests = self._host.request_count(now, priority - 1)
         return self._host.free_slots(requests, now)
 
+    def may_stay(self, reason: int) -> bool:
+        """Return whether requests may stay in the queue.
+
+        Args:
+            reason: why the host accepts no new flow now, or NONE.
+        """
+        return reason in _SCHEDULING and not self._host.is_leaving
+
     def end(self, key: bytes, reason: str) -> None:
         """Pass the held request of a flow on to the host, if there is one."""
         held = self.queue.held(key)
@@ -201,7 +209,7 @@
         if host.record is None or self.queue.held_full:
             # Without a record the number of slots is unknown.
             return False
-        return host.refusal_reason(host.service, now) in SCHEDULING
+        return self.may_stay(host.refusal_reason(host.service, now))
 
     def _reject(self, held: HeldRequest) -> None:
         flow = self._flows.get(held.key)
--- a/tests/relay/test_request_scheduling.py
+++ b/tests/relay/test_request_scheduling.py
@@ -480,6 +480,12 @@
         self.assertEqual(len(self.host.requests_received()), 3)
         self.assertEqual(self.host.load, SLOTS + 4)
 
+    def test_evacuated_host_drains(self) -> None:
+        """The evacuation doesn't hide that the host leaves."""
+        self.host.send_request(LOW, 10)
+        self.host.send_record(messages.EVACUATED | messages.DRAINING)
+        self.assert_received((10, NEXT))
+
     def test_host_accepts_no_new_flows(self) -> None:
         """Requests stay held if it serves its open flows as usual.
 
