Estimate waits from the processing times of the queued requests

Queued requests counted with the mean over all routes although those in progress counted by route; the parameter for it had no caller. The queue gives the processing time of each request that is served before a new one.

--- a/siskinbank/admission/pending_queue.py
+++ b/siskinbank/admission/pending_queue.py
@@ -171,10 +171,16 @@
 
     def ahead_of(self, new: QueuedRequest, now: float) -> int:
         """Return how many queued requests get a slot before a new one."""
+        return len(self.work_ahead_of(new, now))
+
+    def work_ahead_of(self, new: QueuedRequest, now: float) -> list[float]:
+        """Return the processing times of these requests, in seconds."""
         rank = new.rank(now)
-        return sum(
-            1 for queued in self._queued.values() if queued.rank(now) <= rank
-        )
+        return [
+            queued.work_s
+            for queued in self._queued.values()
+            if queued.rank(now) <= rank
+        ]
 
     def replaceable_by(
         self, new: QueuedRequest, now: float
--- a/siskinbank/admission/service_order.py
+++ b/siskinbank/admission/service_order.py
@@ -54,9 +54,16 @@
         in_time_until: time in seconds until which a free slot still gives an
             answer within the target latency.
         useful_until: the same for the time limit.
+        work_s: mean processing time of the route's requests, in seconds.
     """
 
-    __slots__ = ('in_time_until', 'priority', 'sent', 'useful_until')
+    __slots__ = (
+        'in_time_until',
+        'priority',
+        'sent',
+        'useful_until',
+        'work_s',
+    )
 
     #: Whether the request needs a new flow.
     needs_flow = False
@@ -82,6 +89,7 @@
         needed = _PROCESSING_FACTOR * work_s + _NETWORK_S
         self.priority = priority
         self.sent = sent
+        self.work_s = work_s
         self.in_time_until = sent + target_latency_s - needed
         self.useful_until = (
             sent + timeout_s - needed if timeout_s else float('inf')
--- a/siskinbank/relay/flow_admission.py
+++ b/siskinbank/relay/flow_admission.py
@@ -208,8 +208,10 @@
         now = self._node.loop.now
         if self.queue.full and not self.queue.replaceable_by(queued, now):
             return None
-        ahead = self.queue.ahead_of(queued, now)
-        return self._host.wait_s(now, ahead, priority=queued.priority)
+        work_ahead = self.queue.work_ahead_of(queued, now)
+        return self._host.wait_s(
+            now, len(work_ahead), sum(work_ahead), queued.priority
+        )
 
     def _queue_opening(self, queued: QueuedOpening) -> None:
         key = queued.key
--- a/tests/admission/test_service_order.py
+++ b/tests/admission/test_service_order.py
@@ -127,6 +127,9 @@
         for priority, sent, ahead in ((1, 100, 1), (2, 100, 6), (1, 99, 6)):
             new = queued(b'new', priority, sent)
             self.assertEqual(queue.ahead_of(new, 100), ahead)
+            self.assertEqual(
+                queue.work_ahead_of(new, 100), [WORK_S for _ in range(ahead)]
+            )
 
     def test_overtaken_packet_is_rejected(self) -> None:
         """It is not held until its client gives up after 1.4 s."""
