--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -210,9 +210,6 @@
         elif flow.entry:
             self._send_absent(key, flow.entry, packet)
 
-    def _reset_flow(self, header: bytes, reason: str, **inputs: object) -> None:
-        self._node.reset_flow(self._client_socket, header, reason, **inputs)
-
     def _send_held(self, key: bytes, flow: TrackedFlow) -> None:
         if flow.entry:
             note = messages.pack_flow_note(
