Keep a stopped sidecar while it does not know its leaving host

Cause: the record of one draining host was still listed, as the store had been silent. Its sidecar came back beside the host that had ended and got SIGTERM 0.1 s later. Ruled out: the scheduling of held requests, and the load of the hosts.

Change: a stopping sidecar whose leaving host it has not observed for long enough stays, for 5.5 s at most. The first packet of a search that the host's port refuses shows the end of the host, which is then told to all entries.

--- a/siskinbank/relay/planned_stop.py
+++ b/siskinbank/relay/planned_stop.py
@@ -84,12 +84,15 @@
         in_use = self._host.busy > 0 or (
             self._host.is_leaving
             and self._is_host_running
-            and self._has_open_flows()
+            and self._may_hold_open_flows()
         )
         if in_use and self._node.loop.now < self._stop_at:
             self._node.loop.after(_STOP_CHECK_INTERVAL_S, self._stop_when_idle)
         else:
             self._node.stop()
 
-    def _has_open_flows(self) -> bool:
-        return any(not flow.ended_at for flow in self._flows.values())
+    def _may_hold_open_flows(self) -> bool:
+        now = self._node.loop.now
+        return not self._host.has_observed_all_flows(now) or any(
+            not flow.ended_at for flow in self._flows.values()
+        )
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -30,3 +30,45 @@
         self.fleet.run(0.5, self.packet)
         self.assertEqual(self.state(), reasons.ENDED)
         self.assertNotEqual(self.fleet.resets, [])
+
+
+class TestRestartedSidecar(FleetCase):
+    """Load pattern: a power loss in the midst of a release.
+
+    Sidecars come back beside hosts that have ended, and are stopped at once.
+    """
+
+    def setUp(self) -> None:
+        """Start a sidecar that knows no flows beside a host that has ended."""
+        super().setUp()
+        fleet = self.fleet
+        fleet.unlisted.add(self.host)
+        fleet.run(1)
+        self.sidecar = fleet.sidecars[self.host]
+        self.sidecar._flows.clear()  # noqa: SLF001
+        self.sidecar._host._observed_since = fleet.now  # noqa: SLF001
+        self.sidecar._node.stop = lambda: fleet.dead.add(self.host)  # noqa: SLF001
+        self.forget_flow()
+
+    def test_search_ends(self) -> None:
+        """A search would wait for the stopped sidecar; its client gives up."""
+        index = self.fleet.hosts.index(self.host)
+        self.fleet._host_sockets[index].close()  # noqa: SLF001
+        self.sidecar._planned_stop.begin()  # noqa: SLF001
+        self.fleet.run(0.3)
+        self.fleet.run(0.5, self.packet)
+        self.assertEqual(
+            [reason for _, reason, _ in self.fleet.resets[:1]],
+            ['no-host-holds-it'],
+        )
+        self.fleet.run(0.5)
+        self.assertIn(self.host, self.fleet.dead)
+
+    def test_silent_host(self) -> None:
+        """The wait for a host that neither answers nor refuses is bounded."""
+        self.sidecar._planned_stop.begin()  # noqa: SLF001
+        self.fleet.run(5.4, self.packet)
+        self.assertEqual(self.fleet.resets, [])
+        self.assertNotIn(self.host, self.fleet.dead)
+        self.fleet.run(0.2)
+        self.assertIn(self.host, self.fleet.dead)
