Keep a stopped sidecar also while it has no record of its host

Cause: side-cantabria-a-2 came back at 35.34 s and got SIGTERM 0.5 s later, before a record of its host, which drained, had arrived. It stopped at once; searches waited for it for 2.5 s (flow.absent silent=10.1.0.44, 540 lines).

Change: without a record a sidecar may stand beside a leaving host, and waits like one that knows so.

Not mended: a sidecar that stops beside a leaving host after 5.5 s holds up searches for 3 s more, as it may restart.

--- a/siskinbank/relay/planned_stop.py
+++ b/siskinbank/relay/planned_stop.py
@@ -69,7 +69,7 @@
         self._host.stopping = True
         self._reporter.send_status_to_all()
         timeout_s = _STOP_TIMEOUT_S
-        if self._host.is_leaving:
+        if self._may_leave():
             timeout_s = _LEAVING_STOP_TIMEOUT_S
         self._stop_at = self._node.loop.now + timeout_s
         self._node.loop.after(_STOP_DELAY_S, self._stop_when_idle)
@@ -82,7 +82,7 @@
 
     def _stop_when_idle(self) -> None:
         in_use = self._host.busy > 0 or (
-            self._host.is_leaving
+            self._may_leave()
             and self._is_host_running
             and self._may_hold_open_flows()
         )
@@ -91,6 +91,9 @@
         else:
             self._node.stop()
 
+    def _may_leave(self) -> bool:
+        return self._host.record is None or self._host.is_leaving
+
     def _may_hold_open_flows(self) -> bool:
         now = self._node.loop.now
         return not self._host.has_observed_all_flows(now) or any(
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -1,6 +1,7 @@
 """Tests of the planned stop of a sidecar."""
 
 from siskinbank.admission import reasons
+from siskinbank.relay import messages
 from tests.relay.test_reset_on_absence import FleetCase
 
 
@@ -64,6 +65,14 @@
         self.fleet.run(0.5)
         self.assertIn(self.host, self.fleet.dead)
 
+    def test_search_ends_without_record(self) -> None:
+        """The record of the host has not arrived yet."""
+        self.sidecar._host.record = None  # noqa: SLF001
+        self.fleet.loss = lambda source, target, datagram: (
+            datagram[0] == messages.RECORD
+        )
+        self.test_search_ends()
+
     def test_silent_host(self) -> None:
         """The wait for a host that neither answers nor refuses is bounded."""
         self.sidecar._planned_stop.begin()  # noqa: SLF001
