Tell isolation by when hosts were heard, whatever their intervals

Callers on flows of a serving host got a reset when their entry was cut off for 2.5 s and only this host had announced a short interval.

Cause: hosts with longer announced intervals counted as heard until three of them had passed, so a single silent host was a minority.

A silent host now counts as gone only if half of the hosts have been heard within 1.3 s and since its probes began. Ruled out: counting hosts as silent after 1.3 s without asking them. It finds no dead host where most intervals are long (test_isolation without the probes of the sample: test_dead_host fails).

--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -8,6 +8,7 @@
 from siskinbank.platform.packets import route_key
 from siskinbank.relay import messages
 from siskinbank.relay.loop import NEVER
+from siskinbank.tracking.isolation import Witnesses, heard_by_half
 from siskinbank.tracking.liveness import (
     ENDED,
     UNANSWERED,
@@ -37,6 +38,10 @@
 # Maximum age of a listing of the hosts, in seconds, from which the absence of a
 # silent host is inferred: the next reader has replaced a failed one by then.
 _MAX_LIST_AGE_S = 2.0
+# Half of the hosts must have been heard within this time, in seconds, whatever
+# intervals they announced: three missed updates of a host in use, and longer
+# than a scan and a probe take to hear a host anew.
+_MAX_HEARD_AGE_S = 1.3
 _MS = 1000
 
 
@@ -50,11 +55,12 @@
     __slots__ = (
         '_data_centre',
         '_follower',
+        '_half_heard_at',
+        '_half_heard_checked_at',
         '_hosts',
-        '_isolated',
-        '_isolation_checked_at',
         '_node',
         '_started',
+        '_witnesses',
     )
 
     def __init__(
@@ -71,8 +77,9 @@
         self._hosts = hosts
         self._follower = follower
         self._started = node.loop.now
-        self._isolated = False
-        self._isolation_checked_at = NEVER
+        self._witnesses = Witnesses()
+        self._half_heard_at = NEVER
+        self._half_heard_checked_at = NEVER
         self._data_centre = messages.digest(node.settings.data_centre)
         node.loop.every(_SCAN_INTERVAL_S, self._probe_suspects)
         node.loop.every(_PROBE_INTERVAL_S, self._check_probes)
@@ -97,7 +104,7 @@
         route = self._follower.configuration.routes.get(route_key(key))
         idempotent = route is not None and route.idempotent
         reason = gone_reason(self._evidence(ip), idempotent)
-        return '' if reason == UNANSWERED and self._is_isolated() else reason
+        return '' if reason == UNANSWERED and self._is_isolated(ip) else reason
 
     def probe(self, ips: list[str]) -> None:
         """Probe sidecars that have not answered, or never sent anything."""
@@ -169,26 +176,45 @@
             return True
         return False if self._follower.absence_is_reliable() else None
 
-    def _is_isolated(self) -> bool:
-        """Return whether this process is isolated from the hosts.
+    def _is_isolated(self, ip: str) -> bool:
+        """Return whether this process may be isolated from a silent host.
 
-        It is if more than half of them are silent, unknown, or have left a
-        probe unanswered, which is determined once per turn of the loop.
+        It may be unless half of the hosts have been heard lately and since the
+        probes of the silent one began: its silence and theirs may have one
+        cause.
+
+        Args:
+            ip: address of the silent host.
+        """
+        now = self._node.loop.now
+        probed_s = self._hosts.probes.probed_s(ip, now)
+        if self._half_heard_checked_at != now:
+            self._half_heard_checked_at = now
+            self._half_heard_at = self._find_half_heard_at()
+        return now - self._half_heard_at > min(probed_s, _MAX_HEARD_AGE_S)
+
+    def _find_half_heard_at(self) -> float:
+        """Return the time since which half of all hosts, or witnesses, spoke."""
+        heard = self._heard_at()
+        sample = [at for ip, at in heard.items() if ip in self._witnesses]
+        return max(heard_by_half(heard.values()), heard_by_half(sample))
+
+    def _heard_at(self) -> dict[str, float]:
+        """Return when each host that may be alive was heard.
+
+        It is ``NEVER`` for hosts that have left a probe unanswered or have sent
+        nothing yet.
         """
         now = self._node.loop.now
-        if self._isolation_checked_at == now:
-            return self._isolated
-        hosts = self.present_hosts()
         probes = self._hosts.probes
-        silent = sum(
-            1
-            for host in hosts
-            if host.is_silent(now) or probes.unanswered(host.ip, now)
-        )
-        unknown = len(self.never_seen())
-        self._isolated = (silent + unknown) * 2 > len(hosts) + unknown
-        self._isolation_checked_at = now
-        return self._isolated
+        heard = {
+            host.ip: NEVER
+            if probes.unanswered(host.ip, now)
+            else host.last_seen
+            for host in self.present_hosts()
+        }
+        heard.update(dict.fromkeys(self.never_seen(), NEVER))
+        return heard
 
     def _probe_suspects(self) -> None:
         """Begin to probe the sidecars that are silent or unknown."""
@@ -198,6 +224,22 @@
             if is_suspect(now - host.last_seen, host.interval_s):
                 probes.begin(host.ip, now)
         self.probe(self.never_seen())
+        if probes.any_begun:
+            self._probe_witnesses()
+
+    def _probe_witnesses(self) -> None:
+        """Probe a sample of the hosts if few were heard lately.
+
+        Load pattern: most hosts announced long intervals. Their answers show
+        that this process is not isolated while it probes a dead host.
+        """
+        now = self._node.loop.now
+        heard = self._heard_at()
+        if not is_suspect(now - heard_by_half(heard.values())):
+            return
+        for ip in self._witnesses.select(heard, now):
+            if is_suspect(now - heard.get(ip, NEVER)):
+                self._hosts.probes.begin(ip, now)
 
     def _check_probes(self) -> None:
         if self._hosts.probes.any_begun and not self._node.receive_pending():
