Excuse silent hosts without a record while isolated

Callers on flows of a leaving host, which serves on after its record is gone, got a reset when their entry heard no sidecar for 1.1 s.

Cause: isolation excused silent hosts in the store only. Searches left out the others in the same way.

Both decisions now require that half of the hosts were heard since the probes of the silent one began. Silent hosts without a record don't count among these: a release may have ended more of them than there are others.

--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -87,8 +87,8 @@
     def loss_reason(self, ip: str, key: bytes) -> str:
         """Return why the host of a flow counts as gone, empty if it may not be.
 
-        A silent host that the store lists counts as alive while this process is
-        isolated from the hosts.
+        A silent host counts as alive while this process may be isolated from
+        it, whether the store lists it or not.
 
         Args:
             ip: address of the host.
@@ -103,8 +103,7 @@
             self._hosts.probes.begin(ip, now)
         route = self._follower.configuration.routes.get(route_key(key))
         idempotent = route is not None and route.idempotent
-        reason = gone_reason(self._evidence(ip), idempotent)
-        return '' if reason == UNANSWERED and self._is_isolated(ip) else reason
+        return self._gone_reason(ip, idempotent)
 
     def probe(self, ips: list[str]) -> None:
         """Probe sidecars that have not answered, or never sent anything."""
@@ -117,7 +116,7 @@
         if ip not in self._hosts.probes:
             # The common case, taken for nearly every host in each search.
             return host is not None and host.status.state == reasons.ENDED
-        reason = gone_reason(self._evidence(ip), idempotent=False)
+        reason = self._gone_reason(ip, idempotent=False)
         return reason in {ENDED, UNREGISTERED}
 
     def present_hosts(self) -> list[TrackedHost]:
@@ -176,6 +175,13 @@
             return True
         return False if self._follower.absence_is_reliable() else None
 
+    def _gone_reason(self, ip: str, idempotent: bool) -> str:
+        """Return why a probed host counts as gone, empty if it may be alive."""
+        reason = gone_reason(self._evidence(ip), idempotent)
+        if reason in {UNANSWERED, UNREGISTERED} and self._is_isolated(ip):
+            return ''
+        return reason
+
     def _is_isolated(self, ip: str) -> bool:
         """Return whether this process may be isolated from a silent host.
 
@@ -200,10 +206,11 @@
         return max(heard_by_half(heard.values()), heard_by_half(sample))
 
     def _heard_at(self) -> dict[str, float]:
-        """Return when each host that may be alive was heard.
+        """Return when each host was heard, unless it seems to have left.
 
         It is ``NEVER`` for hosts that have left a probe unanswered or have sent
-        nothing yet.
+        nothing yet. Silent hosts without a record are left out: a release may
+        have ended more of them than there are others.
         """
         now = self._node.loop.now
         probes = self._hosts.probes
@@ -211,11 +218,20 @@
             host.ip: NEVER
             if probes.unanswered(host.ip, now)
             else host.last_seen
-            for host in self.present_hosts()
+            for host in self._hosts.all()
+            if not self._seems_gone(host.ip)
         }
         heard.update(dict.fromkeys(self.never_seen(), NEVER))
         return heard
 
+    def _seems_gone(self, ip: str) -> bool:
+        """Return whether a host has left, unless this process is isolated."""
+        host = self._hosts.get(ip)
+        if ip not in self._hosts.probes:
+            return host is not None and host.status.state == reasons.ENDED
+        reason = gone_reason(self._evidence(ip), idempotent=False)
+        return reason in {ENDED, UNREGISTERED}
+
     def _probe_suspects(self) -> None:
         """Begin to probe the sidecars that are silent or unknown."""
         now = self._node.loop.now
