Reset flows of dead hosts without a further packet

Callers whose host had died were told only when another packet of their flow arrived after the decision. A client sends its last copy of a request 1.4 s after the first and gives up at 3.0 s, so that it got no reset where the decision came after 1.4 s.

The evidence is unchanged.

--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -17,6 +17,7 @@
     select_service,
 )
 from siskinbank.entry.flow_cache import CachedFlow, FlowCache
+from siskinbank.entry.suspect_flows import SuspectFlows
 from siskinbank.platform.packets import (
     FLOW_KEY,
     HEADER_BYTES,
@@ -47,6 +48,9 @@
 __all__ = ('Entry',)
 
 _SWEEP_INTERVAL_S = 5.0
+# Interval at which flows at probed hosts are checked, in seconds: that of the
+# probes.
+_SUSPECT_CHECK_INTERVAL_S = 0.1
 # Maximum number of packets queued until routes and hosts are known, and how
 # long they stay queued, in seconds: clients abandon a flow that is not answered
 # within 1.4 s.
@@ -91,6 +95,7 @@
         self._data_centre = messages.digest(settings.data_centre)
         self._started = node.loop.now
         self._flows = FlowCache()
+        self._suspect_flows = SuspectFlows()
         self._early_packets: list[tuple[float, bytes]] = []
         self._discovery_done = False
         self._hosts = HostTable()
@@ -126,6 +131,9 @@
         node.loop.watch(self._client_socket.fileno(), self._read_clients)
         node.loop.every(_SWEEP_INTERVAL_S, self._sweep)
         node.loop.every(_DISCOVERY_WAIT_S, self._process_early_packets)
+        node.loop.every(
+            _SUSPECT_CHECK_INTERVAL_S, self._reset_flows_of_gone_hosts
+        )
         node.loop.on_stall(self._hosts.add_stall)
         self._follower.check()
 
@@ -158,12 +166,27 @@
             flow.select_holder(sequence_numbers(packet)[1])
         gone = self._monitor.loss_reason(flow.ip, key)
         if gone:
-            evidence = self._monitor.describe(flow.ip)
-            self._reset(packet, 'host-gone', evidence=gone, **evidence)
+            self._reset_lost_flow(packet, flow.ip, gone)
             return
+        if flow.ip in self._hosts.probes and not flags_of(packet) & RST:
+            self._suspect_flows.add(key, flow.ip, packet)
         wrap = messages.pack_forward if flow.confirmed else messages.pack_search
         self._node.send(flow.ip, wrap(packet))
 
+    def _reset_lost_flow(self, packet: bytes, ip: str, gone: str) -> None:
+        evidence = self._monitor.describe(ip)
+        self._reset(packet, 'host-gone', evidence=gone, **evidence)
+
+    def _reset_flows_of_gone_hosts(self) -> None:
+        """Reset flows whose hosts have become gone since their last packets."""
+        decided = self._suspect_flows.take_decided(
+            self._hosts.probes.__contains__, self._monitor.loss_reason
+        )
+        for ip, packet, gone in decided:
+            flow = self._flows.get(packet[FLOW_KEY])
+            if flow and flow.ip == ip:
+                self._reset_lost_flow(packet, ip, gone)
+
     # First packets.
 
     def _open_flow(self, packet: bytes) -> None:
--- a/tests/relay/test_reset_beside_sound_host.py
+++ b/tests/relay/test_reset_beside_sound_host.py
@@ -6,6 +6,7 @@
 import random
 import unittest
 from dataclasses import dataclass
+from itertools import product
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -17,6 +18,9 @@
 # requests may run again and where they may run once.
 MAX_DETECTION_S = 2.0
 MAX_DETECTION_ONCE_S = 3.7
+# Time after each copy of a request until the next one reaches the entry or its
+# client gives up, in seconds: all copies, and all but the second and third.
+CLIENT_PAUSES_S = ((0.2, 0.4, 0.8, 1.6), (1.4, 1.6))
 # Share of the datagrams that are lost in random schedules.
 LOSS = 0.02
 
@@ -150,6 +154,37 @@
         """The reset comes soon, so that the client can try elsewhere."""
         self.assertLess(self.detection_s(idempotent=True), MAX_DETECTION_S)
 
+    def test_client_retransmits_at_growing_intervals(self) -> None:
+        """The reset doesn't wait for the client's next packet.
+
+        Load pattern: the last copy of a request, 1.4 s after the first, comes
+        before the host counts as gone; then the client gives up after 1.6 s.
+        Other copies may be lost or reach another entry.
+        """
+        for phase, pauses_s in product(range(8), CLIENT_PAUSES_S):
+            with self.subTest(phase=phase, pauses_s=pauses_s):
+                self.assertLess(
+                    self.retry_until_reset(phase, pauses_s), MAX_DETECTION_S
+                )
+
+    def retry_until_reset(
+        self, phase: int, pauses_s: tuple[float, ...]
+    ) -> float:
+        """Return the time until the flow of a client that retries is reset."""
+        fleet = SimulatedFleet()
+        try:
+            packet = fleet.open_flow(fleet.hosts[0])
+            fleet.run(1 + phase * 0.05, packet)
+            fleet.dead.add(fleet.hosts[0])
+            died_at = fleet.now
+            for pause_s in pauses_s:
+                fleet.send(packet)
+                fleet.run(pause_s)
+        finally:
+            fleet.close()
+        self.assertNotEqual(fleet.resets, [])
+        return fleet.resets[0][0] - died_at
+
     def test_requests_may_run_once(self) -> None:
         """The entry waits for a killed sidecar to restart."""
         detection_s = self.detection_s(idempotent=False)
