Announce a planned stop of a sidecar three times

Callers on flows of a serving host got a reset while its sidecar was restarted, if the one datagram that announces the stop was lost: their entry waited as for a sidecar that fails, 1.3 s, instead of 15 s.

The announcement is repeated after 0.05 s and 0.1 s, before the shortest stop ends, to the entries with open flows at the host. Repeats to all of 410 entries are ruled out, as they would fill the link of a small machine.

Measured: test_planned_stop.test_first_copies_are_lost, all messages lost for 0.08 s and the sidecar away for 2.5 s: reset before, none now. test_reset_on_absence.test_announcement_is_lost still fails: it pauses the sidecar at the moment of its announcement, so that no copy can follow.

--- a/siskinbank/relay/planned_stop.py
+++ b/siskinbank/relay/planned_stop.py
@@ -21,6 +21,9 @@
 # Minimum duration of a planned stop, in seconds: time for new flows to go to
 # other hosts.
 _STOP_DELAY_S = 0.15
+# Times after the begin of a stop at which it is announced again, in seconds, as
+# single datagrams may be lost: both lie before the shortest stop ends.
+_REPEATS_AFTER_S = (0.05, 0.1)
 
 
 class PlannedStop:
@@ -31,6 +34,10 @@
     the host's port refuses shows that it has ended: a leaving host may close its
     listener for health checks while it serves. Entries that search for its flows
     are told then.
+
+    Load pattern: sidecars restart beside hosts that run, while datagrams are
+    lost. An entry that missed the announcement would reset the flows of a
+    sidecar that is away for longer than one that was killed.
     """
 
     __slots__ = (
@@ -68,6 +75,10 @@
         """Announce the stop and start to wait; the process stops at the end."""
         self._host.stopping = True
         self._reporter.send_status_to_all()
+        for delay_s in _REPEATS_AFTER_S:
+            self._node.loop.after(
+                delay_s, self._reporter.send_status_to_flow_entries
+            )
         timeout_s = _STOP_TIMEOUT_S
         if self._host.is_leaving:
             timeout_s = _LEAVING_STOP_TIMEOUT_S
--- a/siskinbank/relay/status_reporter.py
+++ b/siskinbank/relay/status_reporter.py
@@ -128,6 +128,19 @@
         status.interval_ms = _interval_ms(turns)
         self._send_to(status, list(self._entries))
 
+    def send_status_to_flow_entries(self) -> None:
+        """Send a status update to the entries with open flows at the host.
+
+        Three updates to each of 410 entries within 0.1 s would fill the link.
+        """
+        flow_entries = {flow.entry for flow in self._flows.values()}
+        status = self._status()
+        turns = self._turns.turns(_USING, len(flow_entries))
+        status.interval_ms = _interval_ms(turns)
+        self._send_to(
+            status, [ip for ip in self._entries if ip in flow_entries]
+        )
+
     def _group(self, ip: str, flow_entries: set[str]) -> int:
         if ip in flow_entries:
             return _USING
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -3,6 +3,13 @@
 from siskinbank.admission import reasons
 from tests.relay.test_reset_on_absence import FleetCase
 
+# Time in which all messages of the sidecar are lost, duration of the shortest
+# planned stop, and time until the sidecar is back, in seconds: longer than the
+# time after which a silent host counts as gone.
+LOSS_S = 0.08
+SHORTEST_STOP_S = 0.15
+AWAY_S = 2.5
+
 
 class TestLeavingHost(FleetCase):
     """Load pattern: a release stops sidecars before their leaving hosts."""
@@ -30,3 +37,21 @@
         self.fleet.run(0.5, self.packet)
         self.assertEqual(self.state(), reasons.ENDED)
         self.assertNotEqual(self.fleet.resets, [])
+
+
+class TestLostAnnouncement(FleetCase):
+    """Load pattern: a rolling restart of sidecars while datagrams are lost."""
+
+    def test_first_copies_are_lost(self) -> None:
+        """A later copy tells the entry to wait for the sidecar's restart."""
+        fleet = self.fleet
+        fleet.run(2, self.packet)
+        ends_at = fleet.now + LOSS_S
+        fleet.loss = lambda source, target, datagram: (
+            source == self.host and fleet.now < ends_at
+        )
+        fleet.sidecars[self.host]._planned_stop.begin()  # noqa: SLF001
+        fleet.run(SHORTEST_STOP_S, self.packet)
+        fleet.pause(self.host, AWAY_S)
+        fleet.run(AWAY_S + 0.5, self.packet)
+        self.assertEqual(fleet.resets, [])
