Wait longer for sidecars that were heard since the start

Callers on flows of a serving host got a reset 1.4 s after the begin of a planned restart of its sidecar, if no copy of the announcement arrived: the sidecar is away for 1.5 s, and an entry waits 1.3 s where requests may run again.

The wait is 1.8 s for sidecars that have sent a status since the entry started. The time probed stays the same. Hosts that never return after a loss of power have sent none, so that searches for lost flows end as before.

Ruled out: 1.9 s, which keeps the flow whenever the sidecar is back after 1.5 s, but leaves 0.05 s to the bound of 2 s.

--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -157,6 +157,7 @@
         if host:
             state = host.status.state
             evidence = Evidence(state, now - host.last_seen)
+            evidence.was_heard = True
         else:
             evidence = Evidence(reasons.NONE, now - self._started)
         evidence.unanswered = self._hosts.probes.unanswered(ip, now)
--- a/tests/tracking/test_liveness.py
+++ b/tests/tracking/test_liveness.py
@@ -37,6 +37,21 @@
             found = not self.reason(silent_s, idempotent)
             self.assertEqual(found, waits, (silent_s, idempotent))
 
+    def test_sidecar_heard_since_the_start(self) -> None:
+        """Load pattern: rolling restarts whose announcements are lost.
+
+        A sidecar that has sent nothing since the start, as after a loss of
+        power, may not delay searches for as long.
+        """
+        evidence = Evidence(reasons.NONE, 1.7)
+        evidence.unanswered = ENOUGH
+        evidence.probed_s = 1
+        self.assertEqual(gone_reason(evidence, True), 'unanswered')
+        evidence.was_heard = True
+        self.assertEqual(gone_reason(evidence, True), '')
+        evidence.silent_s = 1.9
+        self.assertEqual(gone_reason(evidence, True), 'unanswered')
+
     def test_long_status_interval(self) -> None:
         """Load pattern: hundreds of entries with a status update every 20 s.
 
