Log why a silent host is excused

An operator could not tell from the log why the flows of a silent host were kept. The entry logs R228 (host.excused) with the evidence and the time within which half of the hosts were heard, once a second at most, and counts these lines.

--- a/siskinbank/relay/catalogue.py
+++ b/siskinbank/relay/catalogue.py
@@ -31,6 +31,7 @@
     'host.unreachable': 'R223',
     'host.refusing': 'R226',
     'host.heard': 'R227',
+    'host.excused': 'R228',
     'peer.heard': 'R230',
     'peer.dropped': 'R232',
     'rotation.left': 'R240',
--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -42,6 +42,9 @@
 # intervals they announced: three missed updates of a host in use, and longer
 # than a scan and a probe take to hear a host anew.
 _MAX_HEARD_AGE_S = 1.3
+# Minimum interval between log lines on hosts that are excused, in seconds:
+# isolation concerns all of them, and each packet of their flows.
+_EXCUSE_LOG_INTERVAL_S = 1.0
 _MS = 1000
 
 
@@ -54,6 +57,7 @@
 
     __slots__ = (
         '_data_centre',
+        '_excuse_logged_at',
         '_follower',
         '_half_heard_at',
         '_half_heard_checked_at',
@@ -78,6 +82,7 @@
         self._follower = follower
         self._started = node.loop.now
         self._witnesses = Witnesses()
+        self._excuse_logged_at = NEVER
         self._half_heard_at = NEVER
         self._half_heard_checked_at = NEVER
         self._data_centre = messages.digest(node.settings.data_centre)
@@ -180,9 +185,24 @@
         """Return why a probed host counts as gone, empty if it may be alive."""
         reason = gone_reason(self._evidence(ip), idempotent)
         if reason in {UNANSWERED, UNREGISTERED} and self._is_isolated(ip):
+            self._log_excuse(ip, reason)
             return ''
         return reason
 
+    def _log_excuse(self, ip: str, reason: str) -> None:
+        """Log that a silent host may be alive, as this process is isolated."""
+        now = self._node.loop.now
+        if now - self._excuse_logged_at < _EXCUSE_LOG_INTERVAL_S:
+            return
+        self._excuse_logged_at = now
+        self._node.meters.count('hosts_excused_total')
+        self._node.log(
+            'host.excused',
+            evidence=reason,
+            half_heard_ms=_age_ms(self._half_heard_at, now),
+            **self.describe(ip),
+        )
+
     def _is_isolated(self, ip: str) -> bool:
         """Return whether this process may be isolated from a silent host.
 
--- a/tests/relay/test_isolation.py
+++ b/tests/relay/test_isolation.py
@@ -77,6 +77,19 @@
         self.alive.clear()
         self.assertEqual({self.run_step() for _ in range(400)}, {''})
 
+    def test_log(self) -> None:
+        """Excuses are logged once a second, not for each packet."""
+        events: list[str] = []
+        self.env.monitor._node.log = (  # type: ignore[method-assign]  # noqa: SLF001
+            lambda event, **_inputs: events.append(event)
+        )
+        self.alive.clear()
+        seconds = 5
+        for _ in range(int(seconds / STEP_S)):
+            self.run_step()
+        self.assertIn('host.excused', events)
+        self.assertLessEqual(events.count('host.excused'), seconds)
+
     def test_entry_is_cut_off_and_record_is_missing(self) -> None:
         """The host is not left out of searches either."""
         self.alive.clear()
