Shed packets at an entry whose link is backlogged

An entry asks LinkBudget before it handles a client's packet. A rejected first packet is answered with a reset (flow.reset, reason link-full); only the first copy of the first packet of a flow that the entry does not know is rejected, as later copies may belong to a flow that is open. The bytes are those of all messages that the process sends. Setting SISKINBANK_LINK_BUDGET, on by default; without a known rate nothing changes.

--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -11,6 +11,7 @@
     no_host_is_final,
     refusal_is_final,
 )
+from siskinbank.admission.link_budget import FORWARD, REJECT
 from siskinbank.choice.placement import candidates, rank_hosts
 from siskinbank.choice.service_overflow import (
     select_other_service,
@@ -37,6 +38,7 @@
 from siskinbank.relay.follower import StoreFollower
 from siskinbank.relay.gossip import Gossip
 from siskinbank.relay.host_monitor import DISCOVERY_TIMEOUT_S, HostMonitor
+from siskinbank.relay.link_shedding import LinkShedding
 from siskinbank.relay.node import Node
 from siskinbank.tracking.hosts import HostTable, TrackedHost
 
@@ -72,6 +74,7 @@
         node: Node,
         rotation: str = BY_CAPACITY,
         split_overflow: bool = False,
+        link_budget: bool = True,
     ) -> None:
         """Initialize the entry, open its port and join the other entries.
 
@@ -81,6 +84,8 @@
                 better ones, see ``EntryCapacities``.
             split_overflow: whether new flows may go to another service of
                 their route than the weights select.
+            link_budget: whether packets may be dropped or rejected while the
+                link is backlogged, see ``LinkShedding``.
 
         Raises:
             OSError: if the port for clients' packets can't be opened.
@@ -112,6 +117,9 @@
             self._monitor,
             self._reset,
         )
+        self._shedding = LinkShedding(
+            node, self._flows, self._follower, link_budget
+        )
         self._client_socket = open_udp_socket(
             (settings.ip, settings.packet_port)
         )
@@ -140,8 +148,13 @@
         problem = packet_problem(packet)
         if problem:
             self._node.meters.count(f'packets_refused_{problem}_total')
-        else:
+            return
+        decision = self._shedding.decide(packet)
+        if decision == FORWARD:
             self._handle_packet(packet)
+        elif decision == REJECT:
+            backlog_ms = self._shedding.backlog_ms
+            self._reset(packet, 'link-full', backlog_ms=backlog_ms)
 
     def _handle_packet(self, packet: bytes) -> None:
         if flags_of(packet) & SYN:
--- a/siskinbank/relay/main.py
+++ b/siskinbank/relay/main.py
@@ -10,8 +10,15 @@
 from siskinbank.platform.settings import SETTINGS_VARIABLE
 from siskinbank.relay.node import Node
 
-__all__ = ('SPLIT_OVERFLOW_VARIABLE', 'main', 'read_switch')
-
+__all__ = (
+    'LINK_BUDGET_VARIABLE',
+    'SPLIT_OVERFLOW_VARIABLE',
+    'main',
+    'read_switch',
+)
+
+# Whether an entry sheds packets while its link is backlogged.
+LINK_BUDGET_VARIABLE = 'SISKINBANK_LINK_BUDGET'
 SPLIT_OVERFLOW_VARIABLE = 'SISKINBANK_SPLIT_OVERFLOW'
 _SWITCHES = {b'on': True, b'off': False}
 
@@ -54,16 +61,21 @@
         node,
         rotation.decode('utf-8', 'replace'),
         split_overflow=read_switch(SPLIT_OVERFLOW_VARIABLE),
+        link_budget=read_switch(LINK_BUDGET_VARIABLE, default=b'on'),
     )
 
 
-def read_switch(name: str) -> bool:
-    """Return whether an environment variable is ``on``; the default is off.
+def read_switch(name: str, default: bytes = b'off') -> bool:
+    """Return whether an environment variable is ``on``.
+
+    Args:
+        name: name of the variable.
+        default: its value if it is not set, ``on`` or ``off``.
 
     Raises:
         DocumentError: the variable is neither ``on`` nor ``off``.
     """
-    text = environ.get(name.encode(), b'off')
+    text = environ.get(name.encode(), default)
     if text not in _SWITCHES:
         raise DocumentError(f'{name} is {text!r}, expected on or off')
     return _SWITCHES[text]
--- a/siskinbank/relay/meters.py
+++ b/siskinbank/relay/meters.py
@@ -9,6 +9,10 @@
 # Upper limits of the histogram buckets, in seconds: powers of two from 1 ms to
 # beyond the longest deadline.
 _BUCKET_LIMITS_S = tuple(0.001 * 2**index for index in range(14))
+# What a link carries of a datagram beyond its data: IP and UDP headers (28
+# bytes) and Ethernet framing (38). Too little here lets the backlog of a link
+# grow unseen, too much costs a part of its rate (docs/design/link-budget.md).
+_FRAMING_BYTES = 66
 _BUCKETS = range(len(_BUCKET_LIMITS_S) + 1)
 
 
@@ -16,12 +20,17 @@
     """Datagrams and bytes in one direction, by kind of message.
 
     Its size is fixed: an unknown kind is counted as ``messages.UNKNOWN``.
+
+    Attributes:
+        link_bytes: bytes of all datagrams with headers and framing, as a link
+            carries them.
     """
 
-    __slots__ = ('_bytes', '_datagrams')
+    __slots__ = ('_bytes', '_datagrams', 'link_bytes')
 
     def __init__(self) -> None:
         """Create counters for all kinds of messages."""
+        self.link_bytes = 0
         self._datagrams = [0 for _ in KIND_NAMES]
         self._bytes = [0 for _ in KIND_NAMES]
 
@@ -34,6 +43,7 @@
         """
         self._datagrams[kind] += 1
         self._bytes[kind] += size_bytes
+        self.link_bytes += size_bytes + _FRAMING_BYTES
 
     def lines(self, direction: str) -> list[str]:
         """Return the counters of all kinds that have occurred.
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -43,6 +43,7 @@
     loop: Loop
     inbox: list[tuple[str, bytes]]
     handlers: dict[int, Callable[[bytes, str], None]]
+    meters: Meters
     on_message: Callable[[str], object]
     stall_callbacks: list[Callable[[float], None]]
 
@@ -67,8 +68,13 @@
         unlisted: hosts whose record is missing in the store.
     """
 
-    def __init__(self, hosts: int = 7) -> None:
-        """Create the processes and let them discover each other."""
+    def __init__(self, hosts: int = 7, link_budget: bool = True) -> None:
+        """Create the processes and let them discover each other.
+
+        Args:
+            hosts: number of hosts.
+            link_budget: the setting of the entry.
+        """
         self.entry_ip = f'{_PREFIX}.1'
         self.hosts = [f'{_PREFIX}.{20 + number}' for number in range(hosts)]
         self.resets: list[tuple[float, str, dict[str, Any]]] = []
@@ -89,7 +95,7 @@
             open_udp_socket((host, 31003)) for host in self.hosts
         ]
         entry_node = self._make_node(self.entry_ip, 'entry')
-        self.entry = Entry(entry_node)
+        self.entry = Entry(entry_node, link_budget=link_budget)
         self.sidecars: dict[str, Sidecar] = {}
         for number, host in enumerate(self.hosts):
             # Status updates of the hosts are spread over their interval.
@@ -238,6 +244,9 @@
         return True
 
     def _send(self, source: str, target: str, datagram: bytes) -> None:
+        if source in self._nodes:
+            meters = self._nodes[source].meters
+            meters.sent.add(datagram[0], len(datagram))
         if source not in self.dead and not self.loss(source, target, datagram):
             arrival = self.now + DELAY_S
             self._in_flight.append((arrival, source, target, datagram))
