--- a/siskinbank/admission/link_budget.py
+++ b/siskinbank/admission/link_budget.py
@@ -68,9 +68,9 @@
 _SIZE_WEIGHT = 1 / 16
 # Packets with data before the mean of a route is used, one window.
 _MIN_PACKETS = 16
-# A route is in use for this time after its last packet, in seconds: at the
-# lowest demand that fills a link of 5 Mbit/s, a route with one request a second
-# at this entry pauses longer once in 150 requests.
+# A route or priority is in use for this time after its last packet, in seconds:
+# with one request a second at this entry, at random times, the pause is longer
+# after one request in 150.
 _IN_USE_S = 5.0
 _BYTES_PER_KBIT = 125
 
@@ -78,10 +78,9 @@
 class _RouteTraffic:
     """Recent packets of one route, observed while the backlog was not short."""
 
-    __slots__ = ('_data_packets', '_mean_bytes', 'last_seen', 'priority')
+    __slots__ = ('_data_packets', '_mean_bytes', 'last_seen')
 
     def __init__(self) -> None:
-        self.priority = 0
         self.last_seen: float = 0
         self._data_packets = 0
         self._mean_bytes: float = 0
@@ -118,6 +117,7 @@
         '_bytes_per_s',
         '_limit_bytes',
         '_link_kbps',
+        '_priorities',
         '_reject_bytes',
         '_routes',
         '_sent_bytes',
@@ -137,6 +137,8 @@
         self._sent_bytes = 0
         self._updated: float = 0
         self._routes: dict[bytes, _RouteTraffic] = {}
+        #: When a packet of each priority was seen last, in seconds.
+        self._priorities: dict[int, float] = {}
         self.short_until = float('inf')
 
     def __len__(self) -> int:
@@ -219,7 +221,8 @@
         Returns:
             FORWARD, DROP or REJECT.
         """
-        traffic = self._note(route, priority, now)
+        self._priorities[priority] = now
+        traffic = self._traffic(route, now)
         if kind == DATA:
             traffic.note(data_bytes)
         backlog = self._backlog_bytes
@@ -230,31 +233,30 @@
             sheds = is_full and traffic.is_large
         else:
             sheds = is_full or traffic.is_large
-        if not sheds or not self._gives_way(traffic, now):
+        if not sheds or not self._gives_way(priority, traffic.is_large, now):
             return FORWARD
         return DROP if kind == DATA else REJECT
 
-    def _gives_way(self, traffic: _RouteTraffic, now: float) -> bool:
+    def _gives_way(self, priority: int, is_large: bool, now: float) -> bool:
         """Return whether a route has the lowest priority in use.
 
         If only one priority is in use, those with large packets give way.
         """
-        priorities = {
-            other.priority
-            for other in self._routes.values()
-            if now - other.last_seen <= _IN_USE_S
-        }
-        if traffic.priority < max(priorities):
+        in_use = [
+            other
+            for other, last_seen in self._priorities.items()
+            if now - last_seen <= _IN_USE_S
+        ]
+        if priority < max(in_use):
             return False
-        return traffic.is_large or len(priorities) > 1
+        return is_large or len(in_use) > 1
 
-    def _note(self, route: bytes, priority: int, now: float) -> _RouteTraffic:
+    def _traffic(self, route: bytes, now: float) -> _RouteTraffic:
         traffic = self._routes.get(route)
         if traffic is None:
             self._forget_unused(now)
             traffic = _RouteTraffic()
             self._routes[route] = traffic
-        traffic.priority = priority
         traffic.last_seen = now
         return traffic
 
