--- a/tests/relay/test_end_to_end.py
+++ b/tests/relay/test_end_to_end.py
@@ -91,6 +91,44 @@
         await asyncio.sleep(0.5)
         self.assertIn(' R241 rotation.joined ', slow.log)
 
+    async def test_link_at_its_limit(self) -> None:
+        """Guards against an entry that does not see its own backlog.
+
+        New flows are rejected during a burst of full packets, the open flow is
+        never reset, and new flows are served again afterwards.
+        """
+        entry = self.fleet.entries[0]
+        entry.kill()
+        entry.settings = replace(entry.settings, link_mbps=1)
+        entry.start()
+        await self.eventually(lambda: _has_status(entry.settings, 200), 10)
+        client = self.fleet.clients[0]
+        flow = await client.connect(TARGET)
+        await client.send_request(flow, 'before')
+        address = (client._ip, flow.port)  # noqa: SLF001
+        beyond = (flow.number + 100_000) % (1 << 32)
+        full = Packet(
+            address, TARGET, ACK, beyond, flow.acknowledged, bytes(1200)
+        ).write()
+
+        async def is_rejected() -> bool:
+            for _ in range(200):
+                client.send_raw(full)
+            await _serves(client, TARGET)
+            return 'reason=link-full' in entry.log
+
+        await self.eventually(is_rejected, 20)
+        await self.eventually(lambda: _serves(client, TARGET), 10)
+        after = await client.send_request(flow, 'after')
+        self.assertTrue(after.startswith('after '), after)
+        name = f':{flow.port}-'
+        resets = [
+            line
+            for line in entry.log.splitlines()
+            if 'flow.reset' in line and name in line
+        ]
+        self.assertEqual(resets, [])
+
     async def test_flow_survives_restart_of_all_processes(self) -> None:
         """Entries and sidecars are killed at once; the hosts keep the flow."""
         client = self.fleet.clients[0]
