Send copies of retransmitted packets through a third data centre

Cause: the entries there hear hosts that they cannot reach, so nothing counts as silent, and each retransmission takes the same path. Ruled out: first packets, whose copies go to other hosts; the load of the hosts.

Change: a retransmitted packet with data goes directly, and as a copy to a sidecar in a third data centre that passes it on (message DETOUR).

--- /dev/null
+++ b/siskinbank/choice/relay_host.py
@@ -0,0 +1,48 @@
+"""Selection of a sidecar that passes a packet on to another one.
+
+Load pattern: packets pass only one way between two data centres. Entries of one
+hear the status updates of hosts in the other, which they cannot reach, so none of
+these hosts counts as silent. Clients of open flows send their requests again
+through the same entry until their deadlines pass, while a third data centre
+reaches both.
+"""
+
+from __future__ import annotations
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from siskinbank.tracking.hosts import TrackedHost
+
+__all__ = ('select_relay',)
+
+
+def select_relay(
+    hosts: list[TrackedHost],
+    target: TrackedHost,
+    data_centre: int,
+    number: int,
+    now: float,
+) -> TrackedHost | None:
+    """Return a host in a third data centre, whose sidecar is heard.
+
+    Args:
+        hosts: all known hosts.
+        target: the host that the packet is for.
+        data_centre: digest of the entry's own data centre.
+        number: any number; it decides which of the hosts is selected, so that
+            packets spread over them and a retransmission tries another one.
+        now: time in seconds, on a clock that runs on during suspension.
+
+    Returns:
+        None if the target is in the entry's own data centre or there is no third
+        one.
+    """
+    near = {data_centre, target.status.data_centre}
+    if len(near) == 1:
+        return None
+    third = [
+        host
+        for host in hosts
+        if host.status.data_centre not in near and not host.is_silent(now)
+    ]
+    return third[number % len(third)] if third else None
--- a/siskinbank/entry/flow_cache.py
+++ b/siskinbank/entry/flow_cache.py
@@ -27,17 +27,21 @@
         queueing_host: the host whose sidecar queues the first packet until a
             slot is free, empty if none does.
         last_seen: time of the last packet, in seconds.
+        repeats: number of packets with data that the client has sent again since
+            the last one that was new.
         service: the service that was selected for the first packet, empty if
             this entry has placed no copy of it.
         tried: hosts that the first packet was sent to.
     """
 
     __slots__ = (
+        '_highest_sequence',
         '_holders',
         'confirmed',
         'ip',
         'last_seen',
         'queueing_host',
+        'repeats',
         'service',
         'tried',
     )
@@ -49,6 +53,8 @@
         self.queueing_host = ''
         self.service = ''
         self.last_seen = last_seen
+        self.repeats = 0
+        self._highest_sequence: int | None = None
         self.tried: tuple[str, ...] = (ip,)
         self._holders: dict[str, tuple[bool, int]] = {}
 
@@ -57,6 +63,23 @@
         """Whether several hosts hold the flow, open or half open."""
         return len(self._holders) > 1
 
+    def note_data(self, sequence: int) -> bool:
+        """Record a packet with data; return whether its client sent it before.
+
+        Args:
+            sequence: its sequence number. One that is not above the highest so
+                far counts as sent before, also if packets were reordered.
+        """
+        highest = self._highest_sequence
+        if highest is not None:
+            ahead = (sequence - highest) % _SEQUENCE_NUMBERS
+            if not ahead or ahead > _SEQUENCE_NUMBERS // 2:
+                self.repeats += 1
+                return True
+        self._highest_sequence = sequence
+        self.repeats = 0
+        return False
+
     def add_tried(self, ip: str) -> None:
         """Record that the first packet is sent to another host."""
         self.ip = ip
--- a/siskinbank/relay/catalogue.py
+++ b/siskinbank/relay/catalogue.py
@@ -45,6 +45,7 @@
     'flow.found': 'R306',
     'flow.absent': 'R307',
     'flow.kept': 'R308',
+    'flow.detoured': 'R309',
     'request.start': 'R310',
     'request.end': 'R311',
     'packet.refused': 'R320',
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -34,6 +34,7 @@
 from siskinbank.relay import messages
 from siskinbank.relay.configuration_transfer import ConfigurationTransfer
 from siskinbank.relay.datagrams import open_udp_socket, read_datagrams
+from siskinbank.relay.detours import Detours
 from siskinbank.relay.entry_capacities import BY_CAPACITY, EntryCapacities
 from siskinbank.relay.flow_searcher import FlowSearcher
 from siskinbank.relay.follower import StoreFollower
@@ -79,6 +80,7 @@
         rotation: str = BY_CAPACITY,
         split_overflow: bool = False,
         link_budget: bool = True,
+        detours: bool = True,
     ) -> None:
         """Initialize the entry, open its port and join the other entries.
 
@@ -90,6 +92,8 @@
                 their route than the weights select.
             link_budget: whether packets may be dropped or rejected while the
                 link is backlogged, see ``LinkShedding``.
+            detours: whether copies of retransmitted packets go through a third
+                data centre, see ``Detours``.
 
         Raises:
             OSError: if the port for clients' packets can't be opened.
@@ -125,6 +129,7 @@
         self._shedding = LinkShedding(
             node, self._flows, self._follower, link_budget
         )
+        self._detours = Detours(node, self._hosts, detours)
         self._client_socket = open_udp_socket(
             (settings.ip, settings.packet_port)
         )
@@ -185,6 +190,9 @@
             self._suspect_flows.add(key, flow.ip, packet)
         wrap = messages.pack_forward if flow.confirmed else messages.pack_search
         self._node.send(flow.ip, wrap(packet))
+        has_data = flow.confirmed and len(packet) > HEADER_BYTES
+        if has_data and flow.note_data(sequence_numbers(packet)[0]):
+            self._detours.send_copy(key, flow, packet)
 
     def _reset_lost_flow(self, packet: bytes, ip: str, gone: str) -> None:
         evidence = self._monitor.describe(ip)
--- a/siskinbank/relay/main.py
+++ b/siskinbank/relay/main.py
@@ -11,12 +11,16 @@
 from siskinbank.relay.node import Node
 
 __all__ = (
+    'DETOURS_VARIABLE',
     'LINK_BUDGET_VARIABLE',
     'SPLIT_OVERFLOW_VARIABLE',
     'main',
     'read_switch',
 )
 
+# Whether an entry sends copies of retransmitted packets through a third data
+# centre.
+DETOURS_VARIABLE = 'SISKINBANK_DETOURS'
 # Whether an entry sheds packets while its link is backlogged.
 LINK_BUDGET_VARIABLE = 'SISKINBANK_LINK_BUDGET'
 SPLIT_OVERFLOW_VARIABLE = 'SISKINBANK_SPLIT_OVERFLOW'
@@ -62,6 +66,7 @@
         rotation.decode('utf-8', 'replace'),
         split_overflow=read_switch(SPLIT_OVERFLOW_VARIABLE),
         link_budget=read_switch(LINK_BUDGET_VARIABLE, default=b'on'),
+        detours=read_switch(DETOURS_VARIABLE, default=b'on'),
     )
 
 
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -26,6 +26,7 @@
     'CONFIGURATION_REQUEST',
     'DRAINING',
     'DatagramError',
+    'DETOUR',
     'ENTRY_CAPACITY',
     'EVACUATED',
     'EntryCapacity',
@@ -132,6 +133,9 @@
 # Capacity of an entry, for the other entries of its data centre.
 ENTRY_CAPACITY = 22
 
+# A packet of a known flow that a sidecar passes on to another one.
+DETOUR = 23
+
 # Names of the kinds in metrics, by kind.
 KIND_NAMES = (
     'unknown',
@@ -157,6 +161,7 @@
     'listing',
     'record_request',
     'entry_capacity',
+    'detour',
 )
 
 # Flags of a record: the host is in the store, is draining, is in an evacuated
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -25,6 +25,7 @@
     open_udp_socket,
     read_datagrams,
 )
+from siskinbank.relay.detours import forward_detour
 from siskinbank.relay.flow_admission import FlowAdmission, check_packet_header
 from siskinbank.relay.follower import StoreFollower
 from siskinbank.relay.node import Node
@@ -125,6 +126,9 @@
         node.handlers[messages.FORWARD] = self._handle_forward
         node.handlers[messages.SEARCH] = self._handle_search
         node.handlers[messages.RELAYED] = self._handle_relayed
+        node.handlers[messages.DETOUR] = lambda raw, _ip: forward_detour(
+            node, raw
+        )
         node.handlers[messages.FLOW_QUERY] = self._handle_flow_query
         node.handlers[messages.RECORD] = self._handle_record
         node.loop.watch(self._outbound_socket.fileno(), self._read_host)
