--- a/tests/relay/simulated_host.py
+++ b/tests/relay/simulated_host.py
@@ -29,6 +29,9 @@
 # priority with a flow per request.
 LOW = ('198.18.0.1', 443)
 HIGH = ('198.18.0.2', 443)
+# Addresses of two routes with long flows: one of low, one of high priority.
+VIEW = ('198.18.0.3', 443)
+SWAP = ('198.18.0.4', 443)
 CLIENT_IP = '100.64.0.7'
 # Delay between sidecar and client, in seconds, one way.
 NETWORK_S = 0.003
@@ -67,6 +70,8 @@
 ROUTES = {
     LOW: RouteTimes(2, 0.056, 0.441, 3.947, repeatable=True),
     HIGH: RouteTimes(1, 0.073, 0.546, 3.672, repeatable=False),
+    VIEW: RouteTimes(2, 0.055, 0.506, 3.792, repeatable=True),
+    SWAP: RouteTimes(1, 0.072, 0.5, 4.996, repeatable=False),
 }
 
 
