Estimate waits in the check of the queue by route

Callers of a route of low priority were refused though their first packet would have been served in time: behind 100 requests of 5 ms on 4 slots it was expected to wait 1.5 s, as the check counted each with the mean over all routes. The first estimate was right already, which rules out the measured times.

The check sums the processing times by route and leaves out expected requests of lower priority, as the first estimate does. It computes a wait only where a first packet is overtaken; before, one was computed for each queued item. The new test in tests.relay.test_request_scheduling fails with the count alone.

HeldRequest.must_leave loses two arguments that it ignored. PendingQueue.ahead_of and ProcessingTime.wait_s, which only tests called, are removed; the tests check the same values by work_ahead_of and wait_for_slot_s, which the sidecar uses.

--- a/siskinbank/admission/arrivals.py
+++ b/siskinbank/admission/arrivals.py
@@ -292,15 +292,6 @@
         self._speed_s = 0
         self._speed_count = 0
 
-    def wait_s(self, busy: int, slots: int) -> float:
-        """Return how many seconds a new request would wait for a slot.
-
-        Args:
-            busy: requests in progress at the host.
-            slots: requests that the host processes concurrently.
-        """
-        return max(0, busy - slots + 1) * self.seconds / slots
-
 
 class QueueCapacity:
     """Queue capacity of a host, learned from the requests that it sheds.
--- a/siskinbank/admission/held_request.py
+++ b/siskinbank/admission/held_request.py
@@ -96,7 +96,7 @@
         """Return whether the client waits no longer and loses nothing."""
         return self.repeatable and now > self.useful_until
 
-    def must_leave(self, now: float, wait_s: float, overtaken: bool) -> bool:
+    def must_leave(self, now: float) -> bool:
         """Return whether the request may not stay in the queue.
 
         A request that may run once leaves when its time limit can't be met any
@@ -106,8 +106,6 @@
 
         Args:
             now: time in seconds.
-            wait_s: expected wait for a slot in seconds.
-            overtaken: whether requests of higher priority are served before.
         """
         is_hopeless = not self.repeatable and now > self.useful_until
         return is_hopeless or now > self.pass_by
--- a/siskinbank/admission/pending_queue.py
+++ b/siskinbank/admission/pending_queue.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from siskinbank.admission.arrivals import LOWEST_PRIORITY
 from siskinbank.admission.held_request import HeldRequest
 from siskinbank.admission.service_order import (
     HOPELESS,
@@ -107,22 +108,20 @@
         self.opening = opening
         self.queued_at = queued_at
 
-    def must_leave(self, now: float, wait_s: float, overtaken: bool) -> bool:
-        """Return whether the packet may not stay in the queue.
+    def must_leave(self, now: float, wait_s: float) -> bool:
+        """Return whether the packet may not wait this long for a slot.
 
         Load pattern: requests of higher priority arrive after it was queued.
-        Without them it stays until its client abandons it.
 
         Args:
             now: time in seconds.
             wait_s: expected wait for a slot in seconds.
-            overtaken: whether requests of higher priority are served before.
         """
         served_by = min(
             self.queued_at + self.opening.wait_limit_ms / _MS,
             self.sent + _ABANDONED_S,
         )
-        return overtaken and now + wait_s > served_by
+        return now + wait_s > served_by
 
 
 class PendingQueue:
@@ -169,12 +168,12 @@
         queued = self._queued.pop(key, None)
         self._held_count -= isinstance(queued, HeldRequest)
 
-    def ahead_of(self, new: QueuedRequest, now: float) -> int:
-        """Return how many queued requests get a slot before a new one."""
-        return len(self.work_ahead_of(new, now))
-
     def work_ahead_of(self, new: QueuedRequest, now: float) -> list[float]:
-        """Return the processing times of these requests, in seconds."""
+        """Return the processing times of what gets a slot before a new one.
+
+        Returns:
+            One for each queued request that goes first, in seconds.
+        """
         rank = new.rank(now)
         return [
             queued.work_s
@@ -258,26 +257,35 @@
         return abandoned
 
     def remove_hopeless(
-        self, now: float, wait_s: Callable[[int], float]
+        self, now: float, wait_s: Callable[[QueuedOpening, int, float], float]
     ) -> list[AnyQueued]:
         """Remove and return what can't be served within its limits.
 
         Args:
             now: the time in seconds.
-            wait_s: returns the wait for a slot in seconds, by the number of
-                queued requests that are served before.
+            wait_s: returns the wait of a first packet for a slot in seconds, by
+                the number of queued requests that are served before it and the
+                sum of their processing times in seconds.
         """
         hopeless: list[AnyQueued] = []
-        highest: int | None = None
+        highest = LOWEST_PRIORITY
         ahead = 0
+        ahead_work_s: float = 0
         for queued in service_order(self._queued.values(), now):
-            overtaken = highest is not None and highest < queued.priority
-            if queued.must_leave(now, wait_s(ahead), overtaken):
+            if isinstance(queued, HeldRequest):
+                leaves = queued.must_leave(now)
+            else:
+                # Without requests of higher priority before it, a first packet
+                # stays until its client abandons it.
+                leaves = highest < queued.priority and queued.must_leave(
+                    now, wait_s(queued, ahead, ahead_work_s)
+                )
+            if leaves:
                 hopeless.append(queued)
                 continue
             ahead += 1
-            if highest is None or queued.priority < highest:
-                highest = queued.priority
+            ahead_work_s += queued.work_s
+            highest = min(highest, queued.priority)
         for removed in hopeless:
             self.remove(removed.key)
         return hopeless
--- a/siskinbank/relay/flow_admission.py
+++ b/siskinbank/relay/flow_admission.py
@@ -273,7 +273,10 @@
         now = self._node.loop.now
         host = self._host
         hopeless = self.queue.remove_hopeless(
-            now, lambda ahead: host.wait_s(now, ahead)
+            now,
+            lambda queued, ahead, ahead_work_s: host.wait_s(
+                now, ahead, ahead_work_s, queued.priority
+            ),
         )
         for queued in hopeless:
             if isinstance(queued, QueuedOpening):
--- a/tests/admission/test_arrivals.py
+++ b/tests/admission/test_arrivals.py
@@ -15,10 +15,16 @@
     queueing_decision,
     refusal_is_final,
 )
+from siskinbank.admission.requests_in_progress import wait_for_slot_s
 
 LIMIT_S = 2
 
 
+def _wait_s(processing: ProcessingTime, busy: int) -> float:
+    """Return the wait at a host with 2 slots and equal requests."""
+    return wait_for_slot_s([processing.seconds for _ in range(busy)], 2)
+
+
 def _accepting_host(busy: list[int], first: int) -> int:
     """Forward one flow along all hosts; return the one that accepts it."""
     processing = ProcessingTime()
@@ -26,7 +32,7 @@
     best_host = first % len(busy)
     for step in range(len(busy)):
         host = (first + step) % len(busy)
-        wait = processing.wait_s(busy[host], 2)
+        wait = _wait_s(processing, busy[host])
         left = step < len(busy) - 1
         where = queueing_decision(wait, LIMIT_S, best, left)
         if where != 'on':
@@ -83,9 +89,9 @@
         processing = ProcessingTime()
         for _ in range(100):
             processing.note(0.1)
-        self.assertEqual(processing.wait_s(1, 2), 0)
-        self.assertAlmostEqual(processing.wait_s(2, 2), 0.05, places=3)
-        self.assertAlmostEqual(processing.wait_s(21, 2), 1, places=3)
+        self.assertEqual(_wait_s(processing, 1), 0)
+        self.assertAlmostEqual(_wait_s(processing, 2), 0.05, places=3)
+        self.assertAlmostEqual(_wait_s(processing, 21), 1, places=3)
 
 
 class TestRoutes(unittest.TestCase):
--- a/tests/admission/test_pending_queue.py
+++ b/tests/admission/test_pending_queue.py
@@ -134,8 +134,8 @@
         queue.enqueue(queued_opening(b'b', 100, 100, TARGET_S))
         new = queued_opening(b'new', 100, 100, TARGET_S)
         late = queued_opening(b'late', 100, 99.4, TARGET_S)
-        self.assertEqual(queue.ahead_of(new, 100), 1)
-        self.assertEqual(queue.ahead_of(late, 100), 2)
+        self.assertEqual(queue.work_ahead_of(new, 100), [WORK_S])
+        self.assertEqual(queue.work_ahead_of(late, 100), [WORK_S, WORK_S])
 
     def test_abandoned_flows_are_removed(self) -> None:
         """Their clients would no longer answer the host."""
--- a/tests/admission/test_service_order.py
+++ b/tests/admission/test_service_order.py
@@ -30,14 +30,23 @@
     return QueuedRequest(priority, sent, target_latency_s, TIMEOUT_S, WORK_S)
 
 
-def queued(key: bytes, priority: int, sent: float) -> QueuedOpening:
+def queued(
+    key: bytes, priority: int, sent: float, work_s: float = WORK_S
+) -> QueuedOpening:
     """Return a first packet that was queued when it was sent."""
     opening = Opening(b'', b'')
     opening.priority = priority
     opening.target_latency_ms = int(TARGET_S * 1000)
     opening.timeout_ms = int(TIMEOUT_S * 1000)
     opening.wait_limit_ms = int(TIMEOUT_S * 1000 / 2)
-    return QueuedOpening(key, opening, sent, sent, WORK_S)
+    return QueuedOpening(key, opening, sent, sent, work_s)
+
+
+def wait_s(
+    first_packet: QueuedOpening, ahead: int, ahead_work_s: float
+) -> float:
+    """Return the wait for a slot by the work that goes first, in seconds."""
+    return ahead_work_s / SLOTS
 
 
 def order_without_priorities(
@@ -126,7 +135,6 @@
         queue.enqueue(queued(b'high', 1, 100))
         for priority, sent, ahead in ((1, 100, 1), (2, 100, 6), (1, 99, 6)):
             new = queued(b'new', priority, sent)
-            self.assertEqual(queue.ahead_of(new, 100), ahead)
             self.assertEqual(
                 queue.work_ahead_of(new, 100), [WORK_S for _ in range(ahead)]
             )
@@ -137,9 +145,7 @@
         queue.enqueue(queued(b'low', 2, 100))
         for number in range(100):
             queue.enqueue(queued(b'high%d' % number, 1, 100.1))
-        gone = queue.remove_hopeless(
-            100.1, lambda ahead: ahead * WORK_S / SLOTS
-        )
+        gone = queue.remove_hopeless(100.1, wait_s)
         self.assertEqual([item.key for item in gone], [b'low'])
         self.assertEqual(len(queue), 100)
 
@@ -149,17 +155,29 @@
         queue.enqueue(queued(b'low', 2, 100))
         for number in range(50):
             queue.enqueue(queued(b'high%d' % number, 1, 100.1))
-        gone = queue.remove_hopeless(
-            100.1, lambda ahead: ahead * WORK_S / SLOTS
-        )
+        gone = queue.remove_hopeless(100.1, wait_s)
         self.assertEqual(gone, [])
 
+    def test_short_requests_go_before(self) -> None:
+        """Guards against counting each request with the mean of all routes.
+
+        200 requests of 5 ms take 0.25 s; at the mean of 60 ms the packet would
+        be rejected after a wait that it doesn't have.
+        """
+        for work, gone_keys in ((0.005, []), (0.072, [b'low'])):
+            queue = PendingQueue()
+            queue.enqueue(queued(b'low', 2, 100))
+            for number in range(200):
+                queue.enqueue(queued(b'high%d' % number, 1, 100.1, work))
+            gone = queue.remove_hopeless(100.1, wait_s)
+            self.assertEqual([item.key for item in gone], gone_keys)
+
     def test_one_priority_is_not_rejected(self) -> None:
         """Equal priorities stay queued until their clients give up."""
         queue = PendingQueue()
         for number in range(250):
             queue.enqueue(queued(b'%d' % number, 2, 100))
-        gone = queue.remove_hopeless(101, lambda ahead: ahead * WORK_S / SLOTS)
+        gone = queue.remove_hopeless(101, wait_s)
         self.assertEqual(gone, [])
 
     def test_full_queue(self) -> None:
--- a/tests/relay/test_request_scheduling.py
+++ b/tests/relay/test_request_scheduling.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from siskinbank.platform.encoding import Packet, request_bytes
-from siskinbank.platform.packets import ACK, FIN, FLOW_KEY, RST
+from siskinbank.platform.packets import ACK, FIN, FLOW_KEY, RST, route_key
 from siskinbank.relay import messages
 from tests.relay.simulated_clients import Clients, serve_in_order_before
 from tests.relay.simulated_host import (
@@ -124,6 +124,34 @@
         self.host.run(2.02)
         self.assertEqual(self.host.requests_received()[0], (21, NEXT))
 
+    def test_overtaken_by_short_requests(self) -> None:
+        """Guards against the mean over all routes in the check of the queue.
+
+        With it, a first packet was refused behind 100 requests of 5 ms on 4
+        slots, as they would take 1.5 s at 60 ms each.
+        """
+        self.assertFalse(self.is_refused_behind(0.005))
+
+    def test_overtaken_by_long_requests(self) -> None:
+        """A first packet is not held until its client gives up."""
+        self.assertTrue(self.is_refused_behind(0.06))
+
+    def is_refused_behind(self, work_s: float) -> bool:
+        """Return whether a first packet is refused behind 100 of HIGH."""
+        processing_time = self.host.state.processing_time
+        low = self.host.send_opening(LOW, 51)
+        refused: list[bytes] = []
+        self.host.on_refused = lambda key, _: refused.append(key)
+        for port in range(100, 200):
+            high = self.host.send_opening(HIGH, port)
+            if port == 100:
+                for _ in range(50):
+                    processing_time.note(work_s, route_key(high))
+                for _ in range(50):
+                    processing_time.note(0.06, route_key(low))
+        self.host.run(0.1)
+        return low in refused
+
     def test_expected_first_request_is_no_double_load(self) -> None:
         """The first request of a new flow is no longer expected once held."""
         load = self.host.load
