--- a/tests/relay/test_request_scheduling.py
+++ b/tests/relay/test_request_scheduling.py
@@ -50,7 +50,7 @@
         self.assertGreater(after.goodput_s(), 0.99 * before.goodput_s())
 
     def test_bursts_of_high_priority(self) -> None:
-        """5.5 times the capacity; the high priority alone needs 0.8 of it.
+        """5.7 times the capacity; the high priority alone needs 0.8 of it.
 
         Newest first beyond two, 0.948 of it were in time, as the oldest of each
         burst waited until they were late.
