Count received bytes in the budget of an entry's link

Cause: a link carries both directions together, and the packets of an upload cross it twice, so that they reach the entry at half of the rate at most. The bytes sent alone never exceed it. Ruled out: thresholds, as the budget rarely saw a backlog.

Change: what was received has used a part of the rate; only the rest drains the backlog. More than one window of it is not carried over, as after a stall all is read at once.

--- a/siskinbank/admission/link_budget.py
+++ b/siskinbank/admission/link_budget.py
@@ -118,10 +118,12 @@
         '_limit_bytes',
         '_link_kbps',
         '_priorities',
+        '_received_bytes',
         '_reject_bytes',
         '_routes',
         '_sent_bytes',
         '_short_bytes',
+        '_unaccounted_bytes',
         '_updated',
         'short_until',
     )
@@ -135,6 +137,8 @@
         self._limit_bytes = float('inf')
         self._backlog_bytes: float = 0
         self._sent_bytes = 0
+        self._received_bytes = 0
+        self._unaccounted_bytes: float = 0
         self._updated: float = 0
         self._routes: dict[bytes, _RouteTraffic] = {}
         #: When a packet of each priority was seen last, in seconds.
@@ -155,13 +159,20 @@
             return 0
         return self._backlog_bytes / self._bytes_per_s
 
-    def set_rate(self, link_kbps: int, now: float, sent_bytes: int) -> None:
+    def set_rate(
+        self,
+        link_kbps: int,
+        now: float,
+        sent_bytes: int,
+        received_bytes: int = 0,
+    ) -> None:
         """Set the rate of the link; a new rate empties the backlog.
 
         Args:
             link_kbps: rate in kbit/s, 0 if it is unknown.
             now: time in seconds.
             sent_bytes: as for ``is_short``.
+            received_bytes: as for ``is_short``.
         """
         if link_kbps == self._link_kbps:
             return
@@ -177,17 +188,25 @@
         self._backlog_bytes = 0
         self._updated = now
         self._sent_bytes = sent_bytes
+        self._received_bytes = received_bytes
+        self._unaccounted_bytes = 0
         self.short_until = sent_bytes + self._short_bytes
 
-    def is_short(self, now: float, sent_bytes: int) -> bool:
+    def is_short(
+        self, now: float, sent_bytes: int, received_bytes: int = 0
+    ) -> bool:
         """Update the backlog; return whether packets need no examination.
 
+        The rate of a link is for both directions together: what was received
+        has used a part of it.
+
         Args:
             now: time in seconds, on a clock that runs on during suspension.
             sent_bytes: bytes that were sent through the link so far, with
                 headers and framing.
+            received_bytes: the same in the other direction.
         """
-        drained = (now - self._updated) * self._bytes_per_s
+        drained = self._drained_bytes(now, received_bytes)
         # The bytes since the last update count as sent just now. Counted as sent
         # then, a backlog could stay unseen while the link is saturated.
         backlog = (
@@ -237,6 +256,19 @@
             return FORWARD
         return DROP if kind == DATA else REJECT
 
+    def _drained_bytes(self, now: float, received_bytes: int) -> float:
+        """Return how many sent bytes the link may have carried since."""
+        carried = (now - self._updated) * self._bytes_per_s
+        received = (
+            self._unaccounted_bytes + received_bytes - self._received_bytes
+        )
+        self._received_bytes = received_bytes
+        used = min(received, carried)
+        # What one client has in flight may be read at once. Far more is read after
+        # a stall, in which the link carried it.
+        self._unaccounted_bytes = min(received - used, _WINDOW_BYTES)
+        return carried - used
+
     def _gives_way(self, priority: int, is_large: bool, now: float) -> bool:
         """Return whether a route has the lowest priority in use.
 
--- a/siskinbank/relay/link_shedding.py
+++ b/siskinbank/relay/link_shedding.py
@@ -20,6 +20,7 @@
     route_key,
     sequence_numbers,
 )
+from siskinbank.relay.meters import FRAMING_BYTES
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -39,7 +40,16 @@
 class LinkShedding:
     """Decides for each packet of a client whether it is forwarded."""
 
-    __slots__ = ('_budget', '_flows', '_follower', '_is_on', '_node', '_sent')
+    __slots__ = (
+        '_budget',
+        '_client_bytes',
+        '_flows',
+        '_follower',
+        '_is_on',
+        '_node',
+        '_received',
+        '_sent',
+    )
 
     def __init__(
         self,
@@ -62,6 +72,8 @@
         self._is_on = is_on
         self._budget = LinkBudget()
         self._sent = node.meters.sent
+        self._received = node.meters.received
+        self._client_bytes = 0
         self._update()
         node.loop.every(_UPDATE_INTERVAL_S, self._update)
 
@@ -72,9 +84,10 @@
 
     def decide(self, packet: bytes) -> int:
         """Return FORWARD, DROP or REJECT for a valid packet of a client."""
+        self._client_bytes += len(packet) + FRAMING_BYTES
         sent_bytes = self._sent.link_bytes
         if sent_bytes < self._budget.short_until or self._budget.is_short(
-            self._node.loop.now, sent_bytes
+            self._node.loop.now, sent_bytes, self._received_bytes()
         ):
             return FORWARD
         key = packet[FLOW_KEY]
@@ -96,6 +109,10 @@
             )
         return decision
 
+    def _received_bytes(self) -> int:
+        """Return the bytes received from clients and from other processes."""
+        return self._client_bytes + self._received.link_bytes
+
     def _kind(self, key: bytes, packet: bytes) -> int:
         flags = flags_of(packet)
         if flags & SYN:
@@ -111,7 +128,8 @@
     def _update(self) -> None:
         now = self._node.loop.now
         sent_bytes = self._sent.link_bytes
+        received_bytes = self._received_bytes()
         link_kbps = self._node.settings.link_kbps if self._is_on else 0
-        self._budget.set_rate(link_kbps, now, sent_bytes)
-        self._budget.is_short(now, sent_bytes)
+        self._budget.set_rate(link_kbps, now, sent_bytes, received_bytes)
+        self._budget.is_short(now, sent_bytes, received_bytes)
         self._node.meters.gauge('link_backlog_ms', self.backlog_ms)
--- a/siskinbank/relay/meters.py
+++ b/siskinbank/relay/meters.py
@@ -4,7 +4,7 @@
 
 from siskinbank.relay.messages import KIND_NAMES
 
-__all__ = ('Meters', 'Traffic')
+__all__ = ('FRAMING_BYTES', 'Meters', 'Traffic')
 
 # Upper limits of the histogram buckets, in seconds: powers of two from 1 ms to
 # beyond the longest deadline.
@@ -12,7 +12,7 @@
 # What a link carries of a datagram beyond its data: IP and UDP headers (28
 # bytes) and Ethernet framing (38). Too little here lets the backlog of a link
 # grow unseen, too much costs a part of its rate (docs/design/link-budget.md).
-_FRAMING_BYTES = 66
+FRAMING_BYTES = 66
 _BUCKETS = range(len(_BUCKET_LIMITS_S) + 1)
 
 
@@ -43,7 +43,7 @@
         """
         self._datagrams[kind] += 1
         self._bytes[kind] += size_bytes
-        self.link_bytes += size_bytes + _FRAMING_BYTES
+        self.link_bytes += size_bytes + FRAMING_BYTES
 
     def lines(self, direction: str) -> list[str]:
         """Return the counters of all kinds that have occurred.
--- a/tests/admission/test_link_budget.py
+++ b/tests/admission/test_link_budget.py
@@ -177,6 +177,31 @@
         self.assertFalse(self.budget.is_short(4.0, BYTES_PER_S * 3))
         self.assertAlmostEqual(self.budget.backlog_s, 1)
 
+    def test_both_directions(self) -> None:
+        """Guards against a queue that stays unseen as uploads arrive in it.
+
+        Each uploaded packet crosses the link twice, so that the link is saturated
+        by 60% of its rate in each direction.
+        """
+        budget = LinkBudget()
+        budget.set_rate(LINK_KBPS, 0, 0)
+        for step in range(1, 101):
+            used = int(0.006 * step * BYTES_PER_S)
+            budget.is_short(0.01 * step, used, used)
+        self.assertGreater(budget.backlog_s, MEDIUM_S)
+
+    def test_stall_of_a_receiver(self) -> None:
+        """Guards against packets that the link carried in a stall.
+
+        All of them are read at once afterwards.
+        """
+        budget = LinkBudget()
+        budget.set_rate(LINK_KBPS, 0, 0)
+        budget.is_short(0, 0, BYTES_PER_S)
+        budget.is_short(SHORT_S, int(LONG_S * BYTES_PER_S), BYTES_PER_S)
+        budget.is_short(1, int(LONG_S * BYTES_PER_S), BYTES_PER_S)
+        self.assertEqual(budget.backlog_s, 0)
+
     def test_unknown_rate(self) -> None:
         """Guards against a backlog of a link whose rate is unknown."""
         for kbps in (0, -1):
--- a/tests/relay/test_entry_capacities.py
+++ b/tests/relay/test_entry_capacities.py
@@ -374,7 +374,11 @@
             ):
                 main._create_program('entry', create)  # noqa: SLF001
                 create.assert_called_once_with(
-                    create, expected, split_overflow=False, link_budget=True
+                    create,
+                    expected,
+                    split_overflow=False,
+                    link_budget=True,
+                    detours=True,
                 )
 
 
--- a/tests/relay/test_link_shedding.py
+++ b/tests/relay/test_link_shedding.py
@@ -250,6 +250,7 @@
                     'capacity',
                     split_overflow=False,
                     link_budget=expected,
+                    detours=True,
                 )
 
     def test_other_value(self) -> None:
