Drill overload with real processes, among faults

The rig's fleet takes link rates, services by host and environment variables; its hosts have slots, its clients a router. A sibling of the store drill runs 72 low-priority requests at a time against nine slots, with one fault of each kind in an order by seed, and checks five invariants, each with its chances.

Ruled out as faults of the stand-ins: a client took a second copy of an earlier answer for that of its next request; a host ran a request whose client had acknowledged another host's answer to a copy of the first packet. Excused as faults of early checks: copies to an entry that does not run, requests that wait unread in a sidecar that is not scheduled, requests of clients that have closed.

--- a/siskinbank/lab/rig/client.py
+++ b/siskinbank/lab/rig/client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from siskinbank.platform.encoding import Packet, request_bytes
@@ -31,6 +33,8 @@
         number: next sequence number to send.
         acknowledged: acknowledgement number to send.
         answers: packets received and not read yet.
+        copies: time in seconds and entry of each packet sent with data.
+        is_reset: whether it was reset.
     """
 
     port: int
@@ -38,13 +42,17 @@
     number: int = 0
     acknowledged: int = 0
     answers: asyncio.Queue[Packet] = field(default_factory=asyncio.Queue)
+    copies: list[tuple[float, str]] = field(default_factory=list)
+    is_reset: bool = False
 
 
 class ClientStandIn(asyncio.DatagramProtocol):
     """One client machine.
 
     Attributes:
+        ip: its address.
         entry: address of the entry that its router sends packets to.
+        entry_for: returns the entry for packets of a port, ``entry`` if empty.
         corrupt: number of packets received with a wrong checksum.
         resets: number of flows that were reset.
     """
@@ -52,9 +60,10 @@
     def __init__(self, ip: str, port: int, entry: str) -> None:
         """Initialize a client without flows."""
         self.entry = entry
+        self.entry_for: Callable[[int], str] = lambda source_port: ''
         self.corrupt = 0
         self.resets = 0
-        self._ip = ip
+        self.ip = ip
         self._port = port
         self._flows: dict[int, ClientFlow] = {}
         self._next_port = _FIRST_PORT
@@ -65,7 +74,7 @@
         loop = asyncio.get_running_loop()
         endpoint = await loop.create_datagram_endpoint(
             lambda: self,
-            local_addr=(self._ip, self._port),
+            local_addr=(self.ip, self._port),
         )
         self._transport = endpoint[0]
 
@@ -133,13 +142,17 @@
         """Send one request over a new flow; return the body of the answer."""
         flow = await self.connect(target)
         body = await self.send_request(flow, request_id)
-        self._send(flow, FIN | ACK)
+        self.finish(flow)
         return body
 
-    def send_raw(self, datagram: bytes) -> None:
-        """Send a datagram to the entry without changes."""
+    def finish(self, flow: ClientFlow) -> None:
+        """End a flow."""
+        self._send(flow, FIN | ACK)
+
+    def send_raw(self, datagram: bytes, entry: str = '') -> None:
+        """Send a datagram to an entry without changes."""
         if self._transport:
-            self._transport.sendto(datagram, (self.entry, self._port))
+            self._transport.sendto(datagram, (entry or self.entry, self._port))
 
     async def _receive_body(self, flow: ClientFlow, wait: float) -> str | None:
         while True:
@@ -148,6 +161,9 @@
                 return None
             if answer.flags & SYN or not answer.content:
                 continue
+            if answer.number != flow.acknowledged:
+                # Another copy of an earlier answer.
+                continue
             flow.acknowledged = answer.number + len(answer.content)
             self._send(flow, ACK)
             return answer.content.partition(b'\r\n\r\n')[2].decode()
@@ -162,14 +178,17 @@
         if acknowledged is None:
             acknowledged = flow.acknowledged
         packet = Packet(
-            (self._ip, flow.port),
+            (self.ip, flow.port),
             flow.target,
             flags,
             flow.number,
             acknowledged,
             content,
         )
-        self.send_raw(packet.write())
+        entry = self.entry_for(flow.port)
+        if content:
+            flow.copies.append((time.monotonic(), entry))
+        self.send_raw(packet.write(), entry)
 
 
 async def _receive(flow: ClientFlow, wait: float) -> Packet | None:
@@ -180,5 +199,6 @@
         # The caller retransmits.
         return None
     if packet.flags & RST:
+        flow.is_reset = True
         raise FlowFailed('the flow was reset')
     return packet
--- a/siskinbank/lab/rig/fleet.py
+++ b/siskinbank/lab/rig/fleet.py
@@ -4,7 +4,7 @@
 import os
 import random
 import sys
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from signal import SIGKILL, Signals
 from subprocess import STDOUT, Popen
@@ -18,14 +18,14 @@
     RouteDocument,
     encode_configuration,
 )
-from siskinbank.platform.settings import SETTINGS_VARIABLE
+from siskinbank.platform.settings import READY_PATH, SETTINGS_VARIABLE
 from siskinbank.platform.store import (
     CONFIGURATION_KEY,
     EVACUATIONS_PREFIX,
     HOSTS_PREFIX,
 )
 
-__all__ = ('TARGET', 'Program', 'RelayFleet')
+__all__ = ('TARGET', 'Program', 'RelayFleet', 'readiness')
 
 #: Address of the only route of a new fleet.
 TARGET = ('198.18.0.1', 443)
@@ -37,7 +37,6 @@
 _FIRST_HOST_NUMBER = 20
 _FIRST_CLIENT_NUMBER = 100
 _STORE_NUMBER = 200
-_DATA_CENTRES = ('a', 'b')
 
 
 @dataclass
@@ -50,6 +49,7 @@
         folder: folder of its settings file and its log.
         process: the running process, if any.
         start_count: how often it was started.
+        environment: variables in addition to those of this process.
     """
 
     settings: ProcessSettings
@@ -57,6 +57,7 @@
     folder: Path
     process: Popen[bytes] | None = None
     start_count: int = 0
+    environment: dict[str, str] = field(default_factory=dict)
 
     @property
     def is_running(self) -> bool:
@@ -77,7 +78,9 @@
         with (self.folder / f'{name}.log').open('ab') as stream:
             self.process = Popen(
                 [sys.executable, '-m', 'siskinbank.relay.main', self.role],
-                env={**os.environ, SETTINGS_VARIABLE: str(path)},
+                env=os.environ
+                | self.environment
+                | {SETTINGS_VARIABLE: str(path)},
                 stdout=stream,
                 stderr=STDOUT,
             )
@@ -111,6 +114,11 @@
         folder: folder for settings and logs.
         entry_count: number of entries.
         host_count: number of hosts.
+        data_centres: the data centres, taken in turn.
+        links_mbps: rates of the entries' links, empty if unknown; with rates,
+            all processes contact all entries first.
+        services: service of each host, empty if all have the same one.
+        environment: variables of the processes.
         store: the platform's store.
         entries: the entry processes.
         sidecars: the sidecar processes, one per host.
@@ -121,6 +129,10 @@
     folder: Path
     entry_count: int = 2
     host_count: int = 3
+    data_centres: tuple[str, ...] = ('a', 'b')
+    links_mbps: tuple[int, ...] = ()
+    services: tuple[str, ...] = ()
+    environment: dict[str, str] = field(default_factory=dict)
     store: StoreStandIn = field(default_factory=StoreStandIn)
     entries: list[Program] = field(default_factory=list)
     sidecars: list[Program] = field(default_factory=list)
@@ -182,7 +194,7 @@
         """Write a host's document to the store, with some fields changed."""
         host = self.hosts[index]
         document = HostDocument(
-            _SERVICE,
+            self.service(index),
             host.address,
             self.data_centre(index),
             **changes,  # type: ignore[arg-type]
@@ -195,7 +207,11 @@
 
     def data_centre(self, index: int) -> str:
         """Return the data centre of a host or entry."""
-        return _DATA_CENTRES[index % len(_DATA_CENTRES)]
+        return self.data_centres[index % len(self.data_centres)]
+
+    def service(self, index: int) -> str:
+        """Return the service of a host."""
+        return self.services[index] if self.services else _SERVICE
 
     async def wait_until_ready(self, seconds: float = 10) -> None:
         """Wait until all run and each client is served through its entry.
@@ -223,6 +239,8 @@
     def _add_entry(self, index: int) -> None:
         ip = self._ip(_FIRST_ENTRY_NUMBER + index)
         settings = self._settings(f'entry-{index}', ip, index, None)
+        if self.links_mbps:
+            settings = replace(settings, link_mbps=self.links_mbps[index])
         self._start(Program(settings, 'entry', self.folder), self.entries)
 
     def _settings(
@@ -237,13 +255,17 @@
             ip,
             self.data_centre(index),
             (self._port, self._port + 1, self._port + 2, self._port + 3),
-            (self._ip(_FIRST_ENTRY_NUMBER),),
+            tuple(
+                self._ip(_FIRST_ENTRY_NUMBER + seed)
+                for seed in range(len(self.links_mbps) or 1)
+            ),
             (self._ip(_STORE_NUMBER), _STORE_PORT),
-            _SERVICE,
+            self.service(index) if host else _SERVICE,
             host,
         )
 
     def _start(self, program: Program, group: list[Program]) -> None:
+        program.environment = self.environment
         program.start()
         group.append(program)
 
@@ -251,6 +273,23 @@
         return f'{self._prefix}.{number}'
 
 
+async def readiness(settings: ProcessSettings, timeout_s: float = 3) -> int:
+    """Return the status of a process's readiness probe, 0 without an answer."""
+    request = f'GET {READY_PATH} HTTP/1.1\r\nHost: x\r\n\r\n'
+    try:
+        async with asyncio.timeout(timeout_s):
+            reader, writer = await asyncio.open_connection(
+                settings.ip, settings.ports[1]
+            )
+            writer.write(request.encode())
+            line = await reader.readline()
+            writer.close()
+    except (OSError, TimeoutError):
+        # The process has ended, is starting or does not run at present.
+        return 0
+    return int(line.split()[1]) if line else 0
+
+
 async def _wait_until_served(client: ClientStandIn) -> None:
     while True:
         try:
--- a/siskinbank/lab/rig/host.py
+++ b/siskinbank/lab/rig/host.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+import sys
+import time
 
 from siskinbank.platform.encoding import Packet, answer_bytes
 from siskinbank.platform.packets import ACK, BOUNCED, FIN, RST, SYN
@@ -24,6 +25,9 @@
         unknown_flow_packets: number of packets of unknown flows.
         corrupt: number of packets received with a wrong checksum.
         processing_s: processing time of a request in seconds.
+        free_slots: admits requests to processing, in order of arrival.
+        arrivals: time of the first arrival of each request, in seconds.
+        open_flows: source and target of the flows whose handshake has ended.
     """
 
     def __init__(
@@ -46,6 +50,10 @@
         self.unknown_flow_packets = 0
         self.corrupt = 0
         self.processing_s = _PROCESSING_S
+        self.free_slots = asyncio.Semaphore(sys.maxsize)
+        self.arrivals: dict[str, float] = {}
+        self.open_flows: set[tuple[tuple[str, int], tuple[str, int]]] = set()
+        self._requests: dict[tuple[str, int, str], asyncio.Task[None]] = {}
         self._output = output
         self._flows: dict[tuple[tuple[str, int], tuple[str, int]], int] = {}
         self._transport: asyncio.DatagramTransport | None = None
@@ -66,6 +74,10 @@
     def close(self) -> None:
         """Close the sockets and lose all flows, as a crash does."""
         self._flows.clear()
+        self.open_flows.clear()
+        for task in self._requests.values():
+            task.cancel()
+        self._requests.clear()
         self.close_listener()
         if self._transport:
             self._transport.close()
@@ -84,11 +96,14 @@
             self.corrupt += 1
             return
         key = (packet.source, packet.target)
+        # The client of a half-open flow may be connected to another host, which
+        # has accepted a copy of its first packet.
+        accepted = packet.acknowledged - 1
         if packet.flags & SYN:
             self._flows.setdefault(key, random.randrange(1 << 32))
             self.accepted.append(packet.source)
             self._reply(packet, SYN | ACK, self._flows[key])
-        elif key in self._flows:
+        elif key in self.open_flows or self._flows.get(key) == accepted:
             self._process(key, packet)
         else:
             self.unknown_flow_packets += 1
@@ -101,27 +116,30 @@
         key: tuple[tuple[str, int], tuple[str, int]],
         packet: Packet,
     ) -> None:
-        if packet.flags & RST:
-            self._flows.pop(key)
-            return
-        if packet.flags & FIN:
-            self._reply(packet, FIN | ACK, packet.acknowledged)
+        if packet.flags & (FIN | RST):
+            if packet.flags & FIN:
+                self._reply(packet, FIN | ACK, packet.acknowledged)
             self._flows.pop(key)
+            self.open_flows.discard(key)
             return
+        self.open_flows.add(key)
         if _REQUEST_ID_HEADER in packet.content:
             _, _, rest = packet.content.partition(_REQUEST_ID_HEADER)
             request_id = rest.partition(b'\r\n')[0].decode()
-            loop = asyncio.get_running_loop()
-            loop.call_later(self.processing_s, self._finish(packet, request_id))
-
-    def _finish(self, packet: Packet, request_id: str) -> Callable[[], None]:
-        def finish() -> None:
-            if request_id not in self.runs:
-                self.runs.append(request_id)
-            content = answer_bytes(request_id, self.name)
-            self._reply(packet, ACK, packet.acknowledged, content)
-
-        return finish
+            self.arrivals.setdefault(request_id, time.monotonic())
+            copied = (*packet.source, request_id)
+            if copied not in self._requests:
+                run = self._run(packet, request_id)
+                self._requests[copied] = asyncio.create_task(run)
+
+    async def _run(self, packet: Packet, request_id: str) -> None:
+        async with self.free_slots:
+            await asyncio.sleep(self.processing_s)
+        self._requests.pop((*packet.source, request_id))
+        if request_id not in self.runs:
+            self.runs.append(request_id)
+        content = answer_bytes(request_id, self.name)
+        self._reply(packet, ACK, packet.acknowledged, content)
 
     def _reply(
         self,
--- /dev/null
+++ b/siskinbank/lab/rig/overload_drill.py
@@ -0,0 +1,336 @@
+"""Demand above the capacity of a fleet, among faults of its processes."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import replace
+from pathlib import Path
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM, Signals
+from zlib import crc32
+
+from siskinbank.lab.rig.client import ClientFlow, ClientStandIn, FlowFailed
+from siskinbank.lab.rig.drill_checks import DrillChecks
+from siskinbank.lab.rig.drill_trace import DrillTrace
+from siskinbank.lab.rig.fleet import (
+    TARGET,
+    Program,
+    RelayFleet,
+    readiness,
+)
+from siskinbank.lab.rig.overload_checks import (
+    READY,
+    UNREADY,
+    Absence,
+    OverloadEvidence,
+    RequestReport,
+)
+from siskinbank.lab.rig.writers import StoreWriters
+from siskinbank.platform.encoding import RouteDocument
+
+__all__ = ('OverloadDrill', 'overload_fleet')
+
+_Fault = Callable[[random.Random], Coroutine[None, None, None]]
+
+# Two entries with twenty times the rate of the others, which leave rotation.
+_LINKS_MBPS = (100, 100, 5, 5)
+_BETTER = 2
+_SERVICES = ('matcher', 'matcher', 'matcher', 'catalogue')
+_SLOTS = (3, 3, 3, 10)
+_PROCESSING_S = 0.12
+_ROUTE = RouteDocument('matcher', TARGET, timeout_s=3, priority=1)
+_SPLIT = (('matcher', 9), ('catalogue', 1))
+_ROUTES = {
+    'low': replace(_ROUTE, priority=2),
+    'high': replace(_ROUTE, address=(TARGET[0], 444)),
+    'split': replace(_ROUTE, address=(TARGET[0], 445), backends=_SPLIT),
+}
+# Number of flows at a time and of requests on each: 72 low-priority requests for
+# the nine slots of the first service. Sidecars that have restarted learn a route
+# from new flows.
+_LOAD = {'low': (72, 8), 'high': (6, 40), 'split': (4, 1)}
+_PAUSE_S = 0.05
+_WARM_UP_S = 1.0
+# Ranges of durations, in seconds. Sidecars are paused for less than the 1.3 s
+# after which silence may cost a flow, and the better entries are away for longer
+# than the others need to return.
+_NEXT_FAULT_S = (0.1, 0.8)
+_ENTRY_PAUSE_S = (0.3, 2.0)
+_SIDECAR_PAUSE_S = (0.2, 0.9)
+_SIDECAR_AWAY_S = (0, 0.3)
+_SILENCE_S = (0.5, 2.5)
+_BETTER_AWAY_S = (5, 6)
+# After the better entries are gone, and when a host ends, packets must find
+# their way before the next fault.
+_REROUTING_S = 2.5
+_HOST_AWAY_S = 3.0
+_DRAIN_S = 1.0
+_MAX_START_S = 15.0
+_MAX_STOP_S = 7.0
+# Routers probe twice a second; an entry leaves after two failed probes.
+_PROBE_INTERVAL_S = 0.5
+_PROBE_TIMEOUT_S = 0.4
+_MAX_FAILURES = 2
+_MS = 1000
+
+
+def overload_fleet(folder: Path) -> RelayFleet:
+    """Return the fleet of an overload drill, to be opened."""
+    return RelayFleet(
+        folder,
+        entry_count=len(_LINKS_MBPS),
+        host_count=len(_SERVICES),
+        data_centres=('a',),
+        links_mbps=_LINKS_MBPS,
+        services=_SERVICES,
+        environment={'SISKINBANK_SPLIT_OVERFLOW': 'on'},
+    )
+
+
+class OverloadDrill:
+    """Faults and load of one fleet.
+
+    The seed determines faults, their order, durations and targets; the
+    scheduling of the processes stays free.
+
+    Attributes:
+        trace: what happened.
+        evidence: what was observed.
+    """
+
+    def __init__(self, fleet: RelayFleet, seed: int) -> None:
+        """Create a drill of a fleet that serves its clients."""
+        self.trace = DrillTrace()
+        self.evidence = OverloadEvidence(
+            {entry.settings.ip: entry.settings.name for entry in fleet.entries},
+            fleet.hosts[-1].name,
+        )
+        self._fleet = fleet
+        self._rng = random.Random(seed)
+        self._failures = dict.fromkeys(self.evidence.entries, 0)
+        self._request_count = 0
+
+    async def run(self) -> None:
+        """Run load and faults, and collect the evidence."""
+        for client in self._fleet.clients:
+            client.entry_for = self._entry_for
+        await self._fleet.publish(list(_ROUTES.values()))
+        for index, host in enumerate(self._fleet.hosts):
+            self.evidence.arrivals[host.name] = host.arrivals
+            host.free_slots = asyncio.Semaphore(_SLOTS[index])
+            host.processing_s = _PROCESSING_S
+            # A sidecar has not seen all flows of a host that is older.
+            born_ms = self._rng.choice((1, int(time.time() * _MS)))
+            await self._register(index, born_ms=born_ms)
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(self._probe_entries())]
+            async with asyncio.timeout(_MAX_START_S):
+                while self._count_unready() < _BETTER:
+                    await asyncio.sleep(_PAUSE_S)
+            self.trace.note('load')
+            self.evidence.loaded_at = time.monotonic()
+            for route in _ROUTES:
+                for _ in range(_LOAD[route][0]):
+                    tasks.append(group.create_task(self._send_requests(route)))
+            await asyncio.sleep(_WARM_UP_S)
+            await self._run_faults()
+            await asyncio.sleep(_WARM_UP_S)
+            for task in tasks:
+                task.cancel()
+        writers = StoreWriters(self._fleet, self.trace)
+        DrillChecks(self._fleet, writers, self.trace).check_logs()
+
+    # Router.
+
+    async def _probe_entries(self) -> None:
+        while True:
+            at = time.monotonic()
+            probes = [
+                readiness(entry.settings, _PROBE_TIMEOUT_S)
+                for entry in self._fleet.entries
+            ]
+            statuses = await asyncio.gather(*probes)
+            self.evidence.samples.append((at, statuses))
+            for ip, status in zip(self._failures, statuses, strict=True):
+                failures = self._failures[ip] + 1
+                self._failures[ip] = 0 if status == READY else failures
+            await asyncio.sleep(_PROBE_INTERVAL_S)
+
+    def _count_unready(self) -> int:
+        samples = self.evidence.samples
+        return samples[-1][1].count(UNREADY) if samples else 0
+
+    def _entry_for(self, port: int) -> str:
+        """Return the entry for a flow; few move when an entry leaves."""
+        ready = [
+            ip for ip in self._failures if self._failures[ip] < _MAX_FAILURES
+        ]
+        if len(ready) * 2 < len(self._failures):
+            ready = list(self._failures)
+        return max(ready, key=lambda ip: crc32(f'{ip}:{port}'.encode()))
+
+    # Load.
+
+    async def _send_requests(self, route: str) -> None:
+        """Send some requests on one flow after another."""
+        while True:
+            clients = self._fleet.clients
+            client = clients[self._request_count % len(clients)]
+            with suppress(FlowFailed):
+                flow = await client.connect(_ROUTES[route].address)
+                opened = time.monotonic()
+                report = RequestReport('', route, opened, opened)
+                for _ in range(_LOAD[route][1]):
+                    report = await self._send_request(client, flow, report)
+                    await asyncio.sleep(_PAUSE_S)
+                client.finish(flow)
+            await asyncio.sleep(_PAUSE_S)
+
+    async def _send_request(
+        self, client: ClientStandIn, flow: ClientFlow, last: RequestReport
+    ) -> RequestReport:
+        """Send the request after the last one of a flow.
+
+        Raises:
+            FlowFailed: the flow was reset, or no answer came.
+        """
+        self._request_count += 1
+        name = f'{last.route}-{self._request_count}'
+        sent = time.monotonic()
+        report = RequestReport(name, last.route, last.opened, sent)
+        report.host = last.host
+        report.flow_host = last.host
+        flow.copies = report.copies
+        try:
+            body = await client.send_request(flow, name)
+        except FlowFailed:
+            if flow.is_reset:
+                report.outcome = 'reset'
+            key = ((client.ip, flow.port), flow.target)
+            hosts = self._fleet.hosts
+            report.held = flow.is_reset and any(
+                key in host.open_flows for host in hosts
+            )
+            client.finish(flow)
+            raise
+        else:
+            answered, _, report.host = body.partition(' ')
+            report.outcome = 'whole' if answered == name else 'wrong'
+            return report
+        finally:
+            report.ended = time.monotonic()
+            self.evidence.requests.append(report)
+
+    # Faults.
+
+    async def _run_faults(self) -> None:
+        # Each busy host gets another fault, so that none hides another.
+        paused, restarted, ended = self._rng.sample(self._fleet.sidecars[:3], 3)
+        weak = self._fleet.entries[_BETTER:]
+        faults: list[tuple[_Fault, float]] = [
+            (self._remove_better_entries, _REROUTING_S),
+            (lambda rng: self._end_host(ended, rng), _REROUTING_S),
+            (self._disturb_one(weak, (SIGSTOP,), _ENTRY_PAUSE_S), 0),
+            (self._disturb_one([paused], (SIGSTOP,), _SIDECAR_PAUSE_S), 0),
+            (
+                self._disturb_one(
+                    [restarted], (SIGKILL, SIGTERM), _SIDECAR_AWAY_S
+                ),
+                0,
+            ),
+            (self._silence_store, 0),
+        ]
+        async with asyncio.TaskGroup() as group:
+            for fault, pause_s in self._rng.sample(faults, len(faults)):
+                # Faults overlap: each draws from numbers of its own.
+                group.create_task(fault(random.Random(self._rng.random())))
+                pause_s += self._rng.uniform(*_NEXT_FAULT_S)
+                await asyncio.sleep(pause_s)
+
+    async def _remove_better_entries(self, rng: random.Random) -> None:
+        ways = (SIGKILL, SIGTERM, SIGSTOP)
+        removals = [
+            self._disturb_one([entry], ways, _BETTER_AWAY_S)(rng)
+            for entry in self._fleet.entries[:_BETTER]
+        ]
+        await asyncio.gather(*removals)
+
+    async def _end_host(self, sidecar: Program, rng: random.Random) -> None:
+        """End a host and stop its sidecar; start both again later."""
+        index = self._fleet.sidecars.index(sidecar)
+        host = self._fleet.hosts[index]
+        draining, restarted = rng.choice((0, 1)), rng.choice((0, 1))
+        if draining:
+            await self._register(index, draining=True)
+            await asyncio.sleep(_DRAIN_S)
+        self.trace.note('end', draining=draining, restarted=restarted)
+        with self._absence(host.name), self._absence(sidecar.settings.name):
+            host.close()
+            back_at = time.monotonic() + _HOST_AWAY_S
+            if restarted:
+                await self._end(sidecar, SIGKILL)
+                await self._start(sidecar)
+            await self._end(sidecar, SIGTERM)
+            await asyncio.sleep(back_at - time.monotonic())
+            await host.open()
+            await self._register(index, born_ms=int(time.time() * _MS))
+            await self._start(sidecar)
+
+    async def _silence_store(self, rng: random.Random) -> None:
+        self.trace.note('store silent')
+        self._fleet.store.silent = True
+        await asyncio.sleep(rng.uniform(*_SILENCE_S))
+        self._fleet.store.silent = False
+
+    def _disturb_one(
+        self,
+        programs: list[Program],
+        ways: tuple[Signals, ...],
+        range_s: tuple[float, float],
+    ) -> _Fault:
+        """Return a fault that pauses, stops or kills a process for a time."""
+
+        def disturb(rng: random.Random) -> Coroutine[None, None, None]:
+            program, way = rng.choice(programs), rng.choice(ways)
+            return self._disturb(program, way, rng.uniform(*range_s))
+
+        return disturb
+
+    async def _disturb(
+        self, program: Program, way: Signals, away_s: float
+    ) -> None:
+        self.trace.note(way.name, name=program.settings.name)
+        with self._absence(program.settings.name):
+            if way == SIGSTOP:
+                program.signal(way)
+                await asyncio.sleep(away_s)
+                program.signal(SIGCONT)
+            else:
+                await self._end(program, way)
+                await asyncio.sleep(away_s)
+                await self._start(program)
+
+    async def _end(self, program: Program, way: Signals) -> None:
+        program.signal(way)
+        if program.process:
+            code = await asyncio.to_thread(program.process.wait, _MAX_STOP_S)
+            if code not in {0, -SIGKILL} or (code == 0) != (way == SIGTERM):
+                self.trace.violate(f'{program.settings.name} ended with {code}')
+
+    async def _start(self, program: Program) -> None:
+        program.start()
+        async with asyncio.timeout(_MAX_START_S):
+            while await readiness(program.settings) != READY:
+                await asyncio.sleep(_PAUSE_S)
+
+    async def _register(self, index: int, **changes: object) -> None:
+        await self._fleet.register(index, slots=_SLOTS[index], **changes)
+
+    @contextmanager
+    def _absence(self, name: str) -> Iterator[None]:
+        absence = Absence(name, time.monotonic())
+        self.evidence.absences.append(absence)
+        yield
+        absence.end = time.monotonic()
+        self.trace.note('back', name=name)
--- a/siskinbank/platform/encoding.py
+++ b/siskinbank/platform/encoding.py
@@ -124,12 +124,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteDocument:
-    """A route in the operator's configuration."""
+    """A route in the operator's configuration.
+
+    ``backends`` are services with weights, in place of ``service``.
+    """
 
     service: str
     address: tuple[str, int]
     timeout_s: float = 2
     idempotent: bool = True
+    priority: int = 0
+    backends: tuple[tuple[str, int], ...] = ()
 
 
 def encode_configuration(
@@ -138,7 +143,8 @@
     cold_per_s: float = 0,
 ) -> bytes:
     """Return the operator's configuration as JSON."""
-    services = sorted({route.service for route in routes})
+    backends = [one.backends or ((one.service, 1),) for one in routes]
+    services = sorted({service for one in backends for service, _ in one})
     return _json(
         {
             'Version': version,
@@ -280,14 +286,19 @@
 
 def _route(route: RouteDocument) -> dict[str, object]:
     ip, port = route.address
-    return {
+    document: dict[str, object] = {
         'Name': f'r-{port}',
         'Host': ip,
         'Prefix': f'/{port}/',
         'Kind': 'safe' if route.idempotent else 'unsafe',
         'TimeoutMs': int(route.timeout_s * _MS),
-        'Service': route.service,
+        'Priority': route.priority,
     }
+    rows = [{'Service': name, 'Weight': part} for name, part in route.backends]
+    backends = (
+        {'WeightedBackends': rows} if rows else {'Service': route.service}
+    )
+    return document | backends
 
 
 def _json(document: object) -> bytes:
--- a/tests/relay/test_end_to_end.py
+++ b/tests/relay/test_end_to_end.py
@@ -9,14 +9,13 @@
 from signal import SIGHUP, SIGTERM
 
 from siskinbank.lab.rig.client import ClientStandIn, FlowFailed
-from siskinbank.lab.rig.fleet import TARGET, RelayFleet
+from siskinbank.lab.rig.fleet import TARGET, RelayFleet, readiness
 from siskinbank.platform.encoding import (
     Packet,
     ProcessSettings,
     RouteDocument,
 )
 from siskinbank.platform.packets import ACK, BOUNCED, SYN
-from siskinbank.platform.settings import READY_PATH
 from siskinbank.platform.store import HOSTS_PREFIX
 
 # Limit of the platform from a change by operator or host to its effect, in
@@ -340,14 +339,4 @@
 
 async def _has_status(settings: ProcessSettings, status: int) -> bool:
     """Return whether the readiness probe of a process gets a status."""
-    try:
-        reader, writer = await asyncio.open_connection(
-            settings.ip, settings.ports[1]
-        )
-    except ConnectionRefusedError:
-        # The process is starting; the caller limits the time.
-        return False
-    writer.write(f'GET {READY_PATH} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
-    line = await reader.readline()
-    writer.close()
-    return line.split()[1] == str(status).encode()
+    return await readiness(settings) == status
