--- a/tests/relay/test_overload_drills.py
+++ b/tests/relay/test_overload_drills.py
@@ -66,7 +66,7 @@
     async def test_late_copy_is_refused(self) -> None:
         """The flow is open through another entry and must not be reset.
 
-        Seeds 3, 4, 16 and 22 of the drill: an entry that was paused reads a copy
+        Found by the drill: an entry that was paused reads a copy
         late, or refuses one that was queued while the client got through.
         """
         with tempfile.TemporaryDirectory() as folder:
