Copy only packets that come late enough to be retransmissions

Cause: packets of uploads arrive out of order, and each that was overtaken counted as sent again: 15,049 of 16,299 copies through a third data centre were of uploads, most within 0.15 s (found in the trace of the incident). Each crossed the entry's link once more.

Change: a packet counts as retransmitted 0.15 s after the highest one of its flow at the earliest; none is copied while the link is backlogged.

--- a/siskinbank/admission/link_budget.py
+++ b/siskinbank/admission/link_budget.py
@@ -197,8 +197,10 @@
     ) -> bool:
         """Update the backlog; return whether packets need no examination.
 
-        The rate of a link is for both directions together: what was received
-        has used a part of it.
+        What was received uses a part of the rate, as if both directions shared it:
+        packets from clients queue on their way to the entry, where it can't see
+        them. Uploads, which cross the link in both directions, are so kept to
+        half of its rate.
 
         Args:
             now: time in seconds, on a clock that runs on during suspension.
--- a/siskinbank/entry/flow_cache.py
+++ b/siskinbank/entry/flow_cache.py
@@ -15,6 +15,9 @@
 # A flow idle for longer than this is removed, in seconds: hosts discard flows
 # that are idle for 15 s.
 _IDLE_TIMEOUT_S = 20.0
+# A client retransmits a packet after 0.2 s; a packet that arrives out of order or
+# late comes sooner, in seconds.
+_MIN_RETRANSMISSION_S = 0.15
 
 
 class CachedFlow:
@@ -35,6 +38,7 @@
     """
 
     __slots__ = (
+        '_highest_at',
         '_highest_sequence',
         '_holders',
         'confirmed',
@@ -55,6 +59,7 @@
         self.last_seen = last_seen
         self.repeats = 0
         self._highest_sequence: int | None = None
+        self._highest_at = last_seen
         self.tried: tuple[str, ...] = (ip,)
         self._holders: dict[str, tuple[bool, int]] = {}
 
@@ -63,22 +68,28 @@
         """Whether several hosts hold the flow, open or half open."""
         return len(self._holders) > 1
 
-    def note_data(self, sequence: int) -> bool:
+    def note_data(self, sequence: int, now: float) -> bool:
         """Record a packet with data; return whether its client sent it before.
 
+        Packets of an upload may arrive out of order; one that is not above the
+        highest so far counts as sent before only if that one came long enough ago
+        for a retransmission.
+
         Args:
-            sequence: its sequence number. One that is not above the highest so
-                far counts as sent before, also if packets were reordered.
+            sequence: its sequence number.
+            now: time in seconds.
         """
         highest = self._highest_sequence
-        if highest is not None:
-            ahead = (sequence - highest) % _SEQUENCE_NUMBERS
-            if not ahead or ahead > _SEQUENCE_NUMBERS // 2:
-                self.repeats += 1
-                return True
-        self._highest_sequence = sequence
-        self.repeats = 0
-        return False
+        ahead = (sequence - (highest or 0)) % _SEQUENCE_NUMBERS
+        if highest is None or 0 < ahead <= _SEQUENCE_NUMBERS // 2:
+            self._highest_sequence = sequence
+            self._highest_at = now
+            self.repeats = 0
+            return False
+        if now - self._highest_at < _MIN_RETRANSMISSION_S:
+            return False
+        self.repeats += 1
+        return True
 
     def add_tried(self, ip: str) -> None:
         """Record that the first packet is sent to another host."""
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -190,9 +190,11 @@
             self._suspect_flows.add(key, flow.ip, packet)
         wrap = messages.pack_forward if flow.confirmed else messages.pack_search
         self._node.send(flow.ip, wrap(packet))
-        has_data = flow.confirmed and len(packet) > HEADER_BYTES
-        if has_data and flow.note_data(sequence_numbers(packet)[0]):
-            self._detours.send_copy(key, flow, packet)
+        if flow.confirmed and len(packet) > HEADER_BYTES:
+            repeated = flow.note_data(sequence_numbers(packet)[0], now)
+            # What a backlogged link has dropped is not sent twice over it.
+            if repeated and not self._shedding.is_backlogged:
+                self._detours.send_copy(key, flow, packet)
 
     def _reset_lost_flow(self, packet: bytes, ip: str, gone: str) -> None:
         evidence = self._monitor.describe(ip)
--- a/siskinbank/relay/link_shedding.py
+++ b/siskinbank/relay/link_shedding.py
@@ -82,6 +82,11 @@
         """Backlog of the link at the last packet, in milliseconds."""
         return int(self._budget.backlog_s * _MS)
 
+    @property
+    def is_backlogged(self) -> bool:
+        """Whether packets are examined, as the backlog is not short."""
+        return self._sent.link_bytes >= self._budget.short_until
+
     def decide(self, packet: bytes) -> int:
         """Return FORWARD, DROP or REJECT for a valid packet of a client."""
         self._client_bytes += len(packet) + FRAMING_BYTES
