Hold the tasks of the tunnel test's near side

test_half_close failed once with ConnectionResetError at the caller. The near side's task was started by asyncio.start_server, which stores it only in the protocol of its connection. Once the caller's FIN has been read, the event loop no longer watches that connection, so that task, connection and tunnel refer only to each other. A garbage collection in that state destroys the pending task and closes the socket, whose linger time of 0 makes the close a reset.

The whole suite in one process triggers collections at arbitrary points, the function alone hardly ever.

Ruled out for the product: ingress/tcp.py and sidecar/streams.py start the pump through ProcessContext.start_task, which holds its tasks in a set.

--- a/tests/peers/test_connect.py
+++ b/tests/peers/test_connect.py
@@ -1,6 +1,7 @@
 """Tests of TLS streams with mutual authentication."""
 
 import asyncio
+import gc
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -99,7 +100,11 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        writer.write(b'got ' + await reader.read())
+        request = await reader.read()
+        # The near side has read the caller's FIN. A collection at this point
+        # ends the near side if only its own connection refers to its task.
+        gc.collect()
+        writer.write(b'got ' + request)
         writer.close()
 
     async def serve_near_end(
@@ -108,6 +113,12 @@
     ) -> None:
         await pump_both(reader, writer, await streams.connect(far_address))
 
+    def accept_caller(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        tasks.add(asyncio.ensure_future(serve_near_end(reader, writer)))
+
     server = await asyncio.start_server(upstream, '127.0.0.1', 0)
     upstream_address = server.sockets[0].getsockname()
     listener = await streams.listen(
@@ -115,7 +126,7 @@
         lambda stream: tasks.add(asyncio.ensure_future(serve_far_end(stream))),
     )
     far_address = listener.sockets[0].getsockname()
-    front = await asyncio.start_server(serve_near_end, '127.0.0.1', 0)
+    front = await asyncio.start_server(accept_caller, '127.0.0.1', 0)
     try:
         reader, writer = await asyncio.open_connection(
             *front.sockets[0].getsockname(),
