Use a withdrawn key for nothing new on open streams

Callers saw nothing; operators had to restart all entries to put a lost key out of use, as streams that were open went on accepting requests and connections. Cause: keys are checked in the TLS handshake only.

A stream now knows the keys that it was opened with. When one is withdrawn, the sidecar announces which requests it still runs (GOAWAY), runs no further ones and closes the link; the entry sends further requests on a new link, and already does so when its own first key changes, so that a rotation refuses nothing. A stream without a request or connection yet is refused. An open connection of a caller stays, as nobody but its host may reset it; new event E243 counts the streams concerned. The request rig can run with TLS.

--- a/siskinbank/entry/links.py
+++ b/siskinbank/entry/links.py
@@ -171,8 +171,7 @@
         self.last_used = self._clock()
         if not finished:
             self.post(Cancel(number))
-        if self.leaving and not self._exchanges:
-            self.end()
+        self._end_if_idle()
 
     def post(self, sent: Message) -> None:
         """Send one short message if the link is still open."""
@@ -208,6 +207,12 @@
         self.lost = True
         self._stream.writer.close()
 
+    def check_keys(self) -> None:
+        """Open no more requests if the keys of the stream are out of use."""
+        if self._stream.withdrawn or self._stream.superseded:
+            self.leaving = True
+            self._end_if_idle()
+
     async def run(self) -> None:
         """Dispatch received messages to exchanges until the stream ends."""
         try:
@@ -246,7 +251,10 @@
         for number, exchange in list(self._exchanges.items()):
             if number > go_away.last:
                 exchange.handle(Refused(number, Refusal.draining.value, 1))
-        if not self._exchanges:
+        self._end_if_idle()
+
+    def _end_if_idle(self) -> None:
+        if self.leaving and not self._exchanges:
             self.end()
 
 
@@ -262,6 +270,7 @@
         self._backoffs: dict[Address, Backoff] = {}
         self._retry_at: dict[Address, float] = {}
         process.timers.every(_IDLE_TIMEOUT_SECONDS, self._close_idle)
+        streams.subscribe(self._check_keys)
 
     async def get(self, address: Address) -> RequestLink:
         """Return the link to a sidecar; connect if there is none.
@@ -307,6 +316,9 @@
         if not isinstance(opened, LinkOpened):
             stream.writer.close()
             raise MessageError('the sidecar did not open a request link')
+        if stream.withdrawn:
+            stream.writer.close()
+            raise MessageError('the key of the link was withdrawn')
         timers = self._process.timers
         return RequestLink(
             stream,
@@ -315,6 +327,10 @@
             self._process.metrics.count,
         )
 
+    def _check_keys(self) -> None:
+        for link in self._links.values():
+            link.check_keys()
+
     def _close_idle(self) -> None:
         now = self._process.timers.now
         for address, link in list(self._links.items()):
--- a/siskinbank/ingress/tcp.py
+++ b/siskinbank/ingress/tcp.py
@@ -130,6 +130,7 @@
         try:
             await stream.send(OpenTunnel(service.ident, caller))
             opened = isinstance(await stream.receive(), TunnelOpened)
+            opened = opened and not stream.withdrawn
         except BaseException:
             stream.writer.close()
             raise
--- a/siskinbank/kernel/events.py
+++ b/siskinbank/kernel/events.py
@@ -33,6 +33,7 @@
     meaning: str
 
 
+_INFO = 'INFO'
 _WARNING = 'WARNING'
 
 _defined: dict[int, Event] = {}
@@ -45,15 +46,15 @@
     return event
 
 
-STARTED = _define(100, 'INFO', 'started', 'The process is serving.')
+STARTED = _define(100, _INFO, 'started', 'The process is serving.')
 STOPPING = _define(
     101,
-    'INFO',
+    _INFO,
     'stopping',
     'A planned stop began: new work is refused, open work is finished.',
 )
 STOPPED = _define(
-    102, 'INFO', 'stopped', 'The process exits; no open work was interrupted.'
+    102, _INFO, 'stopped', 'The process exits; no open work was interrupted.'
 )
 STOPPED_IMMEDIATELY = _define(
     103,
@@ -63,7 +64,7 @@
 )
 CONFIGURATION_ADOPTED = _define(
     200,
-    'INFO',
+    _INFO,
     'configuration in force',
     'The process now uses this generation.',
 )
@@ -95,7 +96,7 @@
 )
 READING_PLATFORM = _define(
     211,
-    'INFO',
+    _INFO,
     'reading the platform',
     'The process reads the platform for its data centre, because of its rank.',
 )
@@ -113,7 +114,7 @@
 )
 ISOLATION_ENDED = _define(
     222,
-    'INFO',
+    _INFO,
     'peers answer again',
     'The process has current information about the fleet again.',
 )
@@ -127,7 +128,7 @@
 )
 KEYS_RELOADED = _define(
     241,
-    'INFO',
+    _INFO,
     'keys reloaded',
     'The key file has changed; the fields list the keys that are now valid.',
 )
@@ -137,6 +138,14 @@
     'keys cannot be read',
     'The key file is missing or malformed; the previous keys stay valid.',
 )
+STREAMS_WITHDRAWN = _define(
+    243,
+    _INFO,
+    'a key of open streams was withdrawn',
+    'Open streams have a key that is no longer valid. They get no new request '
+    'or connection; requests in progress are finished, and connections of '
+    'callers last until their ends close them.',
+)
 HOST_UNREACHABLE = _define(
     300,
     _WARNING,
@@ -159,7 +168,7 @@
 )
 UPSTREAM_RECOVERED = _define(
     402,
-    'INFO',
+    _INFO,
     'upstream answers again',
     'The upstream is treated as cold; it gets more work as it warms up.',
 )
--- a/siskinbank/lab/request_rig.py
+++ b/siskinbank/lab/request_rig.py
@@ -7,7 +7,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -27,6 +27,7 @@
 from siskinbank.lab.plain_streams import PlainStreams
 from siskinbank.lab.ports import free_ports
 from siskinbank.lab.request_upstream import RequestUpstream
+from siskinbank.peers.connect import PeerStreams
 from siskinbank.peers.datagrams import PeerSocket
 from siskinbank.settings import EntrySettings, SidecarSettings
 from siskinbank.sidecar.context import SidecarContext
@@ -46,6 +47,12 @@
 _MAX_RIGS = 60_000
 _rig_numbers = itertools.count()
 
+StreamsOfProcess = Callable[[ProcessContext], PeerStreams]
+
+
+def _open_plain_streams(process: ProcessContext) -> PeerStreams:
+    return PlainStreams(process, _KEY_RING)
+
 
 @dataclass(slots=True)
 class RigEntry:
@@ -104,6 +111,8 @@
         slots: requests that each upstream runs at the same time.
         clock_offset: seconds by which the clock of entries and sidecars is
             ahead of the event loop's.
+        streams: creates the streams of an entry or a sidecar. The links
+            forward unencrypted streams only.
         port: port of the ``http`` ingress at all entries.
         number: number of the rig, part of its loopback addresses.
         generation: generation of the latest configuration.
@@ -114,6 +123,7 @@
     rng: random.Random
     slots: int = 3
     clock_offset: float = 0
+    streams: StreamsOfProcess = _open_plain_streams
     port: int = 0
     number: int = 0
     generation: int = 0
@@ -233,7 +243,7 @@
             '',
             _KEY_RING,
             None,
-            None,
+            host.upstream_address,
             'http://{0}:{1}'.format(*host.upstream_address),
         )
         peers = PeerSocket(_KEY_RING, process.metrics)
@@ -242,7 +252,7 @@
             settings,
             view,
             peers,
-            PlainStreams(process, _KEY_RING),
+            self.streams(process),
         )
         await start_streams(context, RequestServer(context))
         view.adopt(self.site())
@@ -321,7 +331,7 @@
             view,
             Router(view),
             PeerSocket(_KEY_RING, process.metrics),
-            RequestLinks(process, PlainStreams(process, _KEY_RING)),
+            RequestLinks(process, self.streams(process)),
             PrimaryHosts(view),
         )
         handle = await start_http(context, '0.0.0.0', self.port)
--- a/siskinbank/sidecar/requests.py
+++ b/siskinbank/sidecar/requests.py
@@ -81,6 +81,8 @@
         self.stream = stream
         self.running: dict[int, _RunningRequest] = {}
         self.highest_number = 0
+        #: Whether no more requests are accepted, as the key was withdrawn.
+        self.retired = False
         self.ended = asyncio.Event()
 
     def post(self, sent: Message) -> None:
@@ -113,6 +115,7 @@
         }
         context.process.open_work['requests'] = lambda: len(self._tasks)
         context.process.on_close(self._close)
+        context.streams.subscribe(self._retire_links)
 
     async def serve(self, stream: MessageStream) -> None:
         """Serve one stream until its end, then cancel its open requests."""
@@ -153,6 +156,14 @@
         if waits:
             await asyncio.wait(waits, timeout=_LINGER_SECONDS)
 
+    def _retire_links(self) -> None:
+        """Accept no more requests on links whose key was withdrawn."""
+        for link in self._links:
+            if link.stream.withdrawn and not link.retired:
+                link.retired = True
+                link.post(GoAway(link.highest_number))
+                self._context.process.start_task(_close_when_finished(link))
+
     async def _close(self) -> None:
         tasks = list(self._tasks)
         for task in tasks:
@@ -212,7 +223,10 @@
         task.add_done_callback(lambda done: self._finish(request, done))
 
     def _use_number(self, number: int, link: _ServedLink) -> bool:
-        """Mark a number as used; return False if it was used before."""
+        """Mark a number as used; return False if the message is dropped."""
+        if link.retired:
+            self._context.streams.note_refusal('the key was withdrawn')
+            return False
         if number <= link.highest_number:
             self._metrics.count(Drop.reused_number)
             return False
@@ -398,3 +412,18 @@
     request.body.fail(BodyTruncatedError('cancelled'))
     if request.task is not None:
         request.task.cancel()
+
+
+async def _close_when_finished(link: _ServedLink) -> None:
+    """Finish the running requests of a link, then close it.
+
+    The peer may close it first, within ``_LINGER_SECONDS``, when it has read
+    that the link is going away; it then knows which requests did not run.
+    """
+    tasks = [served.task for served in link.running.values() if served.task]
+    if tasks:
+        await asyncio.wait(tasks)
+    ended = asyncio.create_task(link.ended.wait())
+    await asyncio.wait((ended,), timeout=_LINGER_SECONDS)
+    ended.cancel()
+    link.stream.writer.close()
--- a/siskinbank/sidecar/streams.py
+++ b/siskinbank/sidecar/streams.py
@@ -60,7 +60,9 @@
 ) -> None:
     hello = await _receive_hello(context, stream)
     try:
-        if isinstance(hello, OpenRequests):
+        if stream.withdrawn:
+            context.streams.note_refusal('the key was withdrawn')
+        elif isinstance(hello, OpenRequests):
             await requests.serve(stream)
         elif isinstance(hello, OpenTunnel):
             await _track(tunnels, _serve_tunnel(context, stream, hello))
--- a/siskinbank/wire/keys.py
+++ b/siskinbank/wire/keys.py
@@ -5,7 +5,7 @@
 
 import hashlib
 import hmac
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 __all__ = (
@@ -99,6 +99,7 @@
             ValueError: no key, more than two, or two with the same number.
         """
         self.source: str | None = None
+        self._subscribers: list[Callable[[], None]] = []
         self.replace(keys)
 
     @property
@@ -124,6 +125,12 @@
             for key in keys
         }
         self._sealing_mac = self._macs[keys[0].ident]
+        for notify in self._subscribers:
+            notify()
+
+    def subscribe(self, notify: Callable[[], None]) -> None:
+        """Call ``notify`` after each replacement of the keys."""
+        self._subscribers.append(notify)
 
     def seal(self, body: bytes) -> bytes:
         """Return the body with the key number and MAC in front of it."""
--- a/siskinbank/wire/streams.py
+++ b/siskinbank/wire/streams.py
@@ -15,6 +15,7 @@
     decode,
     encode,
 )
+from siskinbank.wire.stream_keys import StreamKeys
 
 __all__ = ('MessageStream',)
 
@@ -29,14 +30,32 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        keys: StreamKeys | None = None,
     ) -> None:
-        """Initialize the stream on an open connection."""
+        """Initialize the stream on an open connection.
+
+        Args:
+            reader: the bytes that the other process sends.
+            writer: the other direction.
+            keys: the keys of the connection; None without authentication.
+        """
         self.reader = reader
         self.writer = writer
         self.dropped = 0
+        self._keys = keys
         self._next_sent = 0
         self._next_received = 0
 
+    @property
+    def withdrawn(self) -> bool:
+        """Whether a key of the stream is no longer valid."""
+        return self._keys is not None and self._keys.withdrawn
+
+    @property
+    def superseded(self) -> bool:
+        """Whether this process would open the stream with another key now."""
+        return self._keys is not None and self._keys.superseded
+
     def post(self, sent: Message) -> None:
         """Write one message without waiting; for short and rare messages."""
         raw = encode(sent)
--- a/siskinbank/wire/tls.py
+++ b/siskinbank/wire/tls.py
@@ -95,6 +95,14 @@
         assert self._server is not None
         return self._server
 
+    def key_of(self, certificate: bytes | None) -> Key | None:
+        """Return the valid key of a certificate in DER, or None."""
+        for key in self._keys.keys:
+            own = ssl.PEM_cert_to_DER_cert(certificate_of(key)[0].decode())
+            if own == certificate:
+                return key
+        return None
+
     def _refresh(self) -> None:
         if self._context_keys == self._keys.keys:
             return
