Open key files without blocking

A key file that is a FIFO without a writer, or with a writer that sends nothing, blocked the whole process, at its start and every two seconds after: callers saw all its connections stand still. Cause: the file was opened and read in blocking mode. It is now opened with O_NONBLOCK and refused if it is not a regular file; the keys in force stay, as with a malformed file, and E242 says so. Devices are refused for the same reason. No documented use reads keys from a pipe.

--- a/siskinbank/wire/keyfile.py
+++ b/siskinbank/wire/keyfile.py
@@ -5,7 +5,9 @@
 ``@/path``. The file is never written.
 """
 
-from pathlib import Path
+import os
+import stat
+from typing import TextIO
 
 from siskinbank.kernel import events
 from siskinbank.kernel.process import ProcessContext
@@ -17,6 +19,8 @@
 _FILE_PREFIX = '@'
 _READ_INTERVAL_SECONDS = 2
 _JITTER_SHARE = 0.2
+#: A FIFO without a writer would block the open, and with it the process.
+_OPEN_FLAGS = os.O_RDONLY | os.O_CLOEXEC | os.O_NONBLOCK | os.O_NOCTTY
 
 
 def load_keys(text: str) -> KeyRing:
@@ -69,7 +73,7 @@
 
 def _read_file(source: str) -> str:
     try:
-        with Path(source).open(encoding='ascii') as opened:
+        with _open_file(source) as opened:
             text = opened.read(MAX_FILE_BYTES + 1)
     except (OSError, UnicodeError) as error:
         cause = getattr(error, 'strerror', None) or 'not ASCII'
@@ -77,3 +81,17 @@
     if len(text) > MAX_FILE_BYTES:
         raise ValueError(f'{source}: more than {MAX_FILE_BYTES} bytes')
     return text.strip()
+
+
+def _open_file(source: str) -> TextIO:
+    """Open a regular file without blocking.
+
+    Raises:
+        OSError: the file cannot be opened.
+        ValueError: it is not a regular file, so that reading it could block.
+    """
+    descriptor = os.open(source, _OPEN_FLAGS)
+    if stat.S_ISREG(os.fstat(descriptor).st_mode):
+        return os.fdopen(descriptor, encoding='ascii')
+    os.close(descriptor)
+    raise ValueError(f'{source}: not a regular file')
--- a/tests/wire/test_keyfile.py
+++ b/tests/wire/test_keyfile.py
@@ -1,8 +1,11 @@
 """Tests of key rotation by a file while a process runs."""
 
+import os
 import random
 import tempfile
+import threading
 import unittest
+from collections.abc import Callable
 from pathlib import Path
 
 from siskinbank.kernel.clock import FakeClock
@@ -13,6 +16,7 @@
 
 OLD = Key(1, bytes(range(32)))
 NEW = Key(2, bytes(range(100, 132)))
+_READ_SECONDS = 5
 BAD = ('', 'x', f'{OLD.text},{OLD.text}', 'é', '1' * (MAX_FILE_BYTES + 1))
 
 
@@ -52,10 +56,49 @@
         with self.assertRaises(ValueError):
             load_keys(f'@{self.path}')
 
+    def test_file_is_a_fifo(self) -> None:
+        """A FIFO without a writer blocks neither the start nor a reload."""
+        self.path.unlink()
+        os.mkfifo(self.path)
+        self._check_not_blocking(self._wait)
+        self.assertEqual(self.ring.keys, (OLD,))
+        refused: list[ValueError] = []
+
+        def load() -> None:
+            try:
+                load_keys(f'@{self.path}')
+            except ValueError as error:
+                refused.append(error)
+
+        self._check_not_blocking(load)
+        self.assertEqual(
+            [str(error) for error in refused],
+            [f'{self.path}: not a regular file'],
+        )
+
+    def test_silent_writer_of_a_fifo(self) -> None:
+        """A FIFO whose writer sends nothing does not block either."""
+        self.path.unlink()
+        os.mkfifo(self.path)
+        writer = os.open(self.path, os.O_RDWR)
+        self.addCleanup(os.close, writer)
+        self._check_not_blocking(self._wait)
+        self.assertEqual(self.ring.keys, (OLD,))
+
     def test_repr_hides_secret(self) -> None:
         """The representation of a key does not contain its secret."""
         self.assertNotIn(OLD.secret.hex(), repr(self.ring.keys))
 
+    def _check_not_blocking(self, read: Callable[[], None]) -> None:
+        reading = threading.Thread(target=read)
+        reading.start()
+        reading.join(_READ_SECONDS)
+        blocked = reading.is_alive()
+        if blocked:
+            # Ends the blocked read of the FIFO.
+            os.close(os.open(self.path, os.O_WRONLY | os.O_NONBLOCK))
+        self.assertFalse(blocked)
+
     def _wait(self) -> None:
         self.clock.now += 5
         self.process.timers.run_due()
