Follow the platform after an unexpected error

An exception other than PlatformError in a read of the configuration or of the live list ended the task that follows the platform: one error line, and the process kept its configuration until it was restarted, while readiness and requests went on as before. Before this only PlatformError was caught; known causes (a section that nests too deeply) were turned into it one by one.

Each read now logs any exception (E900) and is repeated after the pause that follows other failures, 0.1 to 10 s growing, so the log is bounded. The two reads no longer end each other, and one that fails at the start no longer prevents the process from joining.

--- a/siskinbank/directory/follower.py
+++ b/siskinbank/directory/follower.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 
 from siskinbank.config.sections import Manifest
 from siskinbank.directory.backoff import Backoff
@@ -52,6 +53,7 @@
         self._bootstrapping = False
         self._omissions_held = False
         self._platform_unreachable = False
+        self._last_generation = 0
 
     async def run(self) -> None:
         """Join the fleet, then follow the platform until cancelled."""
@@ -72,7 +74,7 @@
         )
         await asyncio.sleep(start_delay)
         while not len(self._gossip.roster) and not self._has_configuration():
-            if await self._read_list():
+            if await self._attempt(self._read_list):
                 break
             await asyncio.sleep(backoff.next())
         while not self._gossip.joined:
@@ -116,24 +118,39 @@
             if interval is not None and self._interval() is not None:
                 return interval
 
+    async def _attempt(self, read: Callable[[], Awaitable[None]]) -> bool:
+        """Read once; return whether that succeeded.
+
+        Any error is logged, as one that ends the task would leave the process
+        with its configuration until it is restarted.
+        """
+        try:
+            await read()
+        except PlatformError as error:
+            self._note_failure(error)
+            return False
+        except Exception as error:
+            self._log.write_failure(error)
+            return False
+        return True
+
     async def _follow_configuration(self) -> None:
         backoff = Backoff(self._rng)
-        last_generation = 0
         while True:
-            await self._wait_for_turn()
-            try:
-                if self._reading:
-                    manifest = await self._client.watch(last_generation)
-                else:
-                    manifest = await self._client.manifest()
-                await self._fetch_document(manifest)
-            except PlatformError as error:
-                self._note_failure(error)
+            if await self._attempt(self._read_configuration):
+                backoff.reset()
+            else:
                 await asyncio.sleep(backoff.next())
-                continue
-            self._note_success()
-            last_generation = manifest.generation
-            backoff.reset()
+
+    async def _read_configuration(self) -> None:
+        await self._wait_for_turn()
+        if self._reading:
+            manifest = await self._client.watch(self._last_generation)
+        else:
+            manifest = await self._client.manifest()
+        await self._fetch_document(manifest)
+        self._note_success()
+        self._last_generation = manifest.generation
 
     async def _fetch_document(self, manifest: Manifest) -> None:
         store = self._gossip.store
@@ -150,8 +167,7 @@
     async def _follow_instances(self) -> None:
         backoff = Backoff(self._rng)
         while True:
-            await self._wait_for_turn()
-            if await self._read_list():
+            if await self._attempt(self._read_list_in_turn):
                 backoff.reset()
                 transfer_seconds = (
                     self._client.list_transfer_bytes / _LIST_BYTES_PER_SECOND
@@ -164,12 +180,12 @@
             else:
                 await asyncio.sleep(backoff.next())
 
-    async def _read_list(self) -> bool:
-        try:
-            instances = await self._client.instances()
-        except PlatformError as error:
-            self._note_failure(error)
-            return False
+    async def _read_list_in_turn(self) -> None:
+        await self._wait_for_turn()
+        await self._read_list()
+
+    async def _read_list(self) -> None:
+        instances = await self._client.instances()
         self._note_success()
         newer = self._list_reader.read(instances, self._gossip.roster)
         if self._list_reader.held:
@@ -178,7 +194,6 @@
                 self._log.write(events.OMISSIONS_HELD, listed=len(instances))
         self._omissions_held = self._list_reader.held
         self._gossip.take_records(newer)
-        return True
 
     def _note_success(self) -> None:
         self._platform_unreachable = False
