Reset TCP connections that no host takes

A caller of a tcp ingress whose connection was refused by all hosts, or whose service has none, saw the regular end of an empty answer and could take it for one. Cause: the ingress closed such connections without SO_LINGER; only the pump set it, which starts after a host has accepted. Now the linger time is 0 from the start. The end of an entry that waits for a host resets as well.

Ruled out: an answer of a host that is really empty still ends regularly (test_empty_answer, passes before and after).

Before: 5 of 6 tests of tests.ingress.test_tcp fail ('ConnectionResetError not raised'). After: 6 of 6 pass, and those of tests.lab.test_stops, tests.lab.test_first_service and tests.peers.

--- a/siskinbank/ingress/tcp.py
+++ b/siskinbank/ingress/tcp.py
@@ -11,6 +11,7 @@
     ingresses,
 )
 from siskinbank.kernel.reasons import Refusal, Retry
+from siskinbank.peers.linger import close_with_reset
 from siskinbank.peers.pump import pump_both
 from siskinbank.util import digest64
 from siskinbank.wire.messages import MessageError
@@ -66,6 +67,9 @@
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> None:
+    # Closed without a reset, a connection that no host took would look like an
+    # empty answer. The pump ends it regularly when it is complete.
+    close_with_reset(writer.transport)
     try:
         service = find_service(context, 'tcp', port)
         if service is None:
