Wait for unsent answers when the HTTP ingress stops

A slow caller whose answer was complete, but still in the entry's write buffer (up to 64 KB), lost the end of it when the entry was stopped. Cause: the stop waited for the requests in progress; aiohttp then closes the connections, which sends the rest in the background, and the process ended first.

Not changed: an entry that is killed while such an answer waits for a caller with HTTP/1.0 and without a length closes that connection regularly.

--- a/siskinbank/ingress/http.py
+++ b/siskinbank/ingress/http.py
@@ -1,6 +1,7 @@
 """Ingress for HTTP requests to the entry's own address."""
 
 import asyncio
+import weakref
 
 from aiohttp import web
 
@@ -29,6 +30,8 @@
 #: How long requests on open connections are accepted after the listener was
 #: closed.
 _LINGER_SECONDS = 1.0
+#: How often a stop looks whether the callers have taken their answers.
+_FLUSH_POLL_SECONDS = 0.05
 _RETRY_AFTER_SECONDS = 1.0
 _NEW_TICKET = 'new'
 
@@ -42,12 +45,23 @@
         self._attempts = Attempts(context)
         self.open_calls: set[asyncio.Task[None]] = set()
         self.closing = False
+        self._transports: weakref.WeakSet[asyncio.Transport] = weakref.WeakSet()
+
+    @property
+    def unsent(self) -> int:
+        """The number of connections with bytes in their write buffer."""
+        return sum(
+            transport.get_write_buffer_size() > 0
+            for transport in self._transports
+        )
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         task = asyncio.current_task()
         assert task is not None
         self.open_calls.add(task)
+        if request.transport is not None:
+            self._transports.add(request.transport)
         try:
             return await self._serve(request)
         finally:
@@ -125,6 +139,7 @@
     await site.start()
     open_work = context.process.open_work
     open_work[f'requests on port {port}'] = lambda: len(ingress.open_calls)
+    open_work[f'unsent answers on port {port}'] = lambda: ingress.unsent
 
     async def drain() -> None:
         """Finish requests on open connections, then close these."""
@@ -135,6 +150,9 @@
         while ingress.open_calls:
             await asyncio.wait(ingress.open_calls)
         await runner.cleanup()
+        # The end of the process discards what its sockets have not taken.
+        while ingress.unsent:
+            await asyncio.sleep(_FLUSH_POLL_SECONDS)
 
     return IngressHandle(drain)
 
