Check every answer of the fuzz test instead of half within a second

test_answers required that more than 200 of 400 requests are answered within a second each, so it failed on a busy machine (62 and 64 of 400 under a load of 25) although every request was answered later. The upstream closes each connection, so all requests must be answered: the test now requires 400 of 400, and that no request was given up at its deadline of 30 s, by the counters of the entry and the sidecar. The bound of a second is replaced by 60 s, which only ends a run that hangs. The check for unexpected errors is unchanged.

--- a/tests/ingress/test_fuzzing.py
+++ b/tests/ingress/test_fuzzing.py
@@ -7,6 +7,7 @@
 import logbook
 
 from siskinbank.kernel.events import HANDLER_FAILED
+from siskinbank.kernel.reasons import Doubt
 from siskinbank.lab.request_rig import RequestRig
 from tests.raw_http import read_request, serving
 from tests.request_case import RequestCase, running_rig
@@ -15,6 +16,9 @@
 _INPUTS = 400
 #: Requests without an end are not answered.
 _ANSWER_SECONDS = 1.0
+#: Ends a run in which a request hangs. The deadline of a request is 30 s, and an
+#: answer takes less than 0.5 s on an idle machine.
+_HANG_SECONDS = 60.0
 _STATUS_BYTES = 20
 _PARALLEL = 50
 _REPLACED_BYTES = (0, 1, 1, 4, 20)
@@ -70,13 +74,15 @@
     return raw[:start] + rng.choice(inserted) + tail
 
 
-async def ask(rig: RequestRig, raw: bytes) -> bytes:
+async def ask(
+    rig: RequestRig, raw: bytes, seconds: float = _ANSWER_SECONDS
+) -> bytes:
     """Send bytes; return the start of the answer, if there is one."""
     address = rig.entries[0].address
     reader, writer = await asyncio.open_connection(address, rig.port)
     writer.write(raw)
     try:
-        async with asyncio.timeout(_ANSWER_SECONDS):
+        async with asyncio.timeout(seconds):
             return await reader.read(_STATUS_BYTES)
     except (ConnectionResetError, TimeoutError):
         return b''
@@ -84,6 +90,15 @@
         writer.close()
 
 
+def count_expired(rig: RequestRig) -> int:
+    """Return how many requests were given up at their deadline."""
+    processes = [entry.process for entry in rig.entries]
+    processes.extend(
+        host.process for host in rig.hosts.values() if host.process
+    )
+    return sum(process.metrics.value(Doubt.expired) for process in processes)
+
+
 class TestFuzzing(RequestCase):
     """Malformed bytes affect only their own request."""
 
@@ -118,7 +133,11 @@
         self.check_log()
 
     async def test_answers(self) -> None:
-        """A malformed answer fails its own request."""
+        """A malformed answer fails its own request.
+
+        The upstream closes each connection, so every request is answered, and
+        none has to wait for its deadline.
+        """
         inputs = make_inputs(_ANSWERS)
 
         async def serve(
@@ -135,16 +154,25 @@
         with self.log:
             async with running_rig(entries=1, hosts=1, slots=_PARALLEL) as rig:
                 async with serving(rig.hosts['matcher-1'], serve):
-                    answered = await self.ask_all(rig, asked)
-        self.assertGreater(answered, _INPUTS / 2)
+                    answered = await self.ask_all(rig, asked, _HANG_SECONDS)
+                    expired = count_expired(rig)
+        self.assertEqual(answered, _INPUTS)
+        self.assertEqual(expired, 0)
         self.check_log()
 
-    async def ask_all(self, rig: RequestRig, inputs: list[bytes]) -> int:
+    async def ask_all(
+        self,
+        rig: RequestRig,
+        inputs: list[bytes],
+        seconds: float = _ANSWER_SECONDS,
+    ) -> int:
         """Send all requests; return how many were answered."""
         answered = 0
         for start in range(0, _INPUTS, _PARALLEL):
             batch = inputs[start : start + _PARALLEL]
-            answers = await asyncio.gather(*(ask(rig, raw) for raw in batch))
+            answers = await asyncio.gather(
+                *(ask(rig, raw, seconds) for raw in batch)
+            )
             for raw, answer in zip(batch, answers, strict=True):
                 self.assertNotIn(b' 500 ', answer, raw)
                 answered += bool(answer)
