Reset answers without a length until all of their bytes are sent

A caller with HTTP/1.0 takes the regular end of the connection for that of an answer without a length. The entry made that end regular when the answer had been written to its buffer, so that an entry killed at that moment would end a cut answer regularly. It now does so when the socket has taken all bytes; the wait is outside the request's time limit, as an answer that is ready is delivered. Answers with a length and HTTP/1.1 are served as before.

Not shown with a killed process.

--- a/siskinbank/entry/exchanges.py
+++ b/siskinbank/entry/exchanges.py
@@ -9,7 +9,11 @@
 from siskinbank.entry.links import Exchange, LinkLostError, RequestLink
 from siskinbank.kernel.outcomes import Answered, NotRun, Unknown
 from siskinbank.kernel.reasons import Doubt, Refusal
-from siskinbank.peers.linger import close_with_fin, close_with_reset
+from siskinbank.peers.linger import (
+    close_with_fin,
+    close_with_reset,
+    wait_until_sent,
+)
 from siskinbank.wire.bodies import BodyTruncatedError, send_body
 from siskinbank.wire.headers import OUTCOME_HEADER, header_problem
 from siskinbank.wire.request_messages import (
@@ -178,7 +182,8 @@
     if call.closing():
         response.force_close()
     transport = call.request.transport
-    if head.length < 0 and call.request.version < HttpVersion11:
+    ends_by_close = head.length < 0 and call.request.version < HttpVersion11
+    if ends_by_close:
         # The close of the connection will mark the end of the answer.
         close_with_reset(transport)
     time_left = call.remaining if call.bounded else None
@@ -189,6 +194,9 @@
     except (BodyTruncatedError, TimeoutError, OSError):
         call.abort_connection()
         return False
+    # Outside the time limit, as an answer that is ready is delivered.
+    if ends_by_close and transport is not None:
+        await wait_until_sent(transport)
     close_with_fin(transport)
     return True
 
--- a/siskinbank/peers/linger.py
+++ b/siskinbank/peers/linger.py
@@ -8,11 +8,14 @@
 import socket
 import struct
 
-__all__ = ('close_with_fin', 'close_with_reset')
+__all__ = ('close_with_fin', 'close_with_reset', 'wait_until_sent')
 
 _LINGER = struct.Struct('ii')
 _LINGER_ZERO = _LINGER.pack(1, 0)
 _LINGER_OFF = _LINGER.pack(0, 0)
+#: How often a write buffer is looked at; its protocol may have other uses for
+#: the transport's flow control.
+_POLL_SECONDS = 0.05
 
 
 def close_with_reset(transport: asyncio.BaseTransport | None) -> None:
@@ -25,6 +28,12 @@
     _set_linger(transport, _LINGER_OFF)
 
 
+async def wait_until_sent(transport: asyncio.WriteTransport) -> None:
+    """Wait until the socket has taken all bytes, or the connection is lost."""
+    while transport.get_write_buffer_size():
+        await asyncio.sleep(_POLL_SECONDS)
+
+
 def _set_linger(
     transport: asyncio.BaseTransport | None,
     linger: bytes,
--- a/tests/ingress/test_http_stop.py
+++ b/tests/ingress/test_http_stop.py
@@ -8,10 +8,12 @@
 
 import uvloop
 
+from siskinbank.entry import exchanges
 from siskinbank.ingress import http
 from siskinbank.ingress.listening import listen
-from siskinbank.lab.request_rig import RequestRig
-from tests.raw_http import read_request, serving
+from siskinbank.lab.request_rig import RequestRig, wait_until
+from siskinbank.peers.linger import close_with_fin
+from tests.raw_http import Serve, read_request, serving
 from tests.request_case import RequestCase, running_rig
 
 #: So small that most of an answer waits in the entry.
@@ -42,12 +44,24 @@
     await writer.drain()
 
 
+async def answer_without_length(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer one request with a chunked body."""
+    await read_request(reader)
+    writer.write(
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'%x\r\n%s\r\n0\r\n\r\n' % (len(_BODY), _BODY)
+    )
+    await writer.drain()
+
+
 @contextlib.asynccontextmanager
-async def running_slow_rig() -> AsyncIterator[RequestRig]:
+async def running_slow_rig(serve: Serve = answer) -> AsyncIterator[RequestRig]:
     """Run an entry with small send buffers, and a host that answers."""
     with mock.patch.object(http, 'listen', listen_with_small_buffers):
         async with running_rig(entries=1, hosts=1) as rig:
-            async with serving(rig.hosts['matcher-1'], answer):
+            async with serving(rig.hosts['matcher-1'], serve):
                 yield rig
 
 
@@ -100,6 +114,28 @@
             async with asyncio.timeout(_STOP_SECONDS):
                 await stop
 
+    async def test_end_of_answer_without_length(self) -> None:
+        """The connection resets on a close until all bytes are sent.
+
+        Callers with HTTP/1.0 take a regular end for that of the answer, also
+        if the entry is killed.
+        """
+        unsent: list[int] = []
+
+        def record(transport: asyncio.Transport) -> None:
+            unsent.append(transport.get_write_buffer_size())
+            close_with_fin(transport)
+
+        with mock.patch.object(exchanges, 'close_with_fin', record):
+            async with running_slow_rig(answer_without_length) as rig:
+                caller = await self.ask(rig, b'1.0')
+                await asyncio.sleep(_ANSWER_SECONDS)
+                self.assertEqual(unsent, [])
+                content = await self.read(caller)
+                self.assertEqual(content.partition(b'\r\n\r\n')[2], _BODY)
+                await wait_until(lambda: unsent)
+        self.assertEqual(unsent, [0])
+
     async def test_caller_that_leaves(self) -> None:
         """A caller that closes its connection does not hold up the stop."""
         async with running_slow_rig() as rig:
