--- a/tests/ingress/test_http_stop.py
+++ b/tests/ingress/test_http_stop.py
@@ -23,6 +23,8 @@
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(_BODY) + _BODY
 #: Longer than the ingress accepts requests on open connections.
 _STOP_SECONDS = 3
+#: Ends a test that hangs.
+_LIMIT_SECONDS = 20
 #: Within it, an answer has reached the entry.
 _ANSWER_SECONDS = 0.5
 _READ_BYTES = 64 * 1024
@@ -100,18 +102,18 @@
             callers = [
                 await self.ask(rig, version) for version in (b'1.1', b'1.0')
             ]
-            await asyncio.sleep(_ANSWER_SECONDS)
             open_work = rig.entries[0].process.open_work
-            self.assertEqual(open_work[f'requests on port {rig.port}'](), 0)
+            requests = open_work[f'requests on port {rig.port}']
+            unsent = open_work[f'unsent answers on port {rig.port}']
+            await wait_until(lambda: unsent() == 2 and not requests())
             stop = asyncio.create_task(rig.drain_entry(0))
             await asyncio.sleep(_STOP_SECONDS)
             self.assertFalse(stop.done())
-            unsent = open_work[f'unsent answers on port {rig.port}']
             self.assertEqual(unsent(), 2)
             for caller in callers:
                 content = await self.read(caller)
                 self.assertEqual(content.partition(b'\r\n\r\n')[2], _BODY)
-            async with asyncio.timeout(_STOP_SECONDS):
+            async with asyncio.timeout(_LIMIT_SECONDS):
                 await stop
 
     async def test_end_of_answer_without_length(self) -> None:
@@ -142,7 +144,7 @@
             caller = await self.ask(rig, b'1.1')
             await asyncio.sleep(_ANSWER_SECONDS)
             caller.close()
-            async with asyncio.timeout(_STOP_SECONDS):
+            async with asyncio.timeout(_LIMIT_SECONDS):
                 await rig.drain_entry(0)
 
 
