Give only sidecars with a record the longer silence

Cause: machines came back whose hosts were replaced, sent a few statuses without a record and vanished. As their sidecars had been heard, they counted as gone after 1.8 s of silence instead of 1.3 s. Ruled out: the hosts' stops, the store.

Change: the longer silence is for sidecars that had a record.

--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -162,7 +162,7 @@
         if host:
             state = host.status.state
             evidence = Evidence(state, now - host.last_seen)
-            evidence.was_heard = True
+            evidence.had_record = host.status.has_record
         else:
             evidence = Evidence(reasons.NONE, now - self._started)
         evidence.unanswered = self._hosts.probes.unanswered(ip, now)
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -460,6 +460,11 @@
         self.interval_ms = 0
         self.processing_ms = 0
 
+    @property
+    def has_record(self) -> bool:
+        """Whether the sidecar has a record of its host from the store."""
+        return self.record_age_ms < _MAX_AGE_MS
+
     @classmethod
     def read(cls, raw: bytes) -> Status:
         """Decode a datagram.
--- a/siskinbank/tracking/liveness.py
+++ b/siskinbank/tracking/liveness.py
@@ -51,11 +51,12 @@
 # longer, as its answer may be ready: as long as a killed sidecar takes to
 # restart.
 _MAX_SILENCE_IDEMPOTENT_S = 1.3
-# The same at least for a sidecar that has sent a status since this process
-# started: it may be back from a planned restart of 1.5 s whose announcements
-# were lost. Later, dead hosts are not found within 2 s on a busy machine. Hosts
-# that never return after a loss of power have sent none and delay no search.
-_MAX_SILENCE_HEARD_S = 1.8
+# The same at least for a sidecar that had a record of its host: it may be back from
+# a planned restart of 1.5 s whose announcements were lost. Later, dead hosts are
+# not found within 2 s on a busy machine. After a loss of power, machines come back
+# whose hosts were replaced, and vanish; their sidecars get no record, and delay no
+# search.
+_MAX_SILENCE_WITH_RECORD_S = 1.8
 _MAX_SILENCE_ONCE_S = 3.0
 # The same for a sidecar that announced its stop: its host may still serve its
 # flows, which it discards after 15 s idle.
@@ -71,20 +72,19 @@
         silent_s: seconds since the last message from its sidecar.
         unanswered: number of consecutive unanswered probes.
         probed_s: seconds since the first of them.
-        was_heard: whether its sidecar has sent a status since this process
-            started.
+        had_record: whether its sidecar has said that it has a record of the host.
         listed: whether the store has the host, by a listing that is newer than
             the last message; None if there is no such listing, or if it proves
             nothing.
     """
 
     __slots__ = (
+        'had_record',
         'listed',
         'probed_s',
         'silent_s',
         'state',
         'unanswered',
-        'was_heard',
     )
 
     def __init__(self, state: int, silent_s: float) -> None:
@@ -92,7 +92,7 @@
         self.state = state
         self.silent_s = silent_s
         self.unanswered = 0
-        self.was_heard = False
+        self.had_record = False
         self.probed_s: float = 0
         self.listed: bool | None = None
 
@@ -141,7 +141,7 @@
         limit_s = _MAX_SILENCE_STOPPED_S
     # With a long interval, silence begins before anything is wrong.
     silent_s = min(evidence.silent_s, evidence.probed_s + _UNPROBED_SILENCE_S)
-    if evidence.was_heard and evidence.silent_s <= _MAX_SILENCE_HEARD_S:
+    if evidence.had_record and evidence.silent_s <= _MAX_SILENCE_WITH_RECORD_S:
         return ''
     return UNANSWERED if silent_s > limit_s else ''
 
--- a/tests/relay/test_messages.py
+++ b/tests/relay/test_messages.py
@@ -109,3 +109,14 @@
         for read in readers:
             with suppress(messages.DatagramError):
                 read(raw)
+
+
+class TestRecordOfStatus(unittest.TestCase):
+    """Whether a sidecar has a record, which decides how long it may be silent."""
+
+    def test_has_record(self) -> None:
+        """Guards against the age of a missing record that counts as an age."""
+        status = messages.Status(1, 1)
+        self.assertFalse(messages.Status.read(status.pack()).has_record)
+        status.record_age_ms = 0
+        self.assertTrue(messages.Status.read(status.pack()).has_record)
--- a/tests/tracking/test_liveness.py
+++ b/tests/tracking/test_liveness.py
@@ -37,17 +37,17 @@
             found = not self.reason(silent_s, idempotent)
             self.assertEqual(found, waits, (silent_s, idempotent))
 
-    def test_sidecar_heard_since_the_start(self) -> None:
+    def test_sidecar_with_record(self) -> None:
         """Load pattern: rolling restarts whose announcements are lost.
 
-        A sidecar that has sent nothing since the start, as after a loss of
-        power, may not delay searches for as long.
+        After a loss of power, a sidecar whose host was replaced comes back without
+        a record and vanishes; it may not delay searches for as long.
         """
         evidence = Evidence(reasons.NONE, 1.7)
         evidence.unanswered = ENOUGH
         evidence.probed_s = 1
         self.assertEqual(gone_reason(evidence, True), 'unanswered')
-        evidence.was_heard = True
+        evidence.had_record = True
         self.assertEqual(gone_reason(evidence, True), '')
         evidence.silent_s = 1.9
         self.assertEqual(gone_reason(evidence, True), 'unanswered')
