--- a/siskinbank/admission/link_budget.py
+++ b/siskinbank/admission/link_budget.py
@@ -36,7 +36,6 @@
 DATA = 1
 OTHER = 2
 
-
 # Time after which a client retransmits a packet that is not answered, in
 # seconds.
 _RETRANSMISSION_S = 0.2
--- a/siskinbank/admission/service_order.py
+++ b/siskinbank/admission/service_order.py
@@ -51,8 +51,6 @@
 # the newest goes first. At a host that is not overloaded, no more than this wait
 # by chance.
 _MAX_IN_ORDER = 2
-
-
 # With more late requests of a priority than this share of those that keep their
 # order, the priority exceeds the capacity by itself, and many of its first packets
 # are retries. A burst leaves fewer late ones.
