--- a/siskinbank/choice/relay_host.py
+++ b/siskinbank/choice/relay_host.py
@@ -21,6 +21,7 @@
     target: TrackedHost,
     data_centre: int,
     number: int,
+    attempt: int,
     now: float,
 ) -> TrackedHost | None:
     """Return a host in a third data centre, whose sidecar is heard.
@@ -29,8 +30,10 @@
         hosts: all known hosts.
         target: the host that the packet is for.
         data_centre: digest of the entry's own data centre.
-        number: any number; it decides which of the hosts is selected, so that
-            packets spread over them and a retransmission tries another one.
+        number: any number; the search begins at this host, so that packets spread
+            over all that fit.
+        attempt: number of hosts that were selected before for the same packet;
+            another one is selected while there is one.
         now: time in seconds, on a clock that runs on during suspension.
 
     Returns:
@@ -40,9 +43,12 @@
     near = {data_centre, target.status.data_centre}
     if len(near) == 1:
         return None
-    third = [
-        host
-        for host in hosts
-        if host.status.data_centre not in near and not host.is_silent(now)
-    ]
-    return third[number % len(third)] if third else None
+    fitting: list[TrackedHost] = []
+    for index in range(number, number + len(hosts)):
+        host = hosts[index % len(hosts)]
+        if host.status.data_centre in near or host.is_silent(now):
+            continue
+        if len(fitting) == attempt:
+            return host
+        fitting.append(host)
+    return fitting[attempt % len(fitting)] if fitting else None
--- a/siskinbank/relay/detours.py
+++ b/siskinbank/relay/detours.py
@@ -54,9 +54,13 @@
         if not self._is_on or target is None:
             return
         now = self._node.loop.now
-        number = crc32(key) + flow.repeats
         relay = select_relay(
-            self._hosts.all(), target, self._data_centre, number, now
+            self._hosts.all(),
+            target,
+            self._data_centre,
+            crc32(key),
+            flow.repeats - 1,
+            now,
         )
         if relay is None:
             return
--- a/tests/choice/test_relay_host.py
+++ b/tests/choice/test_relay_host.py
@@ -25,9 +25,9 @@
         self.near = [host(1, OWN), self.target, host(2, OTHER)]
         self.third = [host(1, THIRD), host(2, THIRD)]
 
-    def selected(self, hosts: list[TrackedHost], number: int = 0) -> str:
+    def selected(self, hosts: list[TrackedHost], attempt: int = 0) -> str:
         """Return the address of the selected host, empty if there is none."""
-        found = select_relay(hosts, self.target, OWN, number, NOW)
+        found = select_relay(hosts, self.target, OWN, 7, attempt, NOW)
         return found.ip if found else ''
 
     def test_third_data_centre(self) -> None:
@@ -38,8 +38,9 @@
     def test_retransmissions_try_other_relays(self) -> None:
         """One relay that is cut off as well does not swallow all copies."""
         hosts = self.near + self.third
-        found = {self.selected(hosts, number) for number in range(4)}
-        self.assertEqual(found, {relay.ip for relay in self.third})
+        found = [self.selected(hosts, attempt) for attempt in range(4)]
+        self.assertEqual(set(found[:2]), {relay.ip for relay in self.third})
+        self.assertEqual(found[2:], found[:2])
 
     def test_silent_relay(self) -> None:
         """A sidecar that is not heard passes nothing on."""
