Ask a host above its fair load again before a first packet is refused

As one of the first two hosts of the whole-pool round it refused, because its load was above the fair one. The packet went on to two to three hosts whose reports, 0.2 to 0.7 s old, promised room (9 to 21) and that were full by then, and the last one dropped it.

Ruled out: a host unknown to the others; its own report was fresh.

Change: a host that refuses for its fair load although it has room appends its address, so the packet returns to it after the others. Hosts that are asked twice do not count as remaining, so the later ones admit at any load as before.

--- a/siskinbank/sidecar/deflection.py
+++ b/siskinbank/sidecar/deflection.py
@@ -4,7 +4,7 @@
 
 from siskinbank.admission.balance import PoolLoads
 from siskinbank.admission.upstream import UpstreamAdmission
-from siskinbank.wire.envelopes import WHOLE_POOL, Envelope
+from siskinbank.wire.envelopes import MAX_CANDIDATES, WHOLE_POOL, Envelope
 
 __all__ = ('choose_candidates', 'try_admit')
 
@@ -43,8 +43,14 @@
 def _is_last_attempt(envelope: Envelope) -> bool:
     if envelope.hops >= _ADMIT_HOP:
         return True
-    remaining = len(envelope.candidates) - envelope.position
-    is_fallback = remaining <= _FALLBACK_HOSTS - _FAIR_FALLBACK_HOSTS
+    position = envelope.position
+    visited = envelope.candidates[:position]
+    remaining = [
+        address
+        for address in envelope.candidates[position:]
+        if address not in visited
+    ]
+    is_fallback = len(remaining) <= _FALLBACK_HOSTS - _FAIR_FALLBACK_HOSTS
     return bool(envelope.flags & WHOLE_POOL) and is_fallback
 
 
@@ -59,7 +65,9 @@
     The least loaded of the remaining candidates is asked first. After that the
     packet gets the flag ``WHOLE_POOL``: hosts of the whole pool that have room
     are asked, less loaded ones first, and this host last. A pool that is known
-    to be full is not asked.
+    to be full is not asked. A host that has room but refuses a packet with this
+    flag, because of its fair load, is asked again after the others: reports are
+    up to a second old, and the others may have become full.
 
     Args:
         envelope: the first packet.
@@ -72,6 +80,7 @@
     if envelope.flags & WHOLE_POOL and (
         others or envelope.hops >= _LAST_CHOICE_HOP
     ):
+        _append_own(envelope, own_address)
         return
     if others and not envelope.position:
         second = loads.sort(others)[0]
@@ -83,6 +92,14 @@
     envelope.position = -1
 
 
+def _append_own(envelope: Envelope, own_address: bytes | None) -> None:
+    """Ask this host again last, if it has room and was not asked twice."""
+    if own_address is None or len(envelope.candidates) >= MAX_CANDIDATES:
+        return
+    if envelope.candidates.count(own_address) < 2:
+        envelope.candidates = (*envelope.candidates, own_address)
+
+
 def _fallback_hosts(
     own_address: bytes | None,
     loads: PoolLoads,
