Leave hosts out of the free room that the published site takes out

Cause, by trace: the host with room was in the data centre that had been taken out at 16 s and had not received that yet; all others had, and must not send it new work. The experiment asked only the host's own view.

Change: Pool keeps the site published last, and a host that it takes out is not counted as room. The check stays as strict for all hosts that may get work: a host of a restored data centre counts as soon as it accepts work itself.

--- a/siskinbank/lab/pool.py
+++ b/siskinbank/lab/pool.py
@@ -93,6 +93,8 @@
         self._keys = keys
         self.rng = random.Random(seed)
         self.clock = FakeClock()
+        #: The site that was published last; processes may not know it yet.
+        self.site: Site | None = None
         self.network = FakeNetwork(self.clock, random.Random(seed + 1))
         self.entries: dict[str, PoolEntry] = {}
         self.sidecars: dict[str, PoolSidecar] = {}
@@ -176,6 +178,7 @@
             site: site to apply.
             spread: maximum delay in seconds; 0 applies it at once.
         """
+        self.site = site
         for view in self._views():
             if spread:
                 delay = self.rng.uniform(0, spread)
--- a/siskinbank/lab/traffic.py
+++ b/siskinbank/lab/traffic.py
@@ -211,7 +211,7 @@
 
     def _sample_capacity(self) -> None:
         for name, sidecar in self._pool.sidecars.items():
-            if _has_free_capacity(sidecar):
+            if _has_free_capacity(sidecar, self._pool.site):
                 self._free_since.setdefault(name, self._pool.clock.now)
             else:
                 self._free_since.pop(name, None)
@@ -253,9 +253,17 @@
         )
 
 
-def _has_free_capacity(sidecar: PoolSidecar) -> bool:
+def _has_free_capacity(sidecar: PoolSidecar, site: Site | None) -> bool:
+    """Return whether a warm host has room and is to get new work.
+
+    A host that the published site takes out of service is left out, even if it
+    has not heard of that yet: the processes that have must not use it.
+    """
     limits = sidecar.context.limits
-    if limits is None or not sidecar.context.accepts_work:
+    host = sidecar.context.host
+    if limits is None or host is None or not sidecar.context.accepts_work:
+        return False
+    if site is not None and not site.accepts_work(host):
         return False
     return limits.connections.is_full and limits.connections.room > 0
 
