Ask hosts that were not drawn before a first packet is refused

Cause, by trace: the round over the whole pool asks four hosts drawn at random from those not known to be full. All four had become full since their reports (0.1 to 1.3 s old). The host with the most known room (8 and 14) was not drawn, and the packet was dropped at hop 10 of 12.

Change: from that hop on, the packet goes to the host with the most known room that is not among its candidates, one at a time up to the hop limit. Two hops more at most, only for packets that would have been refused. tests.sidecar.test_deflection fails without the change.

--- a/siskinbank/admission/balance.py
+++ b/siskinbank/admission/balance.py
@@ -129,6 +129,15 @@
         drawn = rng.sample(left, min(count + _EXTRA_DRAWN_HOSTS, len(left)))
         return self.sort(drawn)[:count]
 
+    def most_room(self, asked: Sequence[bytes]) -> bytes | None:
+        """Return the host with the most known room that was not asked."""
+        left = [
+            address
+            for address, room in self._rooms.items()
+            if room and address not in asked
+        ]
+        return max(left, key=self._rooms.__getitem__, default=None)
+
     def count_forwarded(self, address: bytes) -> None:
         """Count a first packet that was forwarded to a host."""
         host = self._addresses.get(address)
--- a/siskinbank/sidecar/deflection.py
+++ b/siskinbank/sidecar/deflection.py
@@ -17,7 +17,8 @@
 #: Below this share of its full connection limit a host counts as idle and
 #: forwards nothing.
 _IDLE_SHARE = 0.02
-#: The hop from which a packet with ``WHOLE_POOL`` gets no new candidates.
+#: The hop from which a packet with ``WHOLE_POOL`` gets no new round of
+#: candidates, but one further host at a time up to the hop limit.
 _LAST_CHOICE_HOP = 10
 
 
@@ -81,6 +82,8 @@
         others or envelope.hops >= _LAST_CHOICE_HOP
     ):
         _append_own(envelope, own_address)
+        if not others:
+            _append_last_choice(envelope, loads)
         return
     if others and not envelope.position:
         second = loads.sort(others)[0]
@@ -100,6 +103,16 @@
         envelope.candidates = (*envelope.candidates, own_address)
 
 
+def _append_last_choice(envelope: Envelope, loads: PoolLoads) -> None:
+    """Ask a host that was not asked yet, if one is known to have room."""
+    if len(envelope.candidates) >= MAX_CANDIDATES:
+        return
+    address = loads.most_room(envelope.candidates)
+    if address is not None:
+        loads.count_forwarded(address)
+        envelope.candidates = (*envelope.candidates, address)
+
+
 def _fallback_hosts(
     own_address: bytes | None,
     loads: PoolLoads,
