--- a/tests/relay/test_end_to_end.py
+++ b/tests/relay/test_end_to_end.py
@@ -104,7 +104,7 @@
         client = self.fleet.clients[0]
         flow = await client.connect(TARGET)
         await client.send_request(flow, 'before')
-        address = (client._ip, flow.port)  # noqa: SLF001
+        address = (client.ip, flow.port)
         beyond = (flow.number + 100_000) % (1 << 32)
         full = Packet(
             address, TARGET, ACK, beyond, flow.acknowledged, bytes(1200)
