--- a/siskinbank/admission/link_budget.py
+++ b/siskinbank/admission/link_budget.py
@@ -48,10 +48,12 @@
 # While the backlog is below this share of the limit, packets are not examined.
 # The estimate may exceed the backlog by as much when a burst begins.
 _SHORT_SHARE = 0.1
-# What a new flow of a route with large packets adds to the backlog, in bytes:
-# the 16 full packets of 1,231 bytes, with 66 bytes of headers and framing each,
-# that a client may have in flight.
-_WINDOW_BYTES = 16 * (1231 + 66)
+# Packets that a client may have in flight.
+_WINDOW_PACKETS = 16
+# A full packet of 1,231 bytes on a link, with 66 bytes of headers and framing.
+_FULL_PACKET_BYTES = 1297
+# What a new flow of a route with large packets adds to the backlog, in bytes.
+_WINDOW_BYTES = _WINDOW_PACKETS * _FULL_PACKET_BYTES
 # Windows that still fit below the limit when a first packet is accepted: its
 # own, and that of a flow that is accepted while its handshake is under way.
 _MIN_WINDOWS = 2
@@ -62,11 +64,8 @@
 # that fit into one packet have up to 900 bytes in use, packets of uploads 1,200
 # but for the last.
 _LARGE_BYTES = 1000
-# Weight of a new packet in the mean: about the last sixteen count, the packets
-# that one client may have in flight.
-_SIZE_WEIGHT = 1 / 16
-# Packets with data before the mean of a route is used, one window.
-_MIN_PACKETS = 16
+# Weight of a new packet in the mean: about those of one window count.
+_SIZE_WEIGHT = 1 / _WINDOW_PACKETS
 # A route or priority is in use for this time after its last packet, in seconds:
 # with one request a second at this entry, at random times, the pause is longer
 # after one request in 150.
@@ -88,7 +87,7 @@
     def is_large(self) -> bool:
         """Whether the packets with data are large on average."""
         return (
-            self._data_packets >= _MIN_PACKETS
+            self._data_packets >= _WINDOW_PACKETS
             and self._mean_bytes >= _LARGE_BYTES
         )
 
--- a/siskinbank/choice/entry_rotation.py
+++ b/siskinbank/choice/entry_rotation.py
@@ -11,7 +11,7 @@
 __all__ = ('EntryRotation', 'EntryState', 'best_count', 'packet_rate')
 
 # A full packet on the wire: entries forward packets of up to 1,231 bytes.
-_PACKET_BITS = 1231 * 8
+_PACKET_BITS = 9848
 # Packets per second that one core forwards, rounded down: 16 to 18 us of
 # processor time per full packet were measured on loopback with one packet per
 # turn of the event loop. Several packets per turn take 6 to 8 us each.
--- a/siskinbank/choice/placement.py
+++ b/siskinbank/choice/placement.py
@@ -29,6 +29,8 @@
 # Weight of a flow in a host's load relative to one request in progress: a long
 # flow has a request in progress about a tenth of the time.
 _FLOW_WEIGHT = 0.1
+# Odd, so that addresses that differ in the last byte get different hashes.
+_ADDRESS_FACTOR = 0x9D
 # Cost of another data centre, in requests in progress: bytes between data
 # centres have a price, and the load of distant hosts is known later.
 _REMOTE_WEIGHT = 0.5
@@ -133,8 +135,8 @@
         # The new request takes longer or shorter, too; among hosts of equal
         # speed that makes no difference.
         load = (load + _OWN_WEIGHT) * host.load_factor - _OWN_WEIGHT
-    # As the factor is odd, addresses that differ in the last byte differ here.
-    spread = (flow_hash ^ host.packed[3] * 0x9D) % _SPREAD_STEPS / _SPREAD_STEPS
+    address_hash = host.packed[-1] * _ADDRESS_FACTOR
+    spread = (flow_hash ^ address_hash) % _SPREAD_STEPS / _SPREAD_STEPS
     remote = _REMOTE_WEIGHT if status.data_centre != data_centre else 0
     untrusted = 0 if status.trusted else _UNTRUSTED_WEIGHT
     return load / status.slots + remote + untrusted + spread * _SPREAD_WEIGHT
--- a/siskinbank/directory/backoff.py
+++ b/siskinbank/directory/backoff.py
@@ -6,6 +6,8 @@
 
 _MIN_BACKOFF_SECONDS = 0.2
 _MAX_BACKOFF_SECONDS = 10
+#: Range of the factor by which each delay varies.
+_JITTER = (0.5, 1.5)
 
 
 class Backoff:
@@ -22,6 +24,6 @@
 
     def next(self) -> float:
         """Return the seconds to wait after a failure, and double the delay."""
-        seconds = self._seconds * self._rng.uniform(0.5, 1.5)
+        seconds = self._seconds * self._rng.uniform(*_JITTER)
         self._seconds = min(self._seconds * 2, _MAX_BACKOFF_SECONDS)
         return seconds
--- a/siskinbank/directory/follower.py
+++ b/siskinbank/directory/follower.py
@@ -25,6 +25,8 @@
 __all__ = ('PlatformFollower',)
 
 _RANK_CHECK_INTERVAL_SECONDS = 0.5
+#: Range of the factor by which the interval between two lists varies.
+_JITTER = (0.8, 1.2)
 _JOIN_POLL_INTERVAL_SECONDS = 0.1
 _MIN_START_DELAY_SECONDS = 0.2
 _MAX_START_DELAY_SECONDS = 1.5
@@ -176,7 +178,7 @@
                     READERS_PER_DATA_CENTRE * READ_INTERVAL_SECONDS,
                     transfer_seconds,
                 )
-                await asyncio.sleep(min_interval * self._rng.uniform(0.8, 1.2))
+                await asyncio.sleep(min_interval * self._rng.uniform(*_JITTER))
             else:
                 await asyncio.sleep(backoff.next())
 
--- a/siskinbank/directory/member_status.py
+++ b/siskinbank/directory/member_status.py
@@ -18,7 +18,9 @@
     'parse_member_status',
 )
 
-_EPOCH_LIMIT = 1 << 48
+#: Width of an epoch on the wire.
+_EPOCH_BITS = 48
+_EPOCH_LIMIT = 1 << _EPOCH_BITS
 _FIELDS = 3
 
 
--- a/siskinbank/directory/roster.py
+++ b/siskinbank/directory/roster.py
@@ -36,9 +36,13 @@
 BUCKETS = 128
 BUCKET_DIGEST_BYTES = 6
 _ROOT_DIGEST_BYTES = 8
-_VERSION_LIMIT = 1 << 48
+#: Width of a version on the wire.
+_VERSION_BITS = 48
+_VERSION_LIMIT = 1 << _VERSION_BITS
 _PACKED_ADDRESS_BYTES = 6
 _FIELDS = 6
+#: More than the instances of a fleet of the size to design for, 3,610.
+_MAX_CACHED_NAMES = 8192
 _ROLES = frozenset(Role)
 
 
@@ -279,7 +283,7 @@
         return Roster(tuple(buckets))
 
 
-@functools.lru_cache(maxsize=8192)
+@functools.lru_cache(maxsize=_MAX_CACHED_NAMES)
 def ring_key(name: str) -> int:
     """Return the hash that orders an instance on its data centre's ring."""
     return digest64(name)
--- a/siskinbank/entry/flow_cache.py
+++ b/siskinbank/entry/flow_cache.py
@@ -9,7 +9,8 @@
 
 __all__ = ('CachedFlow', 'FlowCache')
 
-_SEQUENCE_NUMBERS = 1 << 32
+_SEQUENCE_BITS = 32
+_SEQUENCE_NUMBERS = 1 << _SEQUENCE_BITS
 # When the cache is full, the oldest flow is evicted.
 _MAX_FLOWS = 65536
 # A flow idle for longer than this is removed, in seconds: hosts discard flows
--- a/siskinbank/peers/freshness.py
+++ b/siskinbank/peers/freshness.py
@@ -17,7 +17,8 @@
 
 LEASE_SECONDS = 10
 _ISOLATION_SECONDS = 3
-_NONCE_LIMIT = 1 << 32
+_NONCE_BITS = 32
+_NONCE_LIMIT = 1 << _NONCE_BITS
 #: Longest running time counted for one tick; during the rest of a longer
 #: interval the process was suspended.
 _MAX_TICK_SECONDS = 1.5
--- a/siskinbank/peers/gossip.py
+++ b/siskinbank/peers/gossip.py
@@ -48,6 +48,8 @@
 __all__ = ('Gossip', 'Identity')
 
 TICK_SECONDS = 1
+#: Share by which the intervals of timers vary.
+_JITTER = 0.2
 _GENERATION_FAN_OUT = 4
 _UPDATE_FAN_OUT = 3
 _UPDATE_DELAY_SECONDS = 0.05
@@ -168,8 +170,8 @@
     def start(self) -> None:
         """Start the timers and send the first announcements."""
         self._started_at = self.now
-        self._timers.every(TICK_SECONDS, self.tick, jitter=0.2)
-        self._timers.every(_PRUNE_INTERVAL_SECONDS, self._prune, jitter=0.2)
+        self._timers.every(TICK_SECONDS, self.tick, jitter=_JITTER)
+        self._timers.every(_PRUNE_INTERVAL_SECONDS, self._prune, jitter=_JITTER)
         self.ask_peers()
 
     def subscribe_to(
--- a/siskinbank/peers/pump.py
+++ b/siskinbank/peers/pump.py
@@ -13,7 +13,7 @@
 
 __all__ = ('pump_both',)
 
-_CHUNK_BYTES = 64 * 1024
+_CHUNK_BYTES = 65_536
 _LENGTH = struct.Struct('!I')
 
 
--- a/siskinbank/peers/readers.py
+++ b/siskinbank/peers/readers.py
@@ -26,9 +26,13 @@
 #: Limit on the calls per second of all fallback processes together.
 FALLBACK_CALLS_PER_SECOND = 100
 _CALLS_PER_READ = 2
+#: Range of the factor by which each interval varies.
+_JITTER = (0.5, 1.5)
+#: More than the data centres of any roster in use.
+_MAX_CACHED_ORDERS = 64
 
 
-@functools.lru_cache(maxsize=64)
+@functools.lru_cache(maxsize=_MAX_CACHED_ORDERS)
 def _reader_order(roster: Roster, centre: str) -> tuple[Record, ...]:
     """Return the records of a data centre in order of rank."""
     ring = roster.index().rings.get(centre, ())
@@ -95,4 +99,4 @@
         fleet_size * _CALLS_PER_READ / FALLBACK_CALLS_PER_SECOND,
         READ_INTERVAL_SECONDS,
     )
-    return interval * rng.uniform(0.5, 1.5)
+    return interval * rng.uniform(*_JITTER)
--- a/siskinbank/platform/documents.py
+++ b/siskinbank/platform/documents.py
@@ -20,7 +20,8 @@
 
 
 # Maximum of all numbers in documents: counts, times and revisions.
-_MAX_NUMBER = 1 << 62
+_NUMBER_BITS = 62
+_MAX_NUMBER = 1 << _NUMBER_BITS
 _MAX_PORT = 0xFFFF
 _MAX_PORT_DIGITS = 5
 
--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -29,7 +29,7 @@
 
 _MS = 1000
 # Resolution of the weighted choice of a service.
-_WEIGHT_STEPS = 1 << 16
+_WEIGHT_STEPS = 0x10000
 # Higher slot counts are capped at this value.
 _MAX_SLOTS = 65535
 # Lower priorities (higher numbers) are treated as this one: messages hold one
--- a/siskinbank/relay/datagrams.py
+++ b/siskinbank/relay/datagrams.py
@@ -20,7 +20,7 @@
 
 _NONBLOCKING_UDP = SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC
 # Holds the datagrams that the busiest process receives in half a second.
-_RECEIVE_BUFFER_BYTES = 1 << 20
+_RECEIVE_BUFFER_BYTES = 1_048_576
 # Datagrams read from one socket before other sockets are served.
 _MAX_READS_PER_TURN = 64
 
--- a/siskinbank/relay/http.py
+++ b/siskinbank/relay/http.py
@@ -34,7 +34,7 @@
 _READ_BYTES = 65536
 # Size limit of a response with its head. Values in the store have at most
 # 1 MiB, a third more in base64, and a page holds about as much.
-_MAX_RESPONSE_BYTES = 4 << 20
+_MAX_RESPONSE_BYTES = 4_194_304
 _BACKLOG = 16
 # Limit of open server connections; beyond it the oldest is closed. Probes come
 # from one router in each data centre.
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -329,7 +329,7 @@
         opening.target_latency_ms, opening.wait_limit_ms = fields[5:7]
         opening.timeout_ms, opening.priority = fields[7:9]
         opening.idempotent = bool(fields[9])
-        opening.best, opening.best_wait_ms = fields[10:12]
+        opening.best, opening.best_wait_ms = fields[-3:-1]
         opening.candidates = unpack_addresses(raw[start:end])
         return opening
 
@@ -622,8 +622,8 @@
         record.born_ms = fields[7]
         record.cold_s = fields[8] / _MS_PER_S
         record.cold_per_s = fields[9] / _MS_PER_S
-        record.operator_position = StorePosition(*fields[10:12])
-        record.version = fields[12]
+        record.operator_position = StorePosition(*fields[-3:-1])
+        record.version = fields[-1]
         return record
 
     def pack(self) -> bytes:
--- a/siskinbank/relay/meters.py
+++ b/siskinbank/relay/meters.py
@@ -8,7 +8,11 @@
 
 # Upper limits of the histogram buckets, in seconds: powers of two from 1 ms to
 # beyond the longest deadline.
-_BUCKET_LIMITS_S = tuple(0.001 * 2**index for index in range(14))
+_SHORTEST_BUCKET_S = 0.001
+_BUCKET_COUNT = 14
+_BUCKET_LIMITS_S = tuple(
+    _SHORTEST_BUCKET_S * 2**index for index in range(_BUCKET_COUNT)
+)
 # What a link carries of a datagram beyond its data: IP and UDP headers (28
 # bytes) and Ethernet framing (38). Too little here lets the backlog of a link
 # grow unseen, too much costs a part of its rate (docs/design/link-budget.md).
--- a/siskinbank/sidecar/announcer.py
+++ b/siskinbank/sidecar/announcer.py
@@ -21,6 +21,8 @@
 _RENEW_INTERVAL_SECONDS = 30
 #: Number of steps over which the renewals of one period are spread.
 _RENEW_STEPS = 30
+#: Share by which the interval between two steps varies.
+_JITTER = 0.2
 #: Delays of the repeated announcements after a change, because datagrams get
 #: lost and the views of other processes lag behind.
 _REPEAT_DELAYS_SECONDS = (1, 3, 7, 12)
@@ -57,7 +59,7 @@
         self._step = 0
         timers = context.process.timers
         timers.every(
-            _RENEW_INTERVAL_SECONDS / _RENEW_STEPS, self._renew, jitter=0.2
+            _RENEW_INTERVAL_SECONDS / _RENEW_STEPS, self._renew, jitter=_JITTER
         )
 
     def pool_changed(self) -> None:
--- a/siskinbank/sidecar/health_checks.py
+++ b/siskinbank/sidecar/health_checks.py
@@ -26,7 +26,8 @@
 _INTERVAL_SECONDS = 0.3
 _PROBE_TIMEOUT_SECONDS = 0.5
 _REPORT_TIMEOUT_SECONDS = 0.5
-_MAX_REPORT_BYTES = 64 * 1024
+_MAX_REPORT_BYTES = 65_536
+_HTTP_PORT = 80
 _HTTP_OK = 200
 _HEALTH_BY_STATUS = {
     'ok': Health.good,
@@ -96,7 +97,7 @@
     if settings.upstream_http is None:
         return None
     base = urlsplit(settings.upstream_http)
-    return (base.hostname or '', base.port or 80)
+    return (base.hostname or '', base.port or _HTTP_PORT)
 
 
 async def probe(address: Address, health_monitor: HealthMonitor) -> None:
--- a/siskinbank/sidecar/tracked_flows.py
+++ b/siskinbank/sidecar/tracked_flows.py
@@ -23,7 +23,8 @@
 
 _NO_SEQUENCE = -1
 # Sequence numbers wrap around at this value.
-_SEQUENCE_NUMBERS = 1 << 32
+_SEQUENCE_BITS = 32
+_SEQUENCE_NUMBERS = 1 << _SEQUENCE_BITS
 
 
 class Request:
--- a/siskinbank/wire/bodies.py
+++ b/siskinbank/wire/bodies.py
@@ -24,11 +24,11 @@
 )
 
 #: Maximum number of outstanding bytes of one body.
-WINDOW_BYTES = 256 * 1024
+WINDOW_BYTES = 262_144
 #: Maximum number of bytes of a request's body sent before admission.
-INITIAL_CREDIT_BYTES = 64 * 1024
+INITIAL_CREDIT_BYTES = 65_536
 #: Maximum number of bytes in one part.
-CHUNK_BYTES = 64 * 1024
+CHUNK_BYTES = 65_536
 
 
 class BodyTruncatedError(Exception):
--- a/siskinbank/wire/envelopes.py
+++ b/siskinbank/wire/envelopes.py
@@ -35,6 +35,7 @@
 
 MAX_CANDIDATES = 8
 _HOP_SHIFT = 4
+_POSITION_MASK = 0xF
 _HEADER = struct.Struct('!BBBBQQQ6s')
 _SERVICE = struct.Struct('!Q')
 _SERVICE_OFFSET = 4
@@ -106,7 +107,7 @@
         return cls(
             flags,
             hops_and_position >> _HOP_SHIFT,
-            hops_and_position & 0xF,
+            hops_and_position & _POSITION_MASK,
             service,
             generation,
             incarnation,
--- a/siskinbank/wire/headers.py
+++ b/siskinbank/wire/headers.py
@@ -27,7 +27,9 @@
 #: Maximum number of headers of one request or response.
 MAX_HEADERS = 128
 #: Maximum size of these headers together, in bytes.
-MAX_HEADER_BYTES = 32 * 1024
+#: Longer names are cut in descriptions of errors.
+_MAX_SHOWN_CHARACTERS = 32
+MAX_HEADER_BYTES = 32_768
 _MAX_TARGET_BYTES = 8 * 1024
 
 #: Hop-by-hop headers (RFC 9110, section 7.6.1), and others that apply to one
@@ -106,7 +108,7 @@
         name, text = pair
         size += len(name) + len(text)
         if not is_token(name) or not _FIELD_VALUE.fullmatch(text):
-            return f'bad header {name[:32]!r}'
+            return f'bad header {name[:_MAX_SHOWN_CHARACTERS]!r}'
         if name.lower() in _HOP_BY_HOP:
             return f'header {name!r} applies to one connection'
     return f'{size} bytes of headers' if size > MAX_HEADER_BYTES else None
--- a/siskinbank/wire/packets.py
+++ b/siskinbank/wire/packets.py
@@ -38,6 +38,9 @@
 _FRAGMENT_MASK = 0x3FFF
 _IPV4 = 4
 _WORD_BYTES = 4
+#: The first byte holds the version above the header's length in words.
+_VERSION_SHIFT = 4
+_HEADER_WORDS_MASK = 0xF
 
 _IP = struct.Struct('!BxHxxHxB2x4s4s')
 _PORTS = struct.Struct('!HH')
@@ -46,6 +49,9 @@
 _PLAIN_VERSION_BYTE = 0x45
 _MIN_PLAIN_BYTES = _MIN_IP_BYTES + _MIN_TCP_BYTES
 _PROTOCOL_OFFSET = 9
+#: Fields of a flow: source, target, both ports and the protocol.
+_TARGET_ADDRESS = slice(4, 8)
+_TARGET_PORT = slice(10, -1)
 _PROTOCOLS = frozenset((bytes((TCP,)), bytes((UDP,))))
 
 
@@ -104,7 +110,7 @@
     """Return the target address and port of a 13-byte flow."""
     if len(flow) != FLOW_BYTES:
         return b'', 0
-    return flow[4:8], int.from_bytes(flow[10:12], 'big')
+    return flow[_TARGET_ADDRESS], int.from_bytes(flow[_TARGET_PORT], 'big')
 
 
 def plain_flow(raw: bytes) -> bytes | None:
@@ -136,8 +142,8 @@
     if len(raw) < _MIN_IP_BYTES + _MIN_UDP_BYTES:
         return None
     version, length, fragment, protocol, source, target = _IP.unpack_from(raw)
-    offset = (version & 0xF) * _WORD_BYTES
-    if version >> _WORD_BYTES != _IPV4 or offset < _MIN_IP_BYTES:
+    offset = (version & _HEADER_WORDS_MASK) * _WORD_BYTES
+    if version >> _VERSION_SHIFT != _IPV4 or offset < _MIN_IP_BYTES:
         return None
     if fragment & _FRAGMENT_MASK or length > len(raw):
         return None
--- a/siskinbank/wire/tls.py
+++ b/siskinbank/wire/tls.py
@@ -23,9 +23,9 @@
 _SEED_PERSON = b'siskinbank-tls'
 _SEED_BYTES = 32
 _COMMON_NAME = 'siskinbank'
-_NOT_BEFORE = datetime.datetime(2000, 1, 1, tzinfo=datetime.UTC)
+_NOT_BEFORE = datetime.datetime.fromisoformat('2000-01-01T00:00:00Z')
 #: Latest date that a certificate can hold (RFC 5280, section 4.1.2.5).
-_NOT_AFTER = datetime.datetime(9999, 12, 31, 23, 59, 59, tzinfo=datetime.UTC)
+_NOT_AFTER = datetime.datetime.fromisoformat('9999-12-31T23:59:59Z')
 
 RefusalHandler = Callable[[str], None]
 
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -23,7 +23,10 @@
 _ROOT = Path(__file__).resolve().parent.parent
 _MEMBER_DATE = (1980, 1, 1, 0, 0, 0)
 _SHEBANG = '#!/usr/bin/env python{0}.{1}\n'.format(*sys.version_info[:2])
-_MEMBER_MODE = stat.S_IFREG | 0o644
+_FILE_MODE = 0o644
+_MEMBER_MODE = stat.S_IFREG | _FILE_MODE
+#: The upper half of `external_attr` holds the mode.
+_MODE_SHIFT = 16
 _EXECUTABLE_MODE = 0o755
 _EXTENSION_SUFFIX = re.compile(r'\.(cpython-[\w-]+|abi3)\.so$')
 _NAME_PATTERN = re.compile('^[A-Za-z0-9._-]+')
@@ -107,7 +110,7 @@
             member, packed = _member(name, content)
             info = zipfile.ZipInfo(member, _MEMBER_DATE)
             info.compress_type = zipfile.ZIP_DEFLATED
-            info.external_attr = _MEMBER_MODE << 16
+            info.external_attr = _MEMBER_MODE << _MODE_SHIFT
             archive.writestr(info, packed)
     return output.getvalue()
 
