Reject first packets only if no other copy may have been placed

Cause: an entry resets a first packet that it cannot place without regard to its age. The copy had waited in a socket of a paused entry, its refusal came after the next copy was due, or earlier copies had gone to another entry.

Ruled out: being in rotation or stopping as an input, since the age of the copy and the copies received cover those cases, and kernel time stamps of packets, which are by the wall clock.

A sidecar does not deny a flow whose first packet waits at it or at its host.

--- a/siskinbank/relay/catalogue.py
+++ b/siskinbank/relay/catalogue.py
@@ -48,6 +48,7 @@
     'flow.detoured': 'R309',
     'request.start': 'R310',
     'request.end': 'R311',
+    'flow.withheld': 'R312',
     'packet.refused': 'R320',
     'request.held': 'R330',
     'request.released': 'R331',
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -11,7 +11,6 @@
     no_host_is_final,
     refusal_is_final,
 )
-from siskinbank.admission.link_budget import FORWARD, REJECT
 from siskinbank.choice.placement import candidates, rank_hosts
 from siskinbank.choice.service_overflow import (
     select_other_service,
@@ -36,11 +35,12 @@
 from siskinbank.relay.datagrams import open_udp_socket, read_datagrams
 from siskinbank.relay.detours import Detours
 from siskinbank.relay.entry_capacities import BY_CAPACITY, EntryCapacities
+from siskinbank.relay.flow_rejection import FlowRejection
 from siskinbank.relay.flow_searcher import FlowSearcher
 from siskinbank.relay.follower import StoreFollower
 from siskinbank.relay.gossip import Gossip
 from siskinbank.relay.host_monitor import DISCOVERY_TIMEOUT_S, HostMonitor
-from siskinbank.relay.link_shedding import LinkShedding
+from siskinbank.relay.link_shedding import FORWARD, REJECT, LinkShedding
 from siskinbank.relay.node import Node
 from siskinbank.tracking.hosts import HostTable, TrackedHost
 
@@ -119,12 +119,15 @@
             node, self._gossip.entries, self._is_discovery_done, rotation
         )
         self._monitor = HostMonitor(node, self._hosts, self._follower)
+        self._rejection = FlowRejection(
+            node, self._hosts, self._flows, self._reset, self._search_host
+        )
         self._searcher = FlowSearcher(
             node,
             self._hosts,
             self._follower,
             self._monitor,
-            self._reset,
+            self._rejection.reset_not_held,
         )
         self._shedding = LinkShedding(
             node, self._flows, self._follower, link_budget
@@ -153,21 +156,24 @@
     # Packets from clients.
 
     def _read_clients(self, events: int) -> None:
-        read_datagrams(
+        is_drained = read_datagrams(
             self._client_socket, MAX_PACKET_BYTES + 1, self._check_packet
         )
+        self._rejection.note_read(is_drained)
 
     def _check_packet(self, packet: bytes, address: tuple[str, int]) -> None:
         problem = packet_problem(packet)
         if problem:
             self._node.meters.count(f'packets_refused_{problem}_total')
             return
+        if flags_of(packet) & SYN:
+            self._rejection.note_first_packet(packet)
         decision = self._shedding.decide(packet)
         if decision == FORWARD:
             self._handle_packet(packet)
         elif decision == REJECT:
             backlog_ms = self._shedding.backlog_ms
-            self._reset(packet, 'link-full', backlog_ms=backlog_ms)
+            self._rejection.reject(packet, 'link-full', backlog_ms=backlog_ms)
 
     def _handle_packet(self, packet: bytes) -> None:
         if flags_of(packet) & SYN:
@@ -225,7 +231,7 @@
             return
         route = self._route(key)
         if route is None or not route.shares:
-            self._reset(packet, 'no-route')
+            self._rejection.reject(packet, 'no-route')
             return
         self._place_flow(packet, route, flow)
 
@@ -254,6 +260,8 @@
         if not chosen:
             self._refuse_unplaced(packet, self._route_hosts(route, hosts))
             return
+        # A search that ends now would reset a flow that a host may accept.
+        self._searcher.cancel(key)
         first = chosen[0]
         first.pending += 1
         if first.load_factor > 1:
@@ -371,7 +379,7 @@
         states = [host.status.state for host in hosts]
         copy = sequence_numbers(packet)[1]
         if no_host_is_final(states, copy):
-            self._reset(packet, 'no-host')
+            self._rejection.reject(packet, 'no-host')
             return
         self._node.log(
             'flow.refused',
@@ -447,7 +455,11 @@
             flow = self._flows.add(key, ip, self._node.loop.now)
         flow.add_holder(ip, number, bool(established))
         for packet in self._searcher.finish(key, ip):
-            self._node.send(ip, messages.pack_forward(packet))
+            if flags_of(packet) & SYN:
+                # The host answers again, as the client may lack its answer.
+                self._open_flow(packet)
+            else:
+                self._node.send(ip, messages.pack_forward(packet))
 
     def _handle_queued(self, raw: bytes, ip: str) -> None:
         key, _, _ = messages.read_flow_note(raw)
@@ -490,7 +502,7 @@
         ):
             self._open_flow(packet)
         elif refusal_is_final(reason, sequence_numbers(packet)[1]):
-            self._reset(packet, name)
+            self._rejection.reject(packet, name)
 
     def _handle_status(self, raw: bytes, ip: str) -> None:
         status = messages.Status.read(raw)
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -3,6 +3,9 @@
 Sidecars are queried first, with a few bytes for each flow. A sidecar that has
 not observed its host long enough to answer gets the packet itself and sends it
 to the host, which accepts or refuses it. A flow that no host holds is reset.
+
+A first packet is searched for if its flow may be open through another entry. It
+is not sent to hosts, as they would open the flow.
 """
 
 from __future__ import annotations
@@ -14,7 +17,7 @@
     FlowSearch,
     FlowSearches,
 )
-from siskinbank.platform.packets import describe_flow
+from siskinbank.platform.packets import SYN, describe_flow, flags_of
 from siskinbank.relay import messages
 from siskinbank.relay.host_monitor import DISCOVERY_TIMEOUT_S
 from siskinbank.relay.loop import NEVER
@@ -98,7 +101,7 @@
         """Start a search for the host of a packet's flow, or join one."""
         search = self._searches.get(key)
         if search:
-            search.queue_packet(packet)
+            _join(search, packet)
             return
         if self._searches.full:
             self._node.meters.count('searches_refused_total')
@@ -112,6 +115,10 @@
         self._queue_query(key, search, hosts)
         self._schedule_round()
 
+    def cancel(self, key: bytes) -> None:
+        """End a search, if there is one, without a result."""
+        self._searches.end(key)
+
     def finish(self, key: bytes, ip: str) -> list[bytes]:
         """End a successful search and return the packets queued for it."""
         search = self._searches.end(key)
@@ -189,7 +196,7 @@
         targets, self._relay_targets = self._relay_targets, {}
         for key, hosts in targets.items():
             search = self._searches.get(key)
-            if search is None:
+            if search is None or flags_of(search.first) & SYN:
                 continue
             for start in range(0, len(hosts), messages.MAX_RELAYED):
                 first, *others = hosts[start : start + messages.MAX_RELAYED]
@@ -254,5 +261,19 @@
         return True
 
 
+def _join(search: FlowSearch, packet: bytes) -> None:
+    """Add a packet to a search.
+
+    A client that sends other packets is connected: these replace its first
+    packet, and another copy of that is not needed any more.
+    """
+    if flags_of(packet) & SYN:
+        return
+    if flags_of(search.first) & SYN:
+        search.first = packet
+    else:
+        search.queue_packet(packet)
+
+
 def _addresses(hosts: list[TrackedHost]) -> list[str]:
     return [host.ip for host in hosts]
--- a/siskinbank/relay/link_shedding.py
+++ b/siskinbank/relay/link_shedding.py
@@ -8,6 +8,7 @@
     FIRST,
     FORWARD,
     OTHER,
+    REJECT,
     LinkBudget,
 )
 from siskinbank.platform.packets import (
@@ -28,7 +29,7 @@
     from siskinbank.relay.follower import StoreFollower
     from siskinbank.relay.node import Node
 
-__all__ = ('LinkShedding',)
+__all__ = ('FORWARD', 'REJECT', 'LinkShedding')
 
 # Interval between updates of rate and gauge, in seconds: a change of the
 # settings applies within about their reload interval, and a backlog that delays
--- a/siskinbank/relay/loop.py
+++ b/siskinbank/relay/loop.py
@@ -55,7 +55,8 @@
     when the process resumes.
 
     Attributes:
-        now: time of the current turn, in seconds.
+        now: time at which the current turn began, in seconds.
+        since_previous_s: time since the previous turn began, in seconds.
         on_fault: called with exceptions of callbacks; if it is None, they end
             the process.
     """
@@ -68,11 +69,13 @@
         '_timers',
         'now',
         'on_fault',
+        'since_previous_s',
     )
 
     def __init__(self) -> None:
         """Create a loop without callbacks."""
         self.now = clock_gettime(CLOCK_BOOTTIME)
+        self.since_previous_s: float = 0
         self._poll = epoll()
         self._callbacks: dict[int, Callable[[int], object]] = {}
         self._timers: list[Timer] = []
@@ -113,6 +116,14 @@
         """Call back after a stall of the process with its length in seconds."""
         self._stall_callbacks.append(callback)
 
+    def read_clock(self) -> float:
+        """Return the present time in seconds.
+
+        It is later than ``now`` if the turn takes long or the process was paused
+        during it.
+        """
+        return max(self.now, clock_gettime(CLOCK_BOOTTIME))
+
     def stop(self) -> None:
         """Make ``run`` return after the current turn."""
         self._running = False
@@ -128,7 +139,8 @@
         wait = self._wait_s()
         events = self._poll.poll(wait)
         self.now = clock_gettime(CLOCK_BOOTTIME)
-        stalled_s = self.now - before - wait
+        self.since_previous_s = self.now - before
+        stalled_s = self.since_previous_s - wait
         if stalled_s > _STALL_THRESHOLD_S:
             for on_stall_callback in self._stall_callbacks:
                 on_stall_callback(stalled_s)
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -260,13 +260,20 @@
             if flow:
                 flow.entry = ip
                 self._send_held(key, flow)
-            else:
+            elif not self._may_open(key):
                 unknown.append(key)
         if unknown:
             complete = self._host.has_observed_all_flows(self._node.loop.now)
             kind = messages.NOT_HELD if complete else messages.HELD_UNKNOWN
             self._node.send(ip, messages.pack_keys(kind, unknown))
 
+    def _may_open(self, key: bytes) -> bool:
+        """Return whether the host may accept a first packet of a flow yet."""
+        unanswered = self._unanswered.get(key)
+        if unanswered and flags_of(unanswered.packet) & SYN:
+            return True
+        return self._admission.queue.opening(key) is not None
+
     def _forward_to_host(
         self,
         packet: bytes,
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -189,7 +189,8 @@
 
     def _take_turn(self, ip: str) -> None:
         node = self._nodes[ip]
-        stalled_s = self.now - node.loop.now - STEP_S
+        node.loop.since_previous_s = self.now - node.loop.now
+        stalled_s = node.loop.since_previous_s - STEP_S
         node.loop.now = self.now
         if stalled_s > STALL_S:
             for callback in node.loop._stall_callbacks:  # noqa: SLF001
