--- a/tests/relay/test_loop.py
+++ b/tests/relay/test_loop.py
@@ -13,6 +13,7 @@
 _RESET = struct.pack('ii', 1, 0)
 # Time limit of each test, in seconds; longer than any of them needs.
 _TEST_TIMEOUT_S = 5
+_PAUSE_S = 0.1
 
 
 def run_until(loop: Loop, done: Callable[[], bool]) -> None:
@@ -42,6 +43,25 @@
         self.assertEqual(calls.count('once'), 1)
         self.assertNotIn('never', calls)
 
+    def test_pause_within_turn(self) -> None:
+        """It shows in the clock at once and in the length of the turn later.
+
+        Packets that waited meanwhile would count as fresh otherwise.
+        """
+        loop = Loop()
+        behind: list[float] = []
+        since: list[float] = []
+
+        def pause() -> None:
+            time.sleep(_PAUSE_S)
+            behind.append(loop.read_clock() - loop.now)
+
+        loop.after(0, pause)
+        loop.every(0.01, lambda: since.append(loop.since_previous_s))
+        run_until(loop, lambda: len(since) > 2)
+        self.assertGreaterEqual(behind[0], _PAUSE_S)
+        self.assertGreaterEqual(max(since), _PAUSE_S)
+
     def test_error_in_one_callback_leaves_others_running(self) -> None:
         """The exception goes to on_fault, or out of the loop without one."""
         loop = Loop()
