Platform: refuse hosts that are no text for the address parser

What callers saw: a configuration whose Host holds a null character or an unpaired surrogate raised ValueError or UnicodeEncodeError instead of DocumentError, so it was not refused with a log line (configuration.refused). Cause: pack_ip caught OSError only; split_address catches both already. Ruled out: the JSON decoding, which passes both characters on as it should. Change: pack_ip catches ValueError too. It and route_port are public now, for the check of a document before it is sent.

--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -19,11 +19,15 @@
     from collections.abc import Sequence
 
 __all__ = (
+    'DEFAULT_TIMEOUT_MS',
+    'MAX_PRIORITY',
     'HostRecord',
     'Route',
     'WarmUp',
     'decode_configuration',
     'decode_host',
+    'pack_ip',
+    'route_port',
     'weighted_service',
 )
 
@@ -34,13 +38,13 @@
 _MAX_SLOTS = 65535
 # Lower priorities (higher numbers) are treated as this one: messages hold one
 # byte.
-_MAX_PRIORITY = 255
+MAX_PRIORITY = 255
 # Kinds of routes whose requests may run more than once. All others, unknown
 # ones too, may run once at most.
 _IDEMPOTENT_KINDS = ('safe', 'download')
 # Used for routes without a time limit: the shortest time limit that users set
 # for their requests.
-_DEFAULT_TIMEOUT_MS = 1500
+DEFAULT_TIMEOUT_MS = 1500
 
 
 class HostRecord:
@@ -204,6 +208,28 @@
     return version, routes, services
 
 
+def route_port(prefix: str) -> int:
+    """Return the port of a route, which is stated between slashes.
+
+    Raises:
+        DocumentError: the text is not a port.
+    """
+    return port_number(prefix.strip('/'))
+
+
+def pack_ip(ip: str) -> bytes:
+    """Return the 4 bytes of an IPv4 address.
+
+    Raises:
+        DocumentError: the text is not an IPv4 address.
+    """
+    try:
+        return inet_pton(AF_INET, ip)
+    except (OSError, ValueError):
+        # ValueError: a null character or a character outside of Unicode.
+        raise DocumentError(f'{ip!r} is not an IPv4 address') from None
+
+
 def _object_rows(
     document: dict[str, object], name: str
 ) -> list[dict[str, object]]:
@@ -220,15 +246,15 @@
 
 def _parse_route(document: dict[str, object]) -> tuple[bytes, Route]:
     # `Host` is the service's address, `Prefix` its port between slashes.
-    port = port_number(text_field(document, 'Prefix').strip('/'))
-    address = _pack_ip(text_field(document, 'Host'))
-    timeout_ms = number_field(document, 'TimeoutMs', _DEFAULT_TIMEOUT_MS)
+    port = route_port(text_field(document, 'Prefix'))
+    address = pack_ip(text_field(document, 'Host'))
+    timeout_ms = number_field(document, 'TimeoutMs', DEFAULT_TIMEOUT_MS)
     route = Route(
         _shares(document),
         document.get('Kind') in _IDEMPOTENT_KINDS,
         number_field(document, 'TargetLatencyMs', timeout_ms) / _MS,
         timeout_ms / _MS,
-        min(int(number_field(document, 'Priority', 0)), _MAX_PRIORITY),
+        min(int(number_field(document, 'Priority', 0)), MAX_PRIORITY),
     )
     return address + port.to_bytes(2, 'big'), route
 
@@ -250,10 +276,3 @@
         number_field(document, 'WarmupS', 0),
     )
     return text_field(document, 'Name'), warm_up
-
-
-def _pack_ip(ip: str) -> bytes:
-    try:
-        return inet_pton(AF_INET, ip)
-    except OSError:
-        raise DocumentError(f'{ip!r} is not an IPv4 address') from None
