Check: report YAML that is nested too deeply as a finding

What callers saw: a traceback of siskinbank check for a file with 900 nested lists. Cause: only the parser's RecursionError was caught, not that of the conversion of nodes. Ruled out: the parser itself, which refuses deeper nesting as invalid YAML. Change: the conversion's error is a finding. Measured: the new test test_deeply_nested raised before and passes now.

--- a/siskinbank/config/documents.py
+++ b/siskinbank/config/documents.py
@@ -66,7 +66,12 @@
         return document
     if isinstance(root, yaml.MappingNode):
         converter = _NodeConverter(document, findings)
-        document.content = converter.mapping(root, ())
+        try:
+            document.content = converter.mapping(root, ())
+        except RecursionError:
+            findings.add(
+                Place(file), 'nested too deeply', 'remove nested values'
+            )
     else:
         findings.add(Place(file), 'not a mapping', 'write keys such as `site:`')
     return document
--- a/tests/config/test_overlay.py
+++ b/tests/config/test_overlay.py
@@ -102,6 +102,13 @@
         )
         return model, '\n'.join(str(finding) for finding in findings)
 
+    def test_deeply_nested(self) -> None:
+        """Guards against a traceback in place of a finding."""
+        nested = f'site: {"[" * 900}{"]" * 900}\n'
+        model, findings = self.load(BASE, nested)
+        self.assertIsNone(model)
+        self.assertIn('site.yaml:1: nested too deeply', findings)
+
     def test_merges(self) -> None:
         """The overlay adds hosts to a service of the base file."""
         model, findings = self.load(BASE, SITE)
