--- a/siskinbank/config/changes.py
+++ b/siskinbank/config/changes.py
@@ -5,7 +5,7 @@
 
 from siskinbank.config.models import DocumentModel
 
-__all__ = ('list_changes',)
+__all__ = ('list_changes', 'list_value_changes')
 
 
 def list_changes(old: DocumentModel, new: DocumentModel) -> list[str]:
@@ -14,11 +14,19 @@
     A line starts with ``+`` for an added value, ``-`` for a removed one and
     ``~`` for a changed one, followed by its path.
     """
-    return _changes(
-        old.model_dump(mode='json'), new.model_dump(mode='json'), ''
+    return list_value_changes(
+        old.model_dump(mode='json'), new.model_dump(mode='json')
     )
 
 
+def list_value_changes(old: dict[str, Any], new: dict[str, Any]) -> list[str]:
+    """Return the lines of ``list_changes`` for two mappings of JSON values.
+
+    None counts as a value that is not there.
+    """
+    return _changes(old, new, '')
+
+
 def _changes(old: Any, new: Any, path: str) -> list[str]:
     if isinstance(old, dict) and isinstance(new, dict):
         lines = []
--- a/siskinbank/config/check.py
+++ b/siskinbank/config/check.py
@@ -1,6 +1,6 @@
 """Validate documents: each value first, then rules across values."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from pydantic import ValidationError
@@ -10,7 +10,7 @@
 from siskinbank.config.models import DocumentModel, ServiceModel
 from siskinbank.kernel.findings import Findings, Place
 
-__all__ = ('check_content',)
+__all__ = ('Locate', 'add_validation_errors', 'check_content')
 
 #: Returns the place in the source files of a path in the effective document.
 Locate = Callable[[KeyPath], Place]
@@ -36,28 +36,38 @@
     try:
         model = DocumentModel.model_validate(content)
     except ValidationError as error:
-        _add_validation_errors(error, locate, findings)
+        add_validation_errors(error, locate, findings, _MESSAGES)
         return None
     count_before = len(findings)
     _check_document(model, locate, findings)
     return model if len(findings) == count_before else None
 
 
-def _add_validation_errors(
+def add_validation_errors(
     error: ValidationError,
     locate: Locate,
     findings: Findings,
+    messages: Mapping[str, tuple[str, str]],
 ) -> None:
+    """Add a finding for each error of a model.
+
+    Args:
+        error: the errors.
+        locate: returns the place of a path in the document.
+        findings: collects the findings.
+        messages: problem and correction by type of error; those of other types
+            are taken from the error.
+    """
     for details in error.errors(include_url=False):
         path = tuple(step for step in details['loc'] if step != '[key]')
-        problem, correction = _MESSAGES.get(
+        problem, correction = messages.get(
             details['type'], _describe_error(details)
         )
         findings.add(locate(path), problem, correction)
 
 
 def _describe_error(details: ErrorDetails) -> tuple[str, str]:
-    value = repr(details['input'])
+    value = _format_value(details['input'])
     if len(value) > _MAX_VALUE_CHARACTERS:
         value = f'{value[:_MAX_VALUE_CHARACTERS]}...'
     message = details['msg'].removeprefix('Value error, ')
@@ -65,6 +75,13 @@
     return f'{value} is not allowed', correction
 
 
+def _format_value(value: Any) -> str:
+    try:
+        return repr(value)
+    except RecursionError:
+        return f'a deeply nested {type(value).__name__}'
+
+
 def _check_document(
     model: DocumentModel,
     locate: Locate,
