Platform: refuse text that UTF-8 cannot encode

A configuration whose service name holds an unpaired surrogate was accepted, and the digest of the name raised UnicodeEncodeError for each new flow of the route. Text fields refuse it now, as any other malformed value; the check of a routing configuration uses the same function. The new case of test_records fails before.

A removed route's open flows may end: they are no longer protected.

--- a/siskinbank/config/routing.py
+++ b/siskinbank/config/routing.py
@@ -166,7 +166,7 @@
     removed = _routes_in_force(old).keys() - _routes_in_force(new).keys()
     prefixes = tuple(f'- routes.{key}: ' for key in removed)
     return [
-        f'{line}; open flows of the route end'
+        f'{line}; open flows of the route may end'
         if line.startswith(prefixes)
         else line
         for line in list_value_changes(_describe(old), _describe(new))
@@ -339,7 +339,9 @@
 
 def _plain(number: float | None) -> Any:
     """Return a number without a fraction as an integer, which prints as such."""
-    return int(number) if number is not None and number % 1 == 0 else number
+    if number is None or not float(number).is_integer():
+        return number
+    return int(number)
 
 
 def _printable(name: str) -> str:
--- a/siskinbank/platform/documents.py
+++ b/siskinbank/platform/documents.py
@@ -63,11 +63,16 @@
     """Return the value of a string field.
 
     Raises:
-        DocumentError: the field is missing or not a string.
+        DocumentError: the field is missing or not a string that UTF-8 can
+            encode, as one with an unpaired surrogate.
     """
     value = document.get(name)
     if not isinstance(value, str):
         raise DocumentError(f'{name} is not text')
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        raise DocumentError(f'{name} holds an unpaired surrogate') from None
     return value
 
 
--- a/tests/commands/test_check_routes.py
+++ b/tests/commands/test_check_routes.py
@@ -69,7 +69,7 @@
             lines[2], '~ routes.198.18.0.1:443.timeout_ms: 2000 -> 2500'
         )
         self.assertTrue(lines[3].startswith('- routes.198.18.0.1:8443: {'))
-        self.assertTrue(lines[3].endswith('}; open flows of the route end'))
+        self.assertTrue(lines[3].endswith('}; open flows of the route may end'))
         self.assertEqual(lines[4:], [f'2 differences from {EXAMPLE}'])
 
     def test_version_in_force(self) -> None:
--- a/tests/config/test_routing.py
+++ b/tests/config/test_routing.py
@@ -157,7 +157,7 @@
         [
             '- routes.198.18.0.1:80: {"kind": "safe", "name": "orders", '
             '"priority": 0, "services": {"orders": 1}, "target_latency_ms": '
-            '400, "timeout_ms": 2000}; open flows of the route end'
+            '400, "timeout_ms": 2000}; open flows of the route may end'
         ],
     ),
     # What is not stated is not printed either.
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -172,6 +172,7 @@
             {'Routes': [{**good['Routes'][0], 'Host': 'nowhere'}]},
             {'Routes': [{**good['Routes'][0], 'Host': '1.2.3.4\0'}]},
             {'Routes': [{**good['Routes'][0], 'Host': '\ud800'}]},
+            {'Routes': [{**good['Routes'][0], 'Service': '\ud800'}]},
             {'Routes': [{**good['Routes'][0], 'Prefix': '/x/'}]},
             {'Services': None},
         ):
