Select the service of a first packet by weight once

Callers see nothing of it: an entry computed the service by weight twice for each first packet that it placed, once for the selection and once for the log field `overflow`. Change: Entry._place_flow computes it and passes it to _select_service.

--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -238,7 +238,8 @@
         key = packet[FLOW_KEY]
         now = self._node.loop.now
         flow_hash = crc32(key)
-        service = self._select_service(route, flow_hash, flow)
+        by_weight = route.service_for(flow_hash)
+        service = self._select_service(route, by_weight, flow_hash, flow)
         service_digest = messages.digest(service)
         hosts = self._hosts.of_service(service_digest)
         median_ms = self._hosts.median_ms(service_digest, now)
@@ -249,8 +250,9 @@
             now,
         )
         tried = flow.tried if flow else ()
-        queueing_host = flow.queueing_host if flow else ''
-        chosen = candidates(hosts, ordered, tried, queueing_host)
+        chosen = candidates(
+            hosts, ordered, tried, flow.queueing_host if flow else ''
+        )
         if not chosen:
             self._refuse_unplaced(packet, self._route_hosts(route, hosts))
             return
@@ -276,7 +278,7 @@
             version=self._follower.configuration.version,
             tries=len(tried),
             service=service,
-            overflow=int(service != route.service_for(flow_hash)),
+            overflow=int(service != by_weight),
         )
         opening = messages.Opening(self._node.packed_ip, packet)
         opening.service = service_digest
@@ -292,11 +294,18 @@
     def _select_service(
         self,
         route: Route,
+        by_weight: str,
         flow_hash: int,
         flow: CachedFlow | None,
     ) -> str:
-        """Return the service that gets a copy of a first packet."""
-        by_weight = route.service_for(flow_hash)
+        """Return the service that gets a copy of a first packet.
+
+        Args:
+            route: the route of the flow.
+            by_weight: the service that the weights select.
+            flow_hash: hash of the flow key.
+            flow: the flow, if an earlier copy was placed.
+        """
         if not self._split_overflow or len(route.shares) == 1:
             return by_weight
         remembered = flow.service if flow else ''
