Select the relay of a detour without a copy of the host table

Callers see nothing of it: for each retransmitted packet of an open flow an entry copied its table of hosts, although it examines only a few of them, and none if the host is in its own data centre. Change: HostTable keeps its hosts in a tuple that is rebuilt with the index by service, when a host is added, removed or moved to another service. Left as it is: without a third data centre all hosts are still examined. tests.relay.test_detours, tests.choice.test_relay_host and tests.tracking.test_hosts pass.

--- a/siskinbank/choice/relay_host.py
+++ b/siskinbank/choice/relay_host.py
@@ -11,13 +11,15 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from siskinbank.tracking.hosts import TrackedHost
 
 __all__ = ('select_relay',)
 
 
 def select_relay(
-    hosts: list[TrackedHost],
+    hosts: Sequence[TrackedHost],
     target: TrackedHost,
     data_centre: int,
     number: int,
--- a/siskinbank/relay/detours.py
+++ b/siskinbank/relay/detours.py
@@ -55,7 +55,7 @@
             return
         now = self._node.loop.now
         relay = select_relay(
-            self._hosts.all(),
+            self._hosts.ordered,
             target,
             self._data_centre,
             crc32(key),
--- a/siskinbank/tracking/hosts.py
+++ b/siskinbank/tracking/hosts.py
@@ -8,6 +8,10 @@
 from siskinbank.relay.messages import Status
 from siskinbank.tracking.liveness import HostProbes
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 __all__ = ('HostTable', 'TrackedHost')
 
 # A sidecar without a status update for this long, in seconds, counts as silent:
@@ -79,16 +83,22 @@
         probes: unanswered probes of sidecars, also of hosts not in the table.
     """
 
-    __slots__ = ('_by_ip', '_by_service', '_medians', 'probes')
+    __slots__ = ('_by_ip', '_by_service', '_medians', '_ordered', 'probes')
 
     def __init__(self) -> None:
         """Create an empty table."""
         self.probes = HostProbes()
         self._by_ip: dict[str, TrackedHost] = {}
         self._by_service: dict[int, list[TrackedHost]] = {}
+        self._ordered: tuple[TrackedHost, ...] = ()
         # Time of each median and the median, by service.
         self._medians: dict[int, tuple[float, int]] = {}
 
+    @property
+    def ordered(self) -> Sequence[TrackedHost]:
+        """All hosts in the order of ``all``, without a copy for each reader."""
+        return self._ordered
+
     def __len__(self) -> int:
         """Return the number of hosts."""
         return len(self._by_ip)
@@ -196,6 +206,7 @@
         self._by_service = {}
         # A service that has no hosts any more needs no median.
         self._medians = {}
-        for host in self._by_ip.values():
+        self._ordered = tuple(self._by_ip.values())
+        for host in self._ordered:
             group = self._by_service.setdefault(host.status.service, [])
             group.append(host)
