Share the parameters of a queued request between its two kinds

Callers see nothing of it: HeldRequest and QueuedOpening repeated the call of their base constructor, and the attributes for their flow. Change: FlowRequest, between them and QueuedRequest, takes the parameters of the route, the flow and the time of arrival. Measured: a first packet's item takes 0.9 to 1.0 us to create instead of 0.6 to 0.7 us, as its route parameters become an object; a held request takes 0.7 to 0.85 us instead of 0.55 to 0.7 us. tests.admission, tests.relay.test_request_scheduling and test_request_tracker pass.

--- a/siskinbank/admission/held_request.py
+++ b/siskinbank/admission/held_request.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from siskinbank.admission.service_order import QueuedRequest
+from siskinbank.admission.service_order import FlowRequest
 from siskinbank.platform.packets import flags_of, sequence_numbers
 
 __all__ = ('HeldRequest',)
@@ -23,18 +23,16 @@
 _MAX_IDLE_S = 13.0
 
 
-class HeldRequest(QueuedRequest):
+class HeldRequest(FlowRequest):
     """The packets of a flow from the first one of a held request on.
 
     Attributes:
-        key: the key of the flow.
-        queued_at: time in seconds when the first packet arrived.
         repeatable: whether the request may run more than once.
         pass_by: time in seconds by which the request is passed on, as the host
             would discard the flow.
     """
 
-    __slots__ = ('_packets', 'key', 'pass_by', 'queued_at', 'repeatable')
+    __slots__ = ('_packets', 'pass_by', 'repeatable')
 
     def __init__(
         self,
@@ -54,15 +52,7 @@
                 first packet of a flow that it opened for the request.
             work_s: mean processing time of the route's requests, in seconds.
         """
-        super().__init__(
-            route.priority,
-            sent,
-            route.target_latency_s,
-            route.timeout_s,
-            work_s,
-        )
-        self.key = key
-        self.queued_at = queued_at
+        super().__init__(key, route, queued_at, sent, work_s)
         self.repeatable = route.repeatable
         self.pass_by = queued_at + _MAX_IDLE_S
         self._packets: dict[tuple[int, int, int], bytes] = {}
--- a/siskinbank/admission/pending_queue.py
+++ b/siskinbank/admission/pending_queue.py
@@ -10,10 +10,11 @@
 
 from siskinbank.admission.arrivals import LOWEST_PRIORITY
 from siskinbank.admission.held_request import HeldRequest
+from siskinbank.admission.known_routes import RouteParameters
 from siskinbank.admission.service_order import (
     HOPELESS,
     IN_TIME,
-    QueuedRequest,
+    FlowRequest,
     service_order,
 )
 
@@ -71,16 +72,14 @@
     return 1
 
 
-class QueuedOpening(QueuedRequest):
+class QueuedOpening(FlowRequest):
     """A queued first packet.
 
     Attributes:
-        key: the key of the flow.
         opening: the packet with the routing data from its entry.
-        queued_at: time in seconds when it arrived at this host.
     """
 
-    __slots__ = ('key', 'opening', 'queued_at')
+    __slots__ = ('opening',)
 
     needs_flow = True
 
@@ -101,16 +100,8 @@
             sent: time in seconds when the client sent the first transmission.
             work_s: mean processing time of the route's requests, in seconds.
         """
-        super().__init__(
-            opening.priority,
-            sent,
-            opening.target_latency_ms / _MS,
-            opening.timeout_ms / _MS,
-            work_s,
-        )
-        self.key = key
+        super().__init__(key, RouteParameters(opening), queued_at, sent, work_s)
         self.opening = opening
-        self.queued_at = queued_at
 
     def must_leave(self, now: float, wait_s: float) -> bool:
         """Return whether the packet may not wait this long for a slot.
@@ -178,7 +169,7 @@
         queued = self._queued.pop(key, None)
         self._held_count -= isinstance(queued, HeldRequest)
 
-    def work_ahead_of(self, new: QueuedRequest, now: float) -> list[float]:
+    def work_ahead_of(self, new: FlowRequest, now: float) -> list[float]:
         """Return the processing times of what gets a slot before a new one.
 
         Returns:
@@ -192,7 +183,7 @@
         ]
 
     def replaceable_by(
-        self, new: QueuedRequest, now: float
+        self, new: FlowRequest, now: float
     ) -> QueuedOpening | None:
         """Return the first packet that leaves a full queue for a new one.
 
--- a/siskinbank/admission/service_order.py
+++ b/siskinbank/admission/service_order.py
@@ -27,13 +27,22 @@
 
 from __future__ import annotations
 
-__all__ = ('HOPELESS', 'IN_TIME', 'LATE', 'QueuedRequest', 'service_order')
+__all__ = (
+    'FlowRequest',
+    'HOPELESS',
+    'IN_TIME',
+    'LATE',
+    'QueuedRequest',
+    'service_order',
+)
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from typing import TypeVar
 
+    from siskinbank.admission.known_routes import RouteParameters
+
     AnyRequest = TypeVar('AnyRequest', bound='QueuedRequest')
 
 # Stages of a queued request, in the order in which they are served.
@@ -134,6 +143,45 @@
         return self.stage(now), self.priority, self.needs_flow
 
 
+class FlowRequest(QueuedRequest):
+    """A queued request, or the first packet that opens a flow for it.
+
+    Attributes:
+        key: the key of the flow.
+        queued_at: time in seconds when its first packet arrived at this host.
+    """
+
+    __slots__ = ('key', 'queued_at')
+
+    def __init__(
+        self,
+        key: bytes,
+        route: RouteParameters,
+        queued_at: float,
+        sent: float,
+        work_s: float,
+    ) -> None:
+        """Initialize the request.
+
+        Args:
+            key: the key of the flow.
+            route: the parameters of its route.
+            queued_at: time in seconds when its first packet arrived.
+            sent: time in seconds when the client sent the request, or the
+                first packet of a flow that it opened for the request.
+            work_s: mean processing time of the route's requests, in seconds.
+        """
+        super().__init__(
+            route.priority,
+            sent,
+            route.target_latency_s,
+            route.timeout_s,
+            work_s,
+        )
+        self.key = key
+        self.queued_at = queued_at
+
+
 def service_order(
     requests: Iterable[AnyRequest], now: float, slots: int = 1
 ) -> list[AnyRequest]:
