Do not wait for the answer that a stopping sidecar has given

Callers: a lost flow was reset late, or not before its client gave up, when a search had ended because another host was silent and a sidecar had stopped meanwhile: the next search for the flow waited for it until it had been silent for 3 s, or 15 s if its host is in the store, although it had answered no. Cause: answers were kept with a search, which lasts 1.2 s. Ruled out: not waiting at all for a sidecar that announced its stop. Change: a host whose sidecar stops keeps the flows that it does not hold, at most 1,024, until a status with another state. Later searches ask it, but do not wait. Two of the five new tests of test_flow_searcher fail on the code before; the others guard the exceptions.

--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -122,12 +122,15 @@
 
     def add_absent(self, key: bytes, ip: str) -> bool:
         """Record that a host lacks a flow; return whether a search is ongoing."""
+        host = self._hosts.get(ip)
+        if host:
+            host.note_not_held(key)
         search = self._searches.get(key)
         if search is None:
             return False
         if search.add_absent(ip):
             hosts = self._monitor.present_hosts()
-            if not search.unanswered(_addresses(hosts)):
+            if not _unanswered(key, search, hosts):
                 self._end_if_not_held(key, search, hosts)
         return True
 
@@ -218,7 +221,7 @@
             self._queue_query(key, search, hosts)
             return
         self._searches.end(key)
-        silent = search.unanswered(_addresses(hosts))
+        silent = _unanswered(key, search, hosts)
         self._node.log(
             'flow.absent',
             flow=describe_flow(key),
@@ -236,7 +239,7 @@
         is_starting = self._node.loop.now - self._started < DISCOVERY_TIMEOUT_S
         if is_starting or not self._follower.listing.known:
             return False
-        unresponsive = search.unanswered(_addresses(hosts))
+        unresponsive = _unanswered(key, search, hosts)
         self._monitor.probe(unresponsive)
         gone: list[str] = []
         for ip in unresponsive + self._monitor.never_seen():
@@ -254,5 +257,12 @@
         return True
 
 
-def _addresses(hosts: list[TrackedHost]) -> list[str]:
-    return [host.ip for host in hosts]
+def _unanswered(
+    key: bytes, search: FlowSearch, hosts: list[TrackedHost]
+) -> list[str]:
+    """Return the addresses of the hosts that may still hold a flow."""
+    return [
+        host.ip
+        for host in hosts
+        if host.ip not in search.absent and host.may_hold(key)
+    ]
--- a/siskinbank/tracking/hosts.py
+++ b/siskinbank/tracking/hosts.py
@@ -4,6 +4,7 @@
 
 from _socket import inet_aton
 
+from siskinbank.admission import reasons
 from siskinbank.choice.host_speed import UNKNOWN, load_factor, median_ms
 from siskinbank.relay.messages import Status
 from siskinbank.tracking.liveness import HostProbes
@@ -27,6 +28,9 @@
 # Time for which a median of the processing times is used, in seconds: with 3,200
 # hosts it takes 1.5 ms, nearly a third of what ranking them takes.
 _MEDIAN_TTL_S = 1.0
+# Maximum number of flows that are remembered as not held by a host whose sidecar
+# stops: twice as many as are searched for at once.
+_MAX_NOT_HELD = 1024
 # Time and value of a median that was not taken yet.
 _NO_MEDIAN = (0, UNKNOWN)
 
@@ -46,6 +50,7 @@
     """
 
     __slots__ = (
+        '_not_held',
         'first_seen',
         'ip',
         'last_seen',
@@ -64,6 +69,8 @@
         self.first_seen = last_seen
         self.pending = 0
         self.load_factor: float = 1
+        # Created with the first key, as most hosts never need it.
+        self._not_held: set[bytes] | None = None
 
     @property
     def interval_s(self) -> float:
@@ -75,6 +82,33 @@
         limit_s = max(_SILENT_S, self.interval_s * _MISSED_UPDATES)
         return now - self.last_seen > limit_s
 
+    def note_not_held(self, key: bytes) -> None:
+        """Record that the sidecar said that its host does not hold a flow.
+
+        Load pattern: sidecars stop beside leaving hosts while hundreds of
+        searches for lost flows wait for another host. A sidecar that has
+        announced its stop accepts no flows, so that its answer holds until it is
+        back, and later searches for the flow need not wait for it.
+        """
+        if self.status.state != reasons.STOPPING:
+            return
+        if self._not_held is None:
+            self._not_held = set()
+        if len(self._not_held) < _MAX_NOT_HELD:
+            self._not_held.add(key)
+
+    def may_hold(self, key: bytes) -> bool:
+        """Return whether no such answer for a flow is known."""
+        return self._not_held is None or key not in self._not_held
+
+    def update_status(self, status: Status, now: float) -> None:
+        """Apply a status update; without a stop, earlier answers are void."""
+        self.status = status
+        self.last_seen = now
+        self.pending = 0
+        if status.state != reasons.STOPPING:
+            self._not_held = None
+
 
 class HostTable:
     """All hosts of which an entry has received a status.
@@ -153,9 +187,7 @@
             return True
         previous = host.status
         changed = previous.state != status.state
-        host.status = status
-        host.last_seen = now
-        host.pending = 0
+        host.update_status(status, now)
         median = self._medians.get(status.service, _NO_MEDIAN)[1]
         host.load_factor = load_factor(status.processing_ms, median)
         if previous.service != status.service:
--- a/tests/relay/test_flow_searcher.py
+++ b/tests/relay/test_flow_searcher.py
@@ -28,6 +28,8 @@
 # Step of simulated time, in seconds.
 STEP_S = 0.05
 DISCOVERY_S = 0.7
+# Time limit of a search, in seconds.
+MAX_SEARCH_S = 1.2
 
 
 def flow_key(number: int) -> bytes:
@@ -257,3 +259,87 @@
         env.searcher.search(flow_key(1), packet_of(flow_key(1)))
         self.answer_all_but_first(env)
         self.assertEqual(env.resets, [])
+
+    def answer(self, env: Environment, ip: str, kind: int) -> None:
+        """Let one host answer all queries that were sent to it."""
+        for target, datagram in env.sent:
+            if target == ip and datagram[0] == messages.FLOW_QUERY:
+                keys = messages.read_keys(datagram)
+                env.handlers[kind](messages.pack_keys(kind, keys), ip)
+
+    def search_before_stop(self, env: Environment) -> None:
+        """Let a search end while the second host is silent.
+
+        The first host says that it does not hold the flow. Then its sidecar stops.
+        """
+        self.end_host(env, reasons.STOPPING)
+        env.searcher.search(flow_key(1), packet_of(flow_key(1)))
+        for number in (1, *range(3, HOSTS + 1)):
+            self.answer(env, f'10.0.0.{number}', messages.NOT_HELD)
+        env.run(MAX_SEARCH_S + 2 * STEP_S)
+        self.assertEqual(env.resets, [])
+        env.sent.clear()
+
+    def search_after_stop(self, env: Environment) -> None:
+        """Let all hosts but the first one answer a search for the same flow."""
+        env.searcher.search(flow_key(1), packet_of(flow_key(1)))
+        for number in range(2, HOSTS + 1):
+            ip = f'10.0.0.{number}'
+            env.hosts.note_message(ip, env.loop.now)
+            self.answer(env, ip, messages.NOT_HELD)
+        env.run(3 * STEP_S)
+
+    def test_answer_before_the_stop(self) -> None:
+        """Guards against a wait for an answer that a sidecar has given.
+
+        Load pattern: sidecars stop beside leaving hosts while searches for lost
+        flows wait for another host. A client sends its packet again when its
+        first search has ended.
+        """
+        env = Environment()
+        self.search_before_stop(env)
+        self.search_after_stop(env)
+        self.assertEqual(env.resets, ['no-host-holds-it'])
+
+    def test_answer_of_an_earlier_sidecar(self) -> None:
+        """Guards against a reset of a flow that a restarted sidecar may hold."""
+        env = Environment()
+        self.search_before_stop(env)
+        self.end_host(env, reasons.NONE)
+        self.end_host(env, reasons.STOPPING)
+        self.search_after_stop(env)
+        self.assertEqual(env.resets, [])
+
+    def test_sidecar_that_is_back_is_asked(self) -> None:
+        """Guards against a restarted sidecar that gets no queries."""
+        env = Environment()
+        self.search_before_stop(env)
+        env.loop.now += 2
+        self.end_host(env, reasons.NONE)
+        env.searcher.search(flow_key(1), packet_of(flow_key(1)))
+        self.assertIn('10.0.0.1', {ip for ip, _ in env.sent})
+
+    def test_other_flow(self) -> None:
+        """Guards against a reset of a flow that the sidecar was not asked for."""
+        env = Environment()
+        self.search_before_stop(env)
+        for number in (1, 2):
+            key = flow_key(number)
+            env.searcher.search(key, packet_of(key))
+        self.search_after_stop(env)
+        self.assertEqual(env.resets, ['no-host-holds-it'])
+
+    def test_answer_before_the_announcement(self) -> None:
+        """Guards against the use of an answer from before the announcement.
+
+        Until then the host may accept a new flow with the same key.
+        """
+        env = Environment()
+        env.searcher.search(flow_key(1), packet_of(flow_key(1)))
+        for number in (1, *range(3, HOSTS + 1)):
+            self.answer(env, f'10.0.0.{number}', messages.NOT_HELD)
+        self.end_host(env, reasons.STOPPING)
+        env.run(MAX_SEARCH_S + 2 * STEP_S)
+        env.sent.clear()
+        self.search_after_stop(env)
+        self.assertEqual(env.resets, [])
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -2,7 +2,7 @@
 
 from siskinbank.admission import reasons
 from siskinbank.relay import messages
-from tests.relay.test_reset_on_absence import FleetCase
+from tests.relay.test_reset_on_absence import RESTART_S, FleetCase
 
 # Time in which all messages of the sidecar are lost, duration of the shortest
 # planned stop, and time until the sidecar is back, in seconds: longer than the
@@ -10,6 +10,8 @@
 LOSS_S = 0.08
 SHORTEST_STOP_S = 0.15
 AWAY_S = 2.5
+# Longer than the longest planned stop, in seconds.
+LONGEST_STOP_S = 5.6
 
 
 class TestLeavingHost(FleetCase):
@@ -90,6 +92,34 @@
         self.assertIn(self.host, self.fleet.dead)
 
 
+class TestLongestStay(FleetCase):
+    """Load pattern: a rolling restart of sidecars beside leaving hosts.
+
+    A sidecar doesn't know whether its host holds idle flows, stays as long as it
+    may, and is started again while the host serves on.
+    """
+
+    def test_flow_is_kept(self) -> None:
+        """Guards against searches that reset a flow while the sidecar is away."""
+        fleet = self.fleet
+        fleet.unlisted.add(self.host)
+        fleet.run(2)
+        sidecar = fleet.sidecars[self.host]
+        node = sidecar._node  # noqa: SLF001
+        node.stop = lambda: fleet.dead.add(self.host)  # type: ignore[method-assign]
+        sidecar._flows.clear()  # noqa: SLF001
+        sidecar._host._observed_since = fleet.now  # noqa: SLF001
+        self.forget_flow()
+        sidecar._planned_stop.begin()  # noqa: SLF001
+        fleet.run(LONGEST_STOP_S)
+        self.assertIn(self.host, fleet.dead)
+        fleet.run(RESTART_S, self.packet)
+        sidecar._host.stopping = False  # noqa: SLF001
+        fleet.dead.discard(self.host)
+        fleet.run(1, self.packet)
+        self.assertEqual([reason for _, reason, _ in fleet.resets], [])
+
+
 class TestLostAnnouncement(FleetCase):
     """Load pattern: a rolling restart of sidecars while datagrams are lost."""
 
