Drop a remembered answer once the host holds the flow

A sidecar that stops passes a copy of a first packet on to its host if it has passed on a packet of the same flow before. The host may so hold a flow that its sidecar has denied since it announced its stop, and a later search would not wait for it. Change: the message that a host holds a flow (HELD) voids the earlier answer.

--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -114,6 +114,9 @@
 
     def finish(self, key: bytes, ip: str) -> list[bytes]:
         """End a successful search and return the packets queued for it."""
+        host = self._hosts.get(ip)
+        if host:
+            host.note_held(key)
         search = self._searches.end(key)
         if search is None:
             return []
--- a/siskinbank/tracking/hosts.py
+++ b/siskinbank/tracking/hosts.py
@@ -97,8 +97,13 @@
         if len(self._not_held) < _MAX_NOT_HELD:
             self._not_held.add(key)
 
+    def note_held(self, key: bytes) -> None:
+        """Record that the sidecar said that its host holds a flow."""
+        if self._not_held is not None:
+            self._not_held.discard(key)
+
     def may_hold(self, key: bytes) -> bool:
-        """Return whether no such answer for a flow is known."""
+        """Return whether searches for a flow depend on an answer of the host."""
         return self._not_held is None or key not in self._not_held
 
     def update_status(self, status: Status, now: float) -> None:
--- a/tests/relay/test_flow_searcher.py
+++ b/tests/relay/test_flow_searcher.py
@@ -310,6 +310,17 @@
         self.search_after_stop(env)
         self.assertEqual(env.resets, [])
 
+    def test_host_holds_the_flow_later(self) -> None:
+        """Guards against a reset of a flow that the host has opened since.
+
+        The sidecar may pass on a copy of a first packet while it stops.
+        """
+        env = Environment()
+        self.search_before_stop(env)
+        env.searcher.finish(flow_key(1), '10.0.0.1')
+        self.search_after_stop(env)
+        self.assertEqual(env.resets, [])
+
     def test_sidecar_that_is_back_is_asked(self) -> None:
         """Guards against a restarted sidecar that gets no queries."""
         env = Environment()
