Cut costs of restart messages, load reports and packets at sidecars

Causes and changes: - A host that announces its start, five times to each other one, made each search all its pointers, although in a pool that starts at once none is to an earlier incarnation. The table counts its pointers by owner and incarnation. - For each such message, the targets of nearly all flows that are not at their primary host were computed. Flows of which the receiver is not one of the three best hosts are skipped by a comparison. - Each load report packed the addresses of all hosts again. They are packed when the hosts change. - Each packet computed the digest of its service's name (twice for most) and the set of the service's endpoints. Digests of names are kept, and the endpoints change with the view.

--- a/siskinbank/admission/balance.py
+++ b/siskinbank/admission/balance.py
@@ -45,6 +45,7 @@
         self._clock = clock
         self._hosts: dict[int, Host] = {}
         self._addresses: dict[bytes, Host] = {}
+        self._packed: dict[int, bytes] = {}
         self._loads: dict[int, HostLoad] = {}
         self._others_load_and_weight: tuple[float, float] = (0, 0)
         self._rooms: dict[bytes, int] = {}
@@ -57,8 +58,12 @@
     def update_hosts(self, hosts: Iterable[Host]) -> None:
         """Set the other hosts that accept new work."""
         self._hosts = {host.seed: host for host in hosts}
+        self._packed = {
+            seed: pack_address(host.address)
+            for seed, host in self._hosts.items()
+        }
         self._addresses = {
-            pack_address(host.address): host for host in self._hosts.values()
+            self._packed[seed]: host for seed, host in self._hosts.items()
         }
         for seed in self._loads.keys() - self._hosts.keys():
             del self._loads[seed]
@@ -82,15 +87,19 @@
 
     def refresh(self) -> None:
         """Update the totals of the hosts that have room."""
-        fresh = self.fresh()
-        not_full = [(host, known) for host, known in fresh if known.room]
-        self._others_load_and_weight = (
-            sum(known.load for _host, known in not_full),
-            sum(host.weight for host, _known in not_full),
-        )
-        self._rooms = {
-            pack_address(host.address): known.room for host, known in fresh
-        }
+        oldest = self._clock() - MAX_REPORT_AGE_SECONDS
+        total_load: float = 0
+        total_weight: float = 0
+        rooms = {}
+        for seed, known in self._loads.items():
+            if known.at < oldest:
+                continue
+            rooms[self._packed[seed]] = known.room
+            if known.room:
+                total_load += known.load
+                total_weight += self._hosts[seed].weight
+        self._others_load_and_weight = (total_load, total_weight)
+        self._rooms = rooms
 
     def fair_load(self, own_load: int, own_weight: float) -> float:
         """Return the connections up to which this host accepts first packets.
--- a/siskinbank/config/site.py
+++ b/siskinbank/config/site.py
@@ -18,6 +18,11 @@
     'Site',
 )
 
+#: Names of hosts and services whose digest is kept. Both are needed for each
+#: packet, and 8,192 names exceed the largest deployment (3,610 processes).
+_MAX_CACHED_NAMES = 8192
+_name_digest = functools.lru_cache(_MAX_CACHED_NAMES)(digest64)
+
 #: An IP address and a port.
 Address = tuple[str, int]
 
@@ -58,7 +63,7 @@
     @property
     def seed(self) -> int:
         """The host's 64-bit seed for ranking."""
-        return digest64(self.name)
+        return _name_digest(self.name)
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +107,7 @@
     @property
     def ident(self) -> int:
         """The 64-bit number that identifies the service in packets."""
-        return digest64(self.name)
+        return _name_digest(self.name)
 
 
 @dataclass(frozen=True)
--- a/siskinbank/sidecar/flows.py
+++ b/siskinbank/sidecar/flows.py
@@ -1,5 +1,6 @@
 """Tables of an upstream's flows and of pointers to flows of other hosts."""
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -134,6 +135,8 @@
         """Create a table of at most ``size`` pointers, evicting the oldest."""
         self._size = size
         self._pointers: dict[int, Pointer] = {}
+        #: Number of pointers by address and incarnation of the owner.
+        self._counts: Counter[tuple[bytes, int]] = Counter()
 
     def __len__(self) -> int:
         """Return the number of pointers, expired ones included."""
@@ -141,10 +144,11 @@
 
     def put(self, number: int, pointer: Pointer) -> None:
         """Store the pointer to a flow's owner."""
-        self._pointers.pop(number, None)
+        self.forget(number)
         self._pointers[number] = pointer
+        self._counts[_owner(pointer)] += 1
         if len(self._pointers) > self._size:
-            del self._pointers[next(iter(self._pointers))]
+            self.forget(next(iter(self._pointers)))
 
     def get(self, number: int, now: float) -> Pointer | None:
         """Return the pointer of a flow, or None if it is unknown or expired."""
@@ -155,10 +159,26 @@
 
     def forget(self, number: int) -> None:
         """Remove the pointer of a flow."""
-        self._pointers.pop(number, None)
+        removed = self._pointers.pop(number, None)
+        if removed is None:
+            return
+        owner = _owner(removed)
+        self._counts[owner] -= 1
+        if not self._counts[owner]:
+            del self._counts[owner]
 
     def extend(self, address: bytes, incarnation: int, expires: float) -> None:
-        """Extend the leases of pointers to earlier incarnations of a host."""
+        """Extend the leases of pointers to earlier incarnations of a host.
+
+        A host announces its start several times, and in a pool that starts at
+        once there are no earlier incarnations; the pointers are only searched
+        if there is one.
+        """
+        if not any(
+            known_address == address and known_incarnation != incarnation
+            for known_address, known_incarnation in self._counts
+        ):
+            return
         for number, pointer in self._pointers.items():
             if pointer.address == address and (
                 pointer.incarnation != incarnation
@@ -178,4 +198,8 @@
             if pointer.expires < now
         ]
         for number in removed:
-            del self._pointers[number]
+            self.forget(number)
+
+
+def _owner(pointer: Pointer) -> tuple[bytes, int]:
+    return pointer.address, pointer.incarnation
--- a/siskinbank/sidecar/packets.py
+++ b/siskinbank/sidecar/packets.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
+from collections.abc import Collection
 
-from siskinbank.config.site import Address, Service
+from siskinbank.config.site import Address
 from siskinbank.kernel.incarnation import make_incarnation, same_host
 from siskinbank.kernel.reasons import Drop, GivenUp
 from siskinbank.kernel.suspension import SuspensionDetector
@@ -79,6 +80,7 @@
         self._name = context.process.name
         self._started: float | None = None
         self._service_ident = 0
+        self._endpoints: Collection[tuple[bytes, int]] = ()
         self.incarnation = make_incarnation(self._name)
         self._accounting = FlowAccounting(context)
         self.flows = self._accounting.flows
@@ -136,7 +138,7 @@
         if not self._suspension_detector.is_valid:
             self._metrics.count(Drop.stale_view)
             return
-        if not _is_for_service(envelope, packet, self._context.service):
+        if not self._is_for_service(envelope, packet):
             self._forward_newer(envelope)
         elif self._context.is_out:
             self._forward_out_of_service(envelope, packet)
@@ -150,6 +152,12 @@
         elif isinstance(received, Moved | Restarted):
             self._receive_ownership(received)
 
+    def _is_for_service(self, envelope: Envelope, packet: InnerPacket) -> bool:
+        service = self._context.service
+        if service is None or envelope.service != service.ident:
+            return False
+        return (packet.target, packet.target_port) in self._endpoints
+
     def _receive_ownership(self, received: Moved | Restarted) -> None:
         if received.service != self._service_ident:
             self._metrics.count(Drop.wrong_service)
@@ -468,6 +476,7 @@
     def _refresh(self) -> None:
         service = self._context.service
         self._service_ident = service.ident if service else 0
+        self._endpoints = service_endpoints(service) if service else ()
         if service is None:
             self._accounting.abandon_all(GivenUp.removed)
             return
@@ -515,13 +524,3 @@
     if envelope.flags & PROBE and envelope.candidates:
         return envelope.candidates[-1]
     return None
-
-
-def _is_for_service(
-    envelope: Envelope,
-    packet: InnerPacket,
-    service: Service | None,
-) -> bool:
-    if service is None or envelope.service != service.ident:
-        return False
-    return (packet.target, packet.target_port) in service_endpoints(service)
--- a/siskinbank/sidecar/pool_history.py
+++ b/siskinbank/sidecar/pool_history.py
@@ -110,7 +110,8 @@
 
         It selects flows as ``announcement_targets`` does for flows that are not
         new. When a pool starts at once, each host asks every other one, and
-        each time all flows are checked; so most are skipped by two comparisons.
+        each time all flows are checked; so most are skipped by a few
+        comparisons.
 
         Args:
             receiver: the host's address.
@@ -123,7 +124,9 @@
         selected = []
         for number in numbers:
             ranked = known(number)
-            if not has_earlier and ranked and ranked[0].name == own_name:
+            if not has_earlier and not _may_be_target(
+                receiver, ranked, own_name
+            ):
                 continue
             targets = self.announcement_targets(number, own_name, new=False)
             if any(host.address == receiver for host in targets):
@@ -159,6 +162,17 @@
                 yield from ranks.fresh(number)[:1]
 
 
+def _may_be_target(
+    receiver: Address, ranked: list[Host], own_name: str
+) -> bool:
+    """Return whether a host may be among the targets of a flow not new."""
+    if not ranked or ranked[0].name == own_name:
+        return False
+    # The owner may be one of these, which leaves the others.
+    possible = ranked[: _ANNOUNCEMENT_TARGETS + 1]
+    return receiver in [host.address for host in possible]
+
+
 def _rank_no_hosts(_number: int) -> list[Host]:
     return []
 
--- a/tests/choice/test_rendezvous.py
+++ b/tests/choice/test_rendezvous.py
@@ -15,7 +15,13 @@
 FLOWS = range(20_000)
 _RANGE = float(2**64 - 1) + 2
 #: Weights of the hosts of several pools, some of them all equal.
-_WEIGHTS = ((1,), (2, 2), (1, 0.5, 3), (1,) * 100, (1, 2) * 50)
+_WEIGHTS: tuple[Sequence[float], ...] = (
+    (1,),
+    (2, 2),
+    (1, 0.5, 3),
+    (1,) * 100,
+    range(1, 101),
+)
 
 
 def _hosts(*weights: float) -> list[Host]:
--- a/tests/sidecar/test_flows.py
+++ b/tests/sidecar/test_flows.py
@@ -1,5 +1,6 @@
 """Tests of the tables of owned flows and pointers."""
 
+import time
 import unittest
 
 from siskinbank.sidecar.flows import FlowTable, Pointer, PointerTable
@@ -20,6 +21,16 @@
     return table
 
 
+def _cost_of_extending(pointers: PointerTable, incarnation: int) -> float:
+    """Return the least processor time of several calls, in seconds."""
+    costs = []
+    for _ in range(5):
+        start = time.process_time()
+        pointers.extend(HOST, incarnation, 50)
+        costs.append(time.process_time() - start)
+    return min(costs)
+
+
 class TestFlowTable(unittest.TestCase):
     """Idle timeouts of flows."""
 
@@ -85,3 +96,30 @@
         pointers.extend(HOST, 2, 500)
         kept = [number for number in (1, 2, 3) if pointers.get(number, 60)]
         self.assertEqual(kept, [1])
+
+    def test_extend_after_removals(self) -> None:
+        """Removed pointers hide that there is one to an earlier incarnation."""
+        pointers = PointerTable(3)
+        for number in range(5):
+            pointers.put(number, Pointer(HOST, 1, 1, 50))
+        pointers.forget(2)
+        pointers.forget(2)
+        pointers.put(3, Pointer(HOST, 2, 1, 50))
+        pointers.put(5, Pointer(HOST, 1, 1, 20))
+        pointers.expire(30)
+        pointers.extend(HOST, 2, 500)
+        self.assertIsNotNone(pointers.get(4, 60))
+        self.assertIsNone(pointers.get(3, 60))
+        self.assertEqual(len(pointers), 2)
+
+    def test_cost_of_start_of_pool(self) -> None:
+        """Each announced start searches all pointers, though none is earlier.
+
+        Load pattern: all hosts of a pool start at once and announce it.
+        """
+        pointers = PointerTable(20_000)
+        for number in range(20_000):
+            pointers.put(number, Pointer(HOST, 1, 1, 50))
+        needless = _cost_of_extending(pointers, 1)
+        needed = _cost_of_extending(pointers, 2)
+        self.assertLess(needless, needed / 500)
--- a/tests/sidecar/test_pool_history.py
+++ b/tests/sidecar/test_pool_history.py
@@ -1,6 +1,6 @@
 """Tests of the rankings that a sidecar keeps."""
 
-from unittest import TestCase
+from unittest import TestCase, mock
 
 from siskinbank.choice.rendezvous import prepare_rendezvous
 from siskinbank.choice.router import PoolRanks
@@ -68,6 +68,22 @@
         found = list(map(self.history.known, FLOWS))
         self.assertEqual(found, list(map(pool.known, FLOWS)))
 
+    def test_other_flows_are_skipped(self) -> None:
+        """Targets are computed of flows that a restarted host does not get."""
+        pool = _CountingRanks(20)
+        self.history.update(pool.ranks)
+        own, *others = pool.hosts
+        compute = mock.Mock(side_effect=self.history.announcement_targets)
+        with mock.patch.object(self.history, 'announcement_targets', compute):
+            found = [
+                self.history.announced_to(host.address, FLOWS, own.name)
+                for host in others
+            ]
+        selected = sum(map(len, found))
+        self.assertGreater(selected, len(FLOWS))
+        # The owner may be one of the three best hosts, with two targets.
+        self.assertLessEqual(compute.call_count, selected * 3 / 2)
+
     def test_announced_to(self) -> None:
         """A restarted host gets other flows than those announced to it."""
         for hosts in (20, 19, 5, 1):
