Observe free capacity at each packet in the check of refusals

Cause, from a trace: at 65.780 s one host had one connection left, since 62.6 s, and all others had none. At 65.7818 s another flow took it. The three first packets asked 12 or 13 times, from 65.781 s to 65.798 s; each host that they asked had no room left when it refused. The samples at 65.78 s and 65.80 s both saw room at the one host, so it counted as free throughout. Ruled out: placement. No host that was asked had room, and connections are given back only at the timers' ticks, every 0.1 s. Change: the check also observes the capacity of a host at each packet that its upstream gets, which is when a unit has just been taken.

--- a/siskinbank/lab/traffic.py
+++ b/siskinbank/lab/traffic.py
@@ -15,7 +15,7 @@
     host_name,
     monitored_sidecar_address,
 )
-from siskinbank.lab.pool import Pool, PoolSidecar
+from siskinbank.lab.pool import UPSTREAM_PORT, Pool, PoolSidecar
 from siskinbank.lab.standins.packets import ACK, FIN, SYN, Flow, make_packet
 from siskinbank.wire.packets import parse_inner
 
@@ -146,6 +146,9 @@
         self.falsely_refused = 0
         self._had_capacity: dict[int, bool] = {}
         self._free_since: dict[str, float] = {}
+        #: Names of hosts by IP address.
+        self._names: dict[str, str] = {}
+        pool.network.on_deliver = self._observe_delivery
         self._sample_capacity()
         self.broken_flows: set[CallerEndpoint] = set()
         for arrival in arrivals:
@@ -166,7 +169,9 @@
     def has_free_capacity(self) -> bool:
         """Return whether a warm host has had free capacity for 1 second.
 
-        Hosts that accept no new work are left out.
+        Hosts that accept no new work are left out. Capacity is sampled, and
+        also observed at each packet that a host gets: the last unit may be
+        taken and another one given back between two samples.
         """
         latest = self._pool.clock.now - _KNOWN_CAPACITY_SECONDS
         return any(since <= latest for since in self._free_since.values())
@@ -210,13 +215,30 @@
             self._schedule(now + delay, arrival, SYN, tries)
 
     def _sample_capacity(self) -> None:
-        for name, sidecar in self._pool.sidecars.items():
-            if _has_free_capacity(sidecar, self._pool.site):
-                self._free_since.setdefault(name, self._pool.clock.now)
-            else:
-                self._free_since.pop(name, None)
+        for name in self._pool.sidecars:
+            self._observe_capacity(name)
         self._pool.network.after(_SAMPLE_SECONDS, self._sample_capacity)
 
+    def _observe_delivery(self, _datagram: bytes, receiver: Address) -> None:
+        """Observe a host whose sidecar has just taken a unit for a packet."""
+        ip_address, port = receiver
+        if port == UPSTREAM_PORT:
+            name = self._names.get(ip_address)
+            if name is None:
+                self._names = {
+                    sidecar.address[0]: name
+                    for name, sidecar in self._pool.sidecars.items()
+                }
+                name = self._names[ip_address]
+            self._observe_capacity(name)
+
+    def _observe_capacity(self, name: str) -> None:
+        sidecar = self._pool.sidecars[name]
+        if _has_free_capacity(sidecar, self._pool.site):
+            self._free_since.setdefault(name, self._pool.clock.now)
+        else:
+            self._free_since.pop(name, None)
+
     def _reconnect(self, arrival: Arrival, now: float) -> None:
         """Open a new flow for the remaining time of a lost one."""
         remaining_seconds = arrival.at + arrival.duration_seconds - now
