Wait for peers that know before adopting a document

A process that was restarted while the platform served the previous document adopted that one, and the newer one of its peers 0.3 to 0.4 s later.

Cause: a process follows the platform once three peers have answered, and answers of peers without a configuration counted. A second cause: the document of the first peer to answer was adopted at once, also from a peer that had missed the last publication.

Ruled out: an older document accepted by a running process (reverts of processes that were not restarted are 0), and floors that are not raised (the floor was 0: nobody had shown the newer document).

Change: only fresh peers with a configuration count. It adopts once three that know have answered or all reachable peers have; otherwise after 0.5 s a document of a peer, after 1.5 s one of the platform. At its adoption it tells the peers that saw it without a configuration.

--- a/siskinbank/lab/virtual_fleet.py
+++ b/siskinbank/lab/virtual_fleet.py
@@ -322,6 +322,10 @@
     def restart(self, name: str) -> VirtualNode:
         """Restart a process, which then knows the platform's list only."""
         self.kill(name)
+        return self.start_node(name)
+
+    def start_node(self, name: str) -> VirtualNode:
+        """Start a stopped process, which knows the platform's list only."""
         instance = next(one for one in self.instances if one.name == name)
         node = self._create_node(instance)
         node.start()
--- a/siskinbank/peers/document_fetch.py
+++ b/siskinbank/peers/document_fetch.py
@@ -1,13 +1,13 @@
 """Fetch configuration documents from peers, and serve them."""
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from siskinbank.config.sections import DocumentKey
 from siskinbank.config.site import Address
 from siskinbank.directory.store import DocumentStore
 from siskinbank.kernel.metrics import Metrics
+from siskinbank.peers.joining import Joining
 from siskinbank.peers.rate import TokenBucket
 from siskinbank.peers.timing import TimerSource
 from siskinbank.peers.transfer import PieceCollector, Send, send_pieces
@@ -26,7 +26,11 @@
 
 
 class DocumentFetch:
-    """Fetches one document at a time from the peers that have it."""
+    """Fetches one document at a time from the peers that have it.
+
+    Attributes:
+        joining: delays the first document until peers have answered.
+    """
 
     def __init__(
         self,
@@ -37,7 +41,7 @@
         rng: random.Random,
         metrics: Metrics,
     ) -> None:
-        """Initialize; ``on_complete`` is called with each complete document.
+        """Initialize; complete documents are passed to ``joining``.
 
         Args:
             store: receives the fetched documents and holds those to serve.
@@ -56,7 +60,7 @@
         self._collector = PieceCollector(store, send, lambda: timers.now)
         self._candidate: _Candidate | None = None
         self._fetch_scheduled = False
-        self.on_complete: Callable[[DocumentKey], object] = _ignore
+        self.joining = Joining(store, timers, rng)
 
     def fetch_newer(self, key: DocumentKey, sender: Address) -> None:
         """Fetch a document that a peer has in force, if it is newer."""
@@ -118,7 +122,7 @@
             return
         if not missing:
             self._candidate = None
-            self.on_complete(candidate.key)
+            self.joining.add_document(candidate.key)
             return
         self._collector.request_missing(
             missing, self._rng.choice(candidate.sources)
@@ -130,7 +134,3 @@
     def _fetch_again(self) -> None:
         self._fetch_scheduled = False
         self._fetch()
-
-
-def _ignore(_key: DocumentKey) -> None:
-    """Default of ``on_complete``."""
--- a/siskinbank/peers/gossip.py
+++ b/siskinbank/peers/gossip.py
@@ -58,8 +58,6 @@
 #: Limits on the bytes that a process sends to answer its peers.
 _UPLOAD_BYTES_PER_SECOND = 20_000
 _UPLOAD_BURST_BYTES = 400_000
-_JOIN_ANSWERS = 3
-_JOIN_TIMEOUT_SECONDS = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +120,12 @@
         self._document_fetch = DocumentFetch(
             store, timers, send, upload_rate, rng, metrics
         )
-        self._document_fetch.on_complete = self._try_adopt
+        self._joining = self._document_fetch.joining
+        self._joining.peers = lambda: _reachable_peers(
+            self.roster, self.statuses, identity.name
+        )
+        self._joining.on_ask = lambda peer: self._announce(peer, REPLY_WANTED)
+        self._joining.on_settled = self._try_adopt
         self._roster_sync = RosterSync(send, upload_rate, rng, metrics)
         self._ring = RingMonitor(identity.name, identity.data_centre)
         self._updates = UpdateQueue()
@@ -130,7 +133,6 @@
         self._epoch = identity.epoch
         self._leaving = False
         self._started_at = timers.now
-        self._answered_peers: set[Address] = set()
 
     @property
     def now(self) -> float:
@@ -139,16 +141,12 @@
 
     @property
     def joined(self) -> bool:
-        """Whether the process may start to follow the platform.
+        """Whether the process may adopt a document of the platform.
 
-        True once enough peers have answered, a configuration is in force or a
-        time limit has passed.
+        True once a configuration is in force, or peers have shown which one
+        is, or a time limit has passed.
         """
-        known = len(self.roster) - 1 if len(self.roster) else _JOIN_ANSWERS
-        wanted = min(known, _JOIN_ANSWERS)
-        if self.store.in_force[0] or len(self._answered_peers) >= wanted:
-            return True
-        return self.now - self._started_at >= _JOIN_TIMEOUT_SECONDS
+        return self._joining.joined
 
     @property
     def fresh(self) -> bool:
@@ -168,6 +166,7 @@
     def start(self) -> None:
         """Start the timers and send the first announcements."""
         self._started_at = self.now
+        self._joining.restart()
         self._timers.every(TICK_SECONDS, self.tick, jitter=0.2)
         self._timers.every(_PRUNE_INTERVAL_SECONDS, self._prune, jitter=0.2)
         self.ask_peers()
@@ -230,8 +229,9 @@
         if not newer:
             return
         if not had_peers:
-            # The time limit for joining starts again, now that peers are known.
+            # The time limits start again, now that peers are known.
             self._started_at = self.now
+            self._joining.restart()
             self.ask_peers()
         for record in newer:
             self._updates.add_record(record)
@@ -256,6 +256,7 @@
         statuses: list[Any] | None = None,
     ) -> None:
         generation, digest = self.store.in_force
+        self._joining.note_announced(peer)
         sent = Announce(
             self.identity.name,
             self._epoch,
@@ -275,8 +276,7 @@
 
     def _receive_announce(self, received: Announce, sender: Address) -> None:
         own = self.store.in_force[0]
-        if not own:
-            self._answered_peers.add(sender)
+        self._joining.receive(received)
         self._note_sender(received, sender)
         self.lagging.note(received.name, received.generation, own, self.now)
         self.lagging.merge(received.lagging, own, self.now)
@@ -284,6 +284,7 @@
         key = (received.generation, received.digest)
         self._document_fetch.fetch_newer(key, sender)
         self._document_fetch.fetch_refused(received.refused, sender)
+        self._joining.adopt_waiting()
         if received.flags & REPLY_WANTED:
             self._announce(sender, echo=received.nonce)
             if received.roster != self.roster.root:
@@ -355,6 +356,10 @@
         if site is None:
             return False
         self.on_adopt(site)
+        # Peers that saw this process without a configuration would report it
+        # as lagging until they hear from it again.
+        for peer in self._joining.take_told():
+            self._announce(peer)
         self._announce_to_some(_GENERATION_FAN_OUT)
         return True
 
@@ -412,6 +417,21 @@
         return record is None or record.listing == Listing.absent
 
 
+def _reachable_peers(
+    roster: Roster, statuses: MemberStatusTable, own_name: str
+) -> list[Record] | None:
+    """Return the listed peers that are not silent; None without a roster."""
+    if not len(roster):
+        return None
+    return [
+        record
+        for record in roster.index().records
+        if record.name != own_name
+        and record.listing != Listing.absent
+        and statuses.silent_for(record.name, 0) is None
+    ]
+
+
 def _ignore_site(_site: Site) -> None:
     """Default of ``on_adopt``."""
 
