Observe the capacity of hosts only where refusals are checked

In its profile, sampling the capacity of 100 hosts every 20 ms takes 7%, and only the data-centre experiment uses the result. Change: the capacity is observed if the experiment asks for it.

--- a/siskinbank/lab/data_centre.py
+++ b/siskinbank/lab/data_centre.py
@@ -155,7 +155,9 @@
         _DATA_CENTRES,
     )
     pool.publish(shape.site(1))
-    traffic = Traffic(pool, arrivals, _SEND_INTERVAL_SECONDS)
+    traffic = Traffic(
+        pool, arrivals, _SEND_INTERVAL_SECONDS, observes_capacity=True
+    )
     run = DataCentreRun()
     order = random.Random(seed).sample(range(_DATA_CENTRES), _ROUNDS)
     for number, centre in enumerate(order):
--- a/siskinbank/lab/traffic.py
+++ b/siskinbank/lab/traffic.py
@@ -125,7 +125,7 @@
         opened: number of successful attempts to open a flow.
         refused: number of failed attempts to open a flow.
         falsely_refused: number of failed attempts while a warm host had free
-            capacity.
+            capacity; always 0 unless the capacity is observed.
         broken_flows: flows that were open but no live upstream has any more.
     """
 
@@ -134,6 +134,8 @@
         pool: Pool,
         arrivals: list[Arrival],
         send_interval_seconds: float | None = None,
+        *,
+        observes_capacity: bool = False,
     ) -> None:
         """Initialize the schedule of packets.
 
@@ -142,6 +144,8 @@
             arrivals: flows to open.
             send_interval_seconds: time between packets of an open flow. By
                 default no packet is sent between its opening and its end.
+            observes_capacity: whether to observe the free capacity of the
+                hosts, which takes seconds of processor time with 100 hosts.
         """
         self._pool = pool
         self._send_interval_seconds = send_interval_seconds
@@ -152,8 +156,9 @@
         self._free_since: dict[str, float] = {}
         #: Names of hosts by IP address.
         self._names: dict[str, str] = {}
-        pool.network.on_deliver = self._observe_delivery
-        self._sample_capacity()
+        if observes_capacity:
+            pool.network.on_deliver = self._observe_delivery
+            self._sample_capacity()
         self.broken_flows: set[CallerEndpoint] = set()
         for arrival in arrivals:
             self._schedule(arrival.at, arrival, SYN, 0)
--- a/tests/lab/test_traffic.py
+++ b/tests/lab/test_traffic.py
@@ -46,7 +46,7 @@
 
 def _run(pool: Pool, arrivals: Sequence[Arrival]) -> tuple[int, int]:
     """Return the numbers of refused and of falsely refused attempts."""
-    traffic = Traffic(pool, list(arrivals))
+    traffic = Traffic(pool, list(arrivals), observes_capacity=True)
     traffic.run(2.5)
     return traffic.refused, traffic.falsely_refused
 
