Ask enough peers at a start; allow for the way of reports

A process that had drawn the same peers twice waited 0.5 s for a third answer in a fleet of 5 (traced); it asks further peers until five have been asked. A report of a lagging process that was under way when the process announced its configuration counted as newer than that; reports now count 0.25 s older (traced as well).

Not mended: two announcements of one process that overtake each other leave the older state until the next message or a correction.

--- a/siskinbank/peers/joining.py
+++ b/siskinbank/peers/joining.py
@@ -18,6 +18,8 @@
 __all__ = ('JoinAnswers', 'Joining')
 
 _WANTED_ANSWERS = 3
+#: Peers drawn at random coincide in a small fleet, and answers may be lost.
+_MIN_ASKED = 5
 #: Limit on the peers that a process asks while none of them can tell it the
 #: document in force. With nine of ten processes restarting, 64 peers miss one
 #: that knows in 0.1% of the starts.
@@ -138,14 +140,16 @@
     def receive(self, received: Announce) -> None:
         """Record an answer; ask another peer if it shows no configuration.
 
-        A process that has just resumed after a suspension is not fresh: it
+        Another one is asked as well while few have been. A process that has just resumed after a suspension is not fresh: it
         shows the configuration that was in force before.
         """
         if self._store.in_force[0]:
             return
         knows = bool(received.generation and received.flags & FRESH)
         self._answers.note_answer(received.name, knows=knows)
-        unasked = [] if knows else self._answers.unasked(self.peers() or [])
+        if knows and len(self._answers.asked) >= _MIN_ASKED:
+            return
+        unasked = self._answers.unasked(self.peers() or [])
         if unasked:
             self.on_ask(self._rng.choice(unasked))
 
--- a/siskinbank/peers/lagging.py
+++ b/siskinbank/peers/lagging.py
@@ -16,6 +16,9 @@
 _MAX_REPORTED = 8
 _MAX_CORRECTIONS = 4
 _EXPIRE_SECONDS = 15
+#: A report may have been under way, or in a socket, for this long. Otherwise it
+#: counts as newer than a message that the process itself sent after it.
+_TRANSIT_SECONDS = 0.25
 _MILLISECONDS = 1000
 _FIELDS = 3
 _MAX_PROCESSES = 64
@@ -107,10 +110,12 @@
             if not _is_valid(part):
                 continue
             name, generation, age = part
-            if name in self._processes or len(self._processes) < _MAX_PROCESSES:
-                self.note(
-                    name, generation, own_generation, now - age / _MILLISECONDS
-                )
+            seen_at = now - age / _MILLISECONDS
+            if generation < own_generation:
+                seen_at -= _TRANSIT_SECONDS
+            has_room = len(self._processes) < _MAX_PROCESSES
+            if has_room or name in self._processes:
+                self.note(name, generation, own_generation, seen_at)
 
     def _corrections(self, own_generation: int) -> list[LaggingProcess]:
         """Return the processes of the latest outdated reports."""
--- a/tests/peers/test_joining.py
+++ b/tests/peers/test_joining.py
@@ -123,6 +123,8 @@
 
     def test_who_does_not_know_is_followed_by_another(self) -> None:
         """A process without configuration, or one that just resumed."""
+        for peer in self.peers[:5]:
+            self.joining.note_announced(peer.address)
         self.joining.receive(make_announce('host-1', 0))
         self.assertEqual(len(self.asked), 1)
         self.joining.receive(make_announce('host-2', 2, flags=0))
@@ -130,6 +132,15 @@
         self.joining.receive(make_announce('host-3', 3))
         self.assertEqual(len(self.asked), 2)
 
+    def test_more_peers_are_asked_while_few_are(self) -> None:
+        """Guards against 0.5 s of waiting, as the same peer was drawn twice."""
+        self.joining.on_ask = self.joining.note_announced
+        self.joining.note_announced(self.peers[0].address)
+        self.joining.add_document(_NEWER)
+        for peer in self.peers[:3]:
+            self.joining.receive(make_announce(peer.name, 3))
+        self.assertEqual(len(self.joining.take_told()), 4)
+
 
 class TestRestartsWhileStale(unittest.TestCase):
     """Load pattern: restarts while the platform serves an older document."""
--- a/tests/peers/test_lagging.py
+++ b/tests/peers/test_lagging.py
@@ -23,6 +23,16 @@
             lagging.merge([['host-1', 0, 2500]], 1, 103)
             self.assertEqual(lagging.lowest(1, 103), [])
 
+    def test_report_that_was_under_way(self) -> None:
+        """Guards against a report that a later message overtook.
+
+        Its age is stated as of its sending.
+        """
+        lagging = LaggingProcesses('entry-1')
+        lagging.note('host-1', 1, 1, 102)
+        lagging.merge([['host-1', 0, 0]], 1, 102.2)
+        self.assertEqual(lagging.lowest(1, 103), [])
+
     def test_newer_reports_count(self) -> None:
         """A process that was restarted lags again."""
         lagging = LaggingProcesses('entry-1')
