--- a/siskinbank/sidecar/pool_history.py
+++ b/siskinbank/sidecar/pool_history.py
@@ -13,7 +13,7 @@
 #: How long other processes may still use the ranking of an earlier generation.
 SKEW_SECONDS = 60
 _MAX_EARLIER_RANKINGS = 4
-#: Flows whose ranking by the current pool is kept. A ranking takes 0.7
+#: Flows whose ranking by the current pool is kept. A ranking takes 0.3
 #: microseconds for each host, and each ``Restarted`` message needs that of every
 #: owned flow. A flow takes some 0.3 KB; a sidecar owns 1,125 at the design size.
 _MAX_CACHED_FLOWS = 2048
