--- a/tests/relay/test_overload_drills.py
+++ b/tests/relay/test_overload_drills.py
@@ -22,8 +22,8 @@
 # Limit of the platform from a change by a host to its effect, in seconds.
 _MAX_APPLY_S = 3
 _VARIABLE = 'OVERLOAD_DRILL_SEEDS'
-# By default routers do not move flows between live entries, some of which are
-# reset (KNOWN-RED.txt).
+# By default routers do not move flows between live entries: both better entries
+# are killed then, and reports of them that stay fresh too long are noticed.
 _MOVING = _VARIABLE in os.environ
 _SEEDS = seeds_to_run(_VARIABLE, range(22, 23))
 
