--- a/siskinbank/peers/joining.py
+++ b/siskinbank/peers/joining.py
@@ -140,8 +140,9 @@
     def receive(self, received: Announce) -> None:
         """Record an answer; ask another peer if it shows no configuration.
 
-        Another one is asked as well while few have been. A process that has just resumed after a suspension is not fresh: it
-        shows the configuration that was in force before.
+        Another one is asked as well while few have been. A process that has
+        just resumed after a suspension is not fresh: it shows the configuration
+        that was in force before.
         """
         if self._store.in_force[0]:
             return
