Keep digests of names, search answers and overridden entries in one place

The searcher calls FlowSearch.unanswered instead of repeating its condition. Routes and services that are overridden share their warning. Behaviour is unchanged.

--- a/siskinbank/config/routing.py
+++ b/siskinbank/config/routing.py
@@ -192,26 +192,32 @@
     in_force = _routes_in_force(table)
     for route in table.routes:
         last = in_force[route.key]
-        if last is not route:
-            yield (
-                route.locate(''),
-                f'never matches, as {last.locate("").path} is also for '
-                f'{route.key} and takes precedence',
-                'remove one of the two',
-            )
+        yield from _overridden(route, last, 'never matches', f'for {route.key}')
 
 
 def _overridden_services(table: RoutingTable) -> Iterator[_Warning]:
     in_force = _services_in_force(table)
     for service in table.services:
         last = in_force[service.name]
-        if last is not service:
-            yield (
-                service.locate(''),
-                f'has no effect, as {last.locate("").path} is also named '
-                f'{service.name!r} and takes precedence',
-                'remove one of the two',
-            )
+        yield from _overridden(
+            service, last, 'has no effect', f'named {service.name!r}'
+        )
+
+
+def _overridden(
+    entry: RouteEntry | ServiceEntry,
+    last: RouteEntry | ServiceEntry,
+    problem: str,
+    shared: str,
+) -> Iterator[_Warning]:
+    """Warn of an entry unless it is the last one of those that share a key."""
+    if last is not entry:
+        yield (
+            entry.locate(''),
+            f'{problem}, as {last.locate("").path} is also {shared} and takes '
+            'precedence',
+            'remove one of the two',
+        )
 
 
 def _backend_warnings(table: RoutingTable) -> Iterator[_Warning]:
--- a/siskinbank/config/site.py
+++ b/siskinbank/config/site.py
@@ -4,7 +4,7 @@
 import functools
 from dataclasses import dataclass, field
 
-from siskinbank.util import digest64
+from siskinbank.util import name_digest
 
 __all__ = (
     'Address',
@@ -18,11 +18,6 @@
     'Site',
 )
 
-#: Names of hosts and services whose digest is kept. Both are needed for each
-#: packet, and 8,192 names exceed the largest deployment (3,610 processes).
-_MAX_CACHED_NAMES = 8192
-_name_digest = functools.lru_cache(_MAX_CACHED_NAMES)(digest64)
-
 #: An IP address and a port.
 Address = tuple[str, int]
 
@@ -63,7 +58,7 @@
     @property
     def seed(self) -> int:
         """The host's 64-bit seed for ranking."""
-        return _name_digest(self.name)
+        return name_digest(self.name)
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +102,7 @@
     @property
     def ident(self) -> int:
         """The 64-bit number that identifies the service in packets."""
-        return _name_digest(self.name)
+        return name_digest(self.name)
 
 
 @dataclass(frozen=True)
--- a/siskinbank/directory/roster.py
+++ b/siskinbank/directory/roster.py
@@ -17,7 +17,7 @@
 
 from siskinbank.config.site import Address
 from siskinbank.directory.live import Instance, InstanceState, Role
-from siskinbank.util import digest64
+from siskinbank.util import name_digest
 from siskinbank.wire.checks import is_number_below, is_valid_name
 from siskinbank.wire.packets import pack_address, unpack_address
 
@@ -41,8 +41,6 @@
 _VERSION_LIMIT = 1 << _VERSION_BITS
 _PACKED_ADDRESS_BYTES = 6
 _FIELDS = 6
-#: More than the instances of a fleet of the size to design for, 3,610.
-_MAX_CACHED_NAMES = 8192
 _ROLES = frozenset(Role)
 
 
@@ -283,10 +281,9 @@
         return Roster(tuple(buckets))
 
 
-@functools.lru_cache(maxsize=_MAX_CACHED_NAMES)
 def ring_key(name: str) -> int:
     """Return the hash that orders an instance on its data centre's ring."""
-    return digest64(name)
+    return name_digest(name)
 
 
 def _record_ring_key(record: Record) -> int:
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -285,8 +285,4 @@
     key: bytes, search: FlowSearch, hosts: list[TrackedHost]
 ) -> list[str]:
     """Return the addresses of the hosts that may still hold a flow."""
-    return [
-        host.ip
-        for host in hosts
-        if host.ip not in search.absent and host.may_hold(key)
-    ]
+    return search.unanswered([host.ip for host in hosts if host.may_hold(key)])
--- a/siskinbank/util.py
+++ b/siskinbank/util.py
@@ -1,5 +1,6 @@
 """Digests, canonical JSON and address parsing."""
 
+import functools
 import hashlib
 import json
 from typing import Any
@@ -9,6 +10,7 @@
     'canonical_json',
     'digest64',
     'hex_digest',
+    'name_digest',
     'parse_address',
     'parse_json',
     'parse_url',
@@ -17,6 +19,9 @@
 _DIGEST_BYTES = 16
 _DIGEST64_BYTES = 8
 _MAX_PORT = 65535
+#: Names whose digest is kept: more than the largest deployment has processes,
+#: 3,610.
+_MAX_CACHED_NAMES = 8192
 
 
 def digest64(text: str) -> int:
@@ -25,6 +30,15 @@
     return int.from_bytes(digest.digest(), 'big')
 
 
+@functools.lru_cache(_MAX_CACHED_NAMES)
+def name_digest(name: str) -> int:
+    """Return ``digest64`` of a host, service or instance.
+
+    It is kept, as packets and messages need those of the same names.
+    """
+    return digest64(name)
+
+
 def hex_digest(raw: bytes) -> str:
     """Return the hexadecimal digest that identifies a document."""
     return hashlib.blake2b(raw, digest_size=_DIGEST_BYTES).hexdigest()
