--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -23,7 +23,8 @@
 TARGET = ('198.18.0.1', 8443)
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 SERVICE = 'svc1'
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Exit statuses, which run.sh translates; 1 is that of a Python program that fails.
+_HELD, _BROKEN, _NOT_RUN = 0, 10, 2
 
 _STORE = 200
 _FIRST_ENTRY = 1
@@ -271,29 +272,30 @@
             returns whether the rule was broken.
     """
     trouble = os.environ.get('TROUBLE', '1') != '0'
+    with tempfile.TemporaryDirectory() as temporary:
+        status = asyncio.run(_run(folder, Path(temporary), play, trouble))
+    outcomes = {_HELD: 'held', _BROKEN: 'broken', _NOT_RUN: 'not run'}
+    sys.stdout.write(f'{outcomes[status]}\n')
+    return status
 
-    async def play_on_fleet() -> int:
-        with tempfile.TemporaryDirectory() as temporary:
-            fleet = Fleet(Path(temporary))
-            try:
-                broken = await play(fleet, trouble)
-                fleet.check_processes()
-            except (NotRun, OSError) as error:
-                fleet.record.note('case', 'not run', why=error)
-                return NOT_RUN
-            else:
-                return BROKEN if broken else HELD
-            finally:
-                await fleet.close()
-                logs = os.environ.get('CASE_LOGS')
-                if logs:
-                    for log in Path(temporary).glob('*.log'):
-                        (Path(logs) / log.name).write_bytes(log.read_bytes())
-                fleet.record.write(folder / 'record.txt')
 
-    status = asyncio.run(play_on_fleet())
-    sys.stdout.write(f'{("held", "broken", "not run")[status]}\n')
-    return status
+async def _run(
+    folder: Path,
+    temporary: Path,
+    play: Callable[[Fleet, bool], Coroutine[None, None, bool]],
+    trouble: bool,
+) -> int:
+    fleet = Fleet(temporary)
+    try:
+        broken = await play(fleet, trouble)
+        fleet.check_processes()
+    except (NotRun, OSError) as error:
+        fleet.record.note('case', 'not run', why=error)
+        return _NOT_RUN
+    finally:
+        await fleet.close()
+        fleet.record.write(folder / 'record.txt')
+    return _BROKEN if broken else _HELD
 
 
 def _free_port(ip: str) -> int:
