--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -15,6 +15,7 @@
 
 from review.rig.host import Host
 from review.rig.record import Record
+from review.rig.thin_link import ThinLink
 from siskinbank.lab.rig.client import ClientStandIn, FlowFailed
 from siskinbank.lab.rig.store import StoreStandIn
 
@@ -30,6 +31,8 @@
 _FIRST_ENTRY = 1
 _FIRST_HOST = 20
 _CLIENT = 100
+_FIRST_LINK = 150
+_LINK_MBPS = 1000.0
 _READY_TIMEOUT_S = 20
 # Environment variables that the platform hands on.
 _PASSED = ('PATH', 'HOME', 'JAVA_HOME', 'LANG')
@@ -50,6 +53,8 @@
         idle_timeout_ms: `IdleTimeoutMs` of the configuration in force.
         cold_per_s: `WarmupPerS` of the service.
         warmup_s: `WarmupS` of the service.
+        extra_routes: number of further routes, which see no traffic.
+        link_mbps: rate of the entries' links in Mbit/s.
         sent: when the first packet of each opened flow was sent, by port.
     """
 
@@ -71,7 +76,11 @@
         self.idle_timeout_ms = 15000
         self.cold_per_s: float = 0
         self.warmup_s: float = 2
+        self.extra_routes = 0
+        self.link_mbps: float = _LINK_MBPS
         self.sent: dict[int, float] = {}
+        self._links: list[ThinLink] = []
+        self._starts: list[tuple[str, str, dict[str, str]]] = []
 
     def ip(self, number: int) -> str:
         """Return a loopback address of this fleet."""
@@ -107,6 +116,7 @@
         for number in range(entries):
             zone = ZONES[number % len(ZONES)]
             ip = self.ip(_FIRST_ENTRY + number)
+            await self._open_link(number)
             self._start('entry', f'frontend-{number}', ip, zone, entries)
         ips = [self.ip(_FIRST_ENTRY + number) for number in range(entries)]
         self.client.entry_for = lambda port: ips[port % len(ips)]
@@ -116,12 +126,15 @@
     async def close(self) -> None:
         """End all processes and stand-ins."""
         for process in self._processes:
-            process.send_signal(SIGKILL)
-            process.wait()
+            _kill(process)
         for host in self.hosts:
             host.close()
+        for link in self._links:
+            link.close()
         self.client.close()
         await self.store.close()
+        # Connections are closed in the next turns of the event loop.
+        await asyncio.sleep(0.1)
 
     async def publish(self) -> float:
         """Write a new version of the configuration; return when accepted."""
@@ -135,17 +148,6 @@
             'WarmupS': self.warmup_s,
             'WarmupPerS': self.cold_per_s,
         }
-        route = {
-            'Name': 'r-1',
-            'Host': TARGET[0],
-            'Prefix': f'/{TARGET[1]}/',
-            'Kind': 'unsafe',
-            'TimeoutMs': 2000,
-            'TargetLatencyMs': 225,
-            'Priority': 1,
-            'Service': SERVICE,
-            'MaxAttempts': 2,
-        }
         limits = {
             'HeaderBytes': 16384,
             'BodyBytes': 262144,
@@ -154,13 +156,20 @@
         }
         document = {
             'Version': self._version,
-            'Routes': [route],
+            'Routes': [
+                _route(number) for number in range(1 + self.extra_routes)
+            ],
             'Services': [service],
             'Limits': limits,
         }
-        await self.store.put('op/config', json.dumps(document).encode())
+        content = json.dumps(document, separators=(',', ':')).encode()
+        await self.store.put('op/config', content)
         return self.record.note(
-            'operator', 'configuration acknowledged', version=self._version
+            'operator',
+            'configuration acknowledged',
+            version=self._version,
+            routes=1 + self.extra_routes,
+            bytes=len(content),
         )
 
     async def request(self, attempt: str) -> tuple[int, str]:
@@ -185,6 +194,17 @@
         self.record.note('client', 'answered', attempt=attempt, port=flow.port)
         return flow.port, answer
 
+    async def kill_all(self, down_s: float) -> float:
+        """Kill all processes and start them again; return when."""
+        self.record.note('platform', 'killed all processes')
+        for process in self._processes:
+            _kill(process)
+        self._processes.clear()
+        await asyncio.sleep(down_s)
+        for role, name, environment in self._starts:
+            self._run(role, name, environment)
+        return self.record.note('platform', 'started all processes')
+
     def check_processes(self) -> None:
         """Raise `NotRun` if a program has ended by itself."""
         if any(process.poll() is not None for process in self._processes):
@@ -194,6 +214,9 @@
         self, role: str, name: str, ip: str, zone: str, entries: int
     ) -> None:
         ports = range(self._port, self._port + 5)
+        store = self.ip(_STORE)
+        if role == 'entry' and self._links:
+            store = self.ip(_FIRST_LINK + len(self._links) - 1)
         listen = {
             'DatagramAddr': f'{ip}:{ports[0]}',
             'ReadyAddr': f'{ip}:{ports[1]}',
@@ -213,12 +236,16 @@
                 for seed in range(min(3, entries))
             ],
             'Bootstrap': True,
-            'Limits': {'LinkMbps': 1000.0, 'CpuShare': 0.645, 'Cores': 1},
+            'Limits': {
+                'LinkMbps': self.link_mbps,
+                'CpuShare': 0.645,
+                'Cores': 1,
+            },
             'HeartbeatMs': 770,
             'Hash': 'steady',
             'DeploymentMode': 'agent',
             'platform': {
-                'Address': f'{self.ip(_STORE)}:{self._port}',
+                'Address': f'{store}:{self._port}',
                 'DeploymentMode': 'read',
                 'HistoryS': 20,
             },
@@ -229,24 +256,34 @@
             settings['Service'] = SERVICE
         path = self._folder / f'{name}.json'
         path.write_text(json.dumps(settings))
-        deployed = self._roles[role]
         environment = {
             variable: os.environ[variable]
             for variable in _PASSED
             if variable in os.environ
         }
-        with (self._folder / f'{name}.log').open('wb') as log:
+        environment['SISKINBANK_SETTINGS'] = str(path)
+        self._starts.append((role, name, environment))
+        self._run(role, name, environment)
+
+    def _run(self, role: str, name: str, environment: dict[str, str]) -> None:
+        deployed = self._roles[role]
+        with (self._folder / f'{name}.log').open('ab') as log:
             process = subprocess.Popen(
                 deployed['run'].split(' '),
                 cwd=ROOT,
-                env=environment
-                | deployed.get('env', {})
-                | {'SISKINBANK_SETTINGS': str(path)},
+                env=environment | deployed.get('env', {}),
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
         self._processes.append(process)
 
+    async def _open_link(self, number: int) -> None:
+        """Open the link of an entry to the store, if it is a thin one."""
+        if self.link_mbps < _LINK_MBPS:
+            link = ThinLink((self.ip(_STORE), self._port), self.link_mbps)
+            await link.open((self.ip(_FIRST_LINK + number), self._port))
+            self._links.append(link)
+
     async def _wait_until_served(self, entries: int) -> None:
         """Wait until a request was served through each entry."""
         try:
@@ -298,6 +335,27 @@
     return _BROKEN if broken else _HELD
 
 
+def _route(number: int) -> dict[str, object]:
+    """Return the route of the cases, or a further one that sees no traffic."""
+    port = TARGET[1] + number
+    return {
+        'Name': f'r-{number:07}',
+        'Host': TARGET[0],
+        'Prefix': f'/{port}/',
+        'Kind': 'unsafe',
+        'TimeoutMs': 2000,
+        'TargetLatencyMs': 225,
+        'Priority': 1,
+        'Service': SERVICE,
+        'MaxAttempts': 2,
+    }
+
+
+def _kill(process: subprocess.Popen[bytes]) -> None:
+    process.send_signal(SIGKILL)
+    process.wait()
+
+
 def _free_port(ip: str) -> int:
     """Return the first of five ports that are free at an address."""
     for _ in range(100):
--- a/review/rig/thin_link.py
+++ b/review/rig/thin_link.py
@@ -18,7 +18,7 @@
         self._bytes_per_s = mbps * 1e6 / _BITS
         self._free_at: float = 0
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def open(self, address: tuple[str, int]) -> None:
         """Listen at an address."""
@@ -28,24 +28,25 @@
         """Stop to listen and end all connections."""
         if self._server:
             self._server.close()
-        for task in self._tasks:
-            task.cancel()
+        for writer in self._writers:
+            writer.close()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         store_reader, store_writer = await asyncio.open_connection(*self._store)
+        writers = {writer, store_writer}
+        self._writers |= writers
         passes = {
             asyncio.create_task(_pass(reader, store_writer)),
             asyncio.create_task(self._pass_slowly(store_reader, writer)),
         }
-        self._tasks |= passes
         await asyncio.wait(passes, return_when=asyncio.FIRST_COMPLETED)
         for task in passes:
             task.cancel()
-        self._tasks -= passes
-        writer.close()
-        store_writer.close()
+        for one in writers:
+            one.close()
+        self._writers -= writers
 
     async def _pass_slowly(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
