--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -20,8 +20,8 @@
 from siskinbank.lab.rig.store import StoreStandIn
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-#: Address of the route that the cases use.
-TARGET = ('198.18.0.1', 8443)
+#: Address of the route that the cases use; it stands in packets only.
+TARGET = ('127.0.1.1', 8443)
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 SERVICE = 'svc1'
 # Exit statuses, which run.sh translates; 1 is that of a Python program that fails.
