Sidecar: read the operator keys again while no entry sends fresh records

Cause: the record that a sidecar makes of its own listing renewed the time by which it judged whether entries read for it, so that its operator keys were due only once. Records stated the age of the listing alone; an entry without operator keys kept its sidecars from reading them, too.

Change: records state the age of both reads, and EntryReads holds the times of the reads by entries only. A sidecar reads hosts and operator keys while either is old. All but the first reader wait 0.1 s in a watch.

Ruled out: the store (it answered each call), the merge of records (no record of the second evacuation arrived), announcements (they never named evacuations).

The test of sidecar_should_read moved to EntryReads with the same bounds.

--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -47,6 +47,9 @@
 # A watch request returns after this, in seconds. An unresponsive connection is
 # detected soon after, well within the time in which changes must take effect.
 _WATCH_DURATION_S = 1.0
+# The same for all but the first reader: they read in place of another process
+# or for themselves, and confirm what they know by an answer soon.
+_SHORT_WATCH_S = 0.1
 
 _OK = 200
 _GONE = 410
@@ -312,13 +315,12 @@
             self._list_operator('')
             return
         self._node.meters.count('store_calls_total')
+        watch_s = _SHORT_WATCH_S if self.rank else _WATCH_DURATION_S
         path = watch_path(
-            OPERATOR_PREFIX, self.operator_position.revision, _WATCH_DURATION_S
+            OPERATOR_PREFIX, self.operator_position.revision, watch_s
         )
         self._operator_connection.client.get(
-            path,
-            _WATCH_DURATION_S + _REQUEST_TIMEOUT_S,
-            self._on_operator_watch,
+            path, watch_s + _REQUEST_TIMEOUT_S, self._on_operator_watch
         )
 
     def _list_operator(self, after: str) -> None:
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -206,7 +206,7 @@
 _FLOW_NOTE = Struct('!B12sIB')
 _STATUS = Struct('!BIIBHHHQIBHH')
 _ANNOUNCEMENT = Struct('!BBQIIII')
-_RECORD = Struct('!BBIIHIQQIIIQQ')
+_RECORD = Struct('!BBIIHIQQIIIQIQ')
 _PIECE = Struct('!BQHH')
 _RELAYED = Struct('!B4sB')
 _ENTRY_CAPACITY = Struct('!BIIBH')
@@ -577,6 +577,7 @@
         cold_per_s: requests a second that a cold host of the service accepts.
         operator_position: position of the store at the read of the operator
             keys.
+        operator_age_s: seconds since the store confirmed the operator keys.
         version: version of the configuration in force.
     """
 
@@ -586,6 +587,7 @@
         'cold_per_s',
         'cold_s',
         'flags',
+        'operator_age_s',
         'operator_position',
         'position',
         'service',
@@ -604,6 +606,7 @@
         self.cold_s: float = 0
         self.cold_per_s: float = 0
         self.operator_position = StorePosition()
+        self.operator_age_s = _MAX_AGE_MS / _MS_PER_S
         self.version = 0
 
     @classmethod
@@ -622,7 +625,8 @@
         record.born_ms = fields[7]
         record.cold_s = fields[8] / _MS_PER_S
         record.cold_per_s = fields[9] / _MS_PER_S
-        record.operator_position = StorePosition(*fields[-3:-1])
+        record.operator_position = StorePosition(*fields[-4:-2])
+        record.operator_age_s = fields[-2] / _MS_PER_S
         record.version = fields[-1]
         return record
 
@@ -641,6 +645,7 @@
             _to_thousandths(self.cold_per_s),
             self.operator_position.era,
             self.operator_position.revision,
+            _to_thousandths(self.operator_age_s),
             self.version,
         )
 
--- a/siskinbank/relay/records.py
+++ b/siskinbank/relay/records.py
@@ -32,6 +32,7 @@
     if follower.operator_position:
         record.flags |= messages.OPERATOR_READ
         record.operator_position = follower.operator_position
+        record.operator_age_s = now - follower.operator_read_at
     if host is None:
         return record
     record.flags |= messages.REGISTERED
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -37,8 +37,8 @@
 from siskinbank.sidecar.tracked_flows import TrackedFlow, UnansweredPacket
 from siskinbank.tracking.own_host import OwnHost
 from siskinbank.tracking.store_reads import (
+    EntryReads,
     sidecar_pause_after_failures_s,
-    sidecar_should_read,
 )
 
 __all__ = ('Sidecar',)
@@ -57,6 +57,8 @@
 # first packet after 1.4 s.
 _UNANSWERED_TTL_S = 1.5
 _MS = 1000
+# Position in the order of the store's readers: after all entries.
+_READER_RANK = 0xFFFF
 
 
 class Sidecar:
@@ -80,7 +82,7 @@
             )
         self._flows: dict[bytes, TrackedFlow] = {}
         self._unanswered: dict[bytes, UnansweredPacket] = {}
-        self._started = node.loop.now
+        self._entry_reads = EntryReads(node.loop.now)
         service = messages.digest(settings.service or '')
         started_ms = int(time() * _MS)
         self._host = OwnHost(service, node.loop.now, started_ms)
@@ -88,6 +90,7 @@
         self._follower = StoreFollower(
             node, self._on_store_read, self._on_store_read
         )
+        self._follower.rank = _READER_RANK
         self._follower.hosts_due = self._hosts_due
         self._follower.operator_due = self._operator_due
         self._follower.pause_after_failures_s = sidecar_pause_after_failures_s
@@ -342,14 +345,19 @@
 
     def _handle_record(self, raw: bytes, ip: str) -> None:
         self._reporter.note_entry(ip)
-        self._apply_record(messages.Record.read(raw), ip)
+        record = messages.Record.read(raw)
+        if record.position.era >= self._host.position.era:
+            now = self._node.loop.now
+            hosts_at = now - record.age_s
+            self._entry_reads.note(hosts_at, now - record.operator_age_s)
+            self._follower.note_hosts_read_by_peer(hosts_at)
+        self._apply_record(record, ip)
 
     def _apply_record(self, record: messages.Record, source: str) -> None:
         host = self._host
         before = host.record
         if not host.apply_record(record, self._node.loop.now):
             return
-        self._follower.note_hosts_read_by_peer(host.confirmed_at)
         restarted = before and record.born_ms not in {0, before.born_ms}
         if before and before.born_ms and restarted:
             self._drop_flows()
@@ -389,20 +397,14 @@
                 self._forward_to_host(packet, flow.entry, searching=False)
 
     def _hosts_due(self) -> bool:
-        return self._should_read_store(self._follower.hosts_read_at)
-
-    def _operator_due(self) -> bool:
-        # The hosts are read first, so that a store that is down gets one call.
-        return (
-            self._follower.hosts_read_at > self._host.confirmed_at
-            and self._should_read_store(self._follower.operator_read_at)
+        return self._entry_reads.sidecar_should_read(
+            self._node.loop.now, self._follower.hosts_read_at
         )
 
-    def _should_read_store(self, own_read_at: float) -> bool:
-        """Return whether to read the store, as no entry sends records."""
-        now = self._node.loop.now
-        return sidecar_should_read(
-            now, self._started, self._host.confirmed_at, own_read_at
+    def _operator_due(self) -> bool:
+        # The hosts are listed first, so that a store that is down gets one call.
+        return not self._hosts_due() and self._entry_reads.sidecar_should_read(
+            self._node.loop.now, self._follower.operator_read_at
         )
 
     def _on_store_read(self) -> None:
--- a/siskinbank/tracking/store_reads.py
+++ b/siskinbank/tracking/store_reads.py
@@ -15,13 +15,13 @@
 from siskinbank.relay.loop import NEVER
 
 __all__ = (
+    'EntryReads',
     'StoreAvailability',
     'hosts_read_age_s',
     'operator_read_age_s',
     'pause_after_failures_s',
     'reader_rank',
     'sidecar_pause_after_failures_s',
-    'sidecar_should_read',
 )
 
 # Ages at which data is read again, in seconds, by the first reader and by the
@@ -35,9 +35,12 @@
 # Number of ranks after which the age no longer increases, and of doublings of
 # the pause after failed calls.
 _MAX_STEPS = 4
-# A sidecar reads the store itself when the newest record from an entry is
-# older than this, in seconds.
+# A sidecar reads the store itself when the newest listing behind a record from an
+# entry is older than this, and then at this interval, in seconds.
 _SIDECAR_READ_AGE_S = 2.1
+# The same for the operator keys: an entry that takes over for another one may
+# have read them this long ago when it sends the next record.
+_SIDECAR_OPERATOR_AGE_S = 3.5
 # A sidecar that has just started reads the store itself this much later, in
 # seconds: entries that started at the same time send no records until the hosts
 # have had the time to register.
@@ -108,6 +111,56 @@
         )
 
 
+class EntryReads:
+    """When entries last read what they send to a sidecar.
+
+    Load pattern: a network partition separates a sidecar from the entry that
+    reads the store, or that entry gets the listings of the hosts and not the
+    operator keys. The sidecar reads both itself until an entry sends it records
+    of fresh reads again. What it reads itself does not count here: it would put
+    off its next read.
+    """
+
+    __slots__ = ('_hosts_at', '_operator_at')
+
+    def __init__(self, started: float) -> None:
+        """Initialize the state before the first record.
+
+        Load pattern: all processes start at once, before the hosts have written
+        their records; no entry has a record to send yet, and each sidecar would
+        read the store.
+
+        Args:
+            started: time when the sidecar started, in seconds.
+        """
+        self._hosts_at = started + _START_GRACE_S
+        self._operator_at = started + _START_GRACE_S
+
+    def note(self, hosts_at: float, operator_at: float) -> None:
+        """Record the reads behind a record from an entry.
+
+        Args:
+            hosts_at: time when the entry listed the hosts, in seconds.
+            operator_at: time when it read the operator keys, in seconds.
+        """
+        self._hosts_at = max(self._hosts_at, hosts_at)
+        self._operator_at = max(self._operator_at, operator_at)
+
+    def sidecar_should_read(self, now: float, own_read_at: float) -> bool:
+        """Return whether a sidecar reads the store itself.
+
+        Args:
+            now: time in seconds.
+            own_read_at: time when the sidecar itself last read the keys in
+                question, in seconds.
+        """
+        are_fresh = (
+            now - self._hosts_at <= _SIDECAR_READ_AGE_S
+            and now - self._operator_at <= _SIDECAR_OPERATOR_AGE_S
+        )
+        return not are_fresh and now - own_read_at > _SIDECAR_READ_AGE_S
+
+
 def reader_rank(own: bytes, others: list[bytes]) -> int:
     """Return the rank of an address among the live readers, from 0.
 
@@ -132,29 +185,6 @@
     return _OPERATOR_AGE_NEXT_S + _RANK_STEP_S * min(rank - 1, _MAX_STEPS)
 
 
-def sidecar_should_read(
-    now: float,
-    started: float,
-    confirmed_at: float,
-    own_read_at: float,
-) -> bool:
-    """Return whether a sidecar reads the store itself.
-
-    Load pattern: all processes start at once, before the hosts have written
-    their records; no entry has a record to send yet, and each sidecar would
-    read the store.
-
-    Args:
-        now: time in seconds.
-        started: time when the sidecar started.
-        confirmed_at: time when the store confirmed the last record from an
-            entry.
-        own_read_at: time when the sidecar last read the store itself.
-    """
-    newest = max(confirmed_at, own_read_at, started + _START_GRACE_S)
-    return now - newest > _SIDECAR_READ_AGE_S
-
-
 def sidecar_pause_after_failures_s(failures: int) -> float:
     """Return the pause of a sidecar in seconds after failed calls."""
     return _SIDECAR_PAUSE_S if failures else 0
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -66,6 +66,8 @@
         dead: addresses of processes that have lost power.
         evacuated: hosts that get no new flows.
         unlisted: hosts whose record is missing in the store.
+        operator_read_at: time when the sender of records last read the operator
+            keys, 0 if it reads them before each record.
     """
 
     def __init__(self, hosts: int = 7, link_budget: bool = True) -> None:
@@ -83,6 +85,7 @@
         self.dead: set[str] = set()
         self.evacuated: set[str] = set()
         self.unlisted: set[str] = set()
+        self.operator_read_at: float = 0
         self._nodes: dict[str, SimulatedNode] = {}
         self._in_flight: list[tuple[float, str, str, bytes]] = []
         self._paused_until: dict[str, float] = {}
@@ -282,6 +285,8 @@
                 record.flags |= messages.EVACUATED
             record.position = StorePosition(1, self._revision)
             record.operator_position = StorePosition(1, 1)
+            operator_read_at = self.operator_read_at or self.now
+            record.operator_age_s = self.now - operator_read_at
             self._send(OTHER_ENTRIES[0], host, record.pack())
 
     def _confirm_listing(self) -> None:
--- a/tests/tracking/test_store_reads.py
+++ b/tests/tracking/test_store_reads.py
@@ -3,13 +3,13 @@
 import unittest
 
 from siskinbank.tracking.store_reads import (
+    EntryReads,
     StoreAvailability,
     hosts_read_age_s,
     operator_read_age_s,
     pause_after_failures_s,
     reader_rank,
     sidecar_pause_after_failures_s,
-    sidecar_should_read,
 )
 
 # Limit of the platform from a host's announcement to its effect everywhere, in
@@ -118,18 +118,37 @@
         """Replay: 20 s from the start, with a record each second or none."""
         for received, max_reads in ((True, 0), (False, 10)):
             reads = 0
-            own_read_at, received_at = -1e9, -1e9
+            own_read_at = -1e9
+            entry_reads = EntryReads(100)
             for step in range(200):
                 now = 100 + step / 10
-                received_at = float(int(now)) if received else received_at
-                if sidecar_should_read(now, 100, received_at, own_read_at):
+                if received:
+                    entry_reads.note(float(int(now)), float(int(now)))
+                if entry_reads.sidecar_should_read(now, own_read_at):
                     reads += 1
                     own_read_at = now
             self.assertLessEqual(reads, max_reads)
         # Hosts register within two seconds, and entries tell of that within
         # another one.
-        self.assertFalse(sidecar_should_read(103, 100, -1e9, -1e9))
-        self.assertTrue(sidecar_should_read(104, 100, -1e9, -1e9))
+        entry_reads = EntryReads(100)
+        self.assertFalse(entry_reads.sidecar_should_read(103, -1e9))
+        self.assertTrue(entry_reads.sidecar_should_read(104, -1e9))
+
+    def test_listings_do_not_stand_for_operator_keys(self) -> None:
+        """Load pattern: an entry lists the hosts but can't read the keys.
+
+        The sidecar reads soon enough for the limit of five seconds.
+        """
+        entry_reads = EntryReads(90)
+        entry_reads.note(100, 100)
+        for tenth in range(1000, 1050):
+            now = tenth / 10
+            entry_reads.note(now, 100)
+            if entry_reads.sidecar_should_read(now, -1e9):
+                self.assertGreater(now, 103)
+                self.assertLess(now, 104)
+                return
+        self.fail('the sidecar does not read')
 
     def test_sidecars_spare_a_store_that_is_down(self) -> None:
         """Load pattern: 136 sidecars and no listing for five seconds."""
