Records: keep the newer half, and let one entry read both halves

Cause: the second entry lists the hosts in place of the first, without the operator keys, which the first one announces as read. The first one sends the evacuation with its last listing, and sidecars drop a record of an older listing whole.

Change: OwnHost takes the newer half of a record, also if that is the operator's; an entry that reads one half for its peers reads the other as well.

--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -172,23 +172,30 @@
         return self._node.loop.now - self._started < wait_s
 
     def _hosts_due(self) -> bool:
+        """Return whether to list the hosts.
+
+        Sidecars get records only from an entry that has listed the hosts, and
+        evacuations only from one that has read the operator keys, so that an
+        entry that reads the one for its peers reads the other as well.
+        """
         follower = self._follower
         now = self._node.loop.now
         if self._is_waiting_for_peers():
             return False
-        last_confirmed = max(
-            follower.hosts_read_at, follower.hosts_read_by_peer_at
-        )
+        last_confirmed = follower.hosts_read_at
+        if follower.operator_read_at <= self._operator_read_by_peer_at:
+            last_confirmed = max(last_confirmed, follower.hosts_read_by_peer_at)
         return now - last_confirmed > hosts_read_age_s(follower.rank)
 
     def _operator_due(self) -> bool:
+        """Return whether to read the operator keys; see ``_hosts_due``."""
         follower = self._follower
         now = self._node.loop.now
         if self._is_waiting_for_peers():
             return False
-        last_confirmed = max(
-            follower.operator_read_at, self._operator_read_by_peer_at
-        )
+        last_confirmed = follower.operator_read_at
+        if follower.hosts_read_at <= follower.hosts_read_by_peer_at:
+            last_confirmed = max(last_confirmed, self._operator_read_by_peer_at)
         return now - last_confirmed >= operator_read_age_s(follower.rank)
 
     def _send_hellos_when_due(self) -> None:
--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -350,9 +350,14 @@
         """Add what is still known to a record; return False if it is older."""
         self._note_era(previous, record, now)
         settling = now < self._settled_at
-        if _is_outdated(previous, record, settling):
+        if settling and 0 < record.born_ms < previous.born_ms:
+            # A copy of the store may have the record of an earlier incarnation.
             return False
-        if record.operator_position.is_before(previous.operator_position):
+        if record.position.is_before(previous.position):
+            if not _has_newer_keys(previous, record):
+                return False
+            self._keep_host_state(previous, record, now)
+        elif record.operator_position.is_before(previous.operator_position):
             # The reader has an older state of what the operator set.
             record.flags &= ~_OPERATOR_FLAGS
             record.flags |= self._operator_flags
@@ -368,6 +373,25 @@
             self.processing_time.forget_speed()
         return True
 
+    def _keep_host_state(
+        self, previous: messages.Record, record: messages.Record, now: float
+    ) -> None:
+        """Take only what the operator set from a record of an older listing.
+
+        Load pattern: an entry that can't list the hosts reads the operator keys
+        still, and another entry lists the hosts.
+        """
+        record.flags &= _OPERATOR_FLAGS
+        record.flags |= previous.flags & ~_OPERATOR_FLAGS
+        if record.service != previous.service:
+            record.cold_per_s = previous.cold_per_s
+        record.service = previous.service
+        record.slots = previous.slots
+        record.born_ms = previous.born_ms
+        record.position = previous.position
+        record.age_s = now - self.confirmed_at
+        record.cold_s = max(0, self._cold_until - now)
+
     def _persistent_reason(self, service: int, now: float) -> int:
         if service != self.service:
             return reasons.OTHER_SERVICE
@@ -386,15 +410,14 @@
         return reasons.NONE
 
 
-def _is_outdated(
-    previous: messages.Record, record: messages.Record, settling: bool
-) -> bool:
-    """Return whether a record is of an earlier state than the known one."""
-    # A copy of the store may have the record of an earlier incarnation.
-    earlier_incarnation = 0 < record.born_ms < previous.born_ms
-    return record.position.is_before(previous.position) or (
-        settling and earlier_incarnation
-    )
+def _has_newer_keys(previous: messages.Record, record: messages.Record) -> bool:
+    """Return whether a record has a newer state of what the operator set.
+
+    Without the host its sender does not know the data centre.
+    """
+    return previous.operator_position.is_before(
+        record.operator_position
+    ) and bool(record.flags & messages.REGISTERED)
 
 
 def _keep_restrictions(
--- a/tests/relay/test_gossip.py
+++ b/tests/relay/test_gossip.py
@@ -332,3 +332,48 @@
         context.announce_listing(HOST)
         context.loop.now += 0.3
         self.assertFalse(context.follower.hosts_due())
+
+
+class TestSplitReads(unittest.TestCase):
+    """Load pattern: the first reader gets only one kind of its two answers.
+
+    Guards against evacuations that no entry sends to the sidecars: the one that
+    lists the hosts has not read the operator keys, or the reverse.
+    """
+
+    def due(self, **ages_s: float) -> tuple[bool, bool]:
+        """Return whether an entry lists the hosts and reads the keys.
+
+        Args:
+            ages_s: ages of what the entry itself and its peer have read.
+        """
+        context = GossipContext()
+        context.run(10)
+        follower = context.follower
+        follower.rank = 1
+        now = context.loop.now
+        follower.hosts_read_at = now - ages_s['own_hosts_s']
+        follower.operator_read_at = now - ages_s['own_keys_s']
+        announcement = messages.Announcement()
+        announcement.hosts_age_s = ages_s['hosts_s']
+        announcement.operator_age_s = ages_s['keys_s']
+        context.receive(announcement.pack(), OTHERS[0])
+        return follower.hosts_due(), follower.operator_due()
+
+    def test_peer_reads_both(self) -> None:
+        """It is the only reader, whatever this entry has read before."""
+        for own_s in (2, 100):
+            due = self.due(
+                own_hosts_s=own_s, own_keys_s=own_s, hosts_s=0.5, keys_s=0.5
+            )
+            self.assertEqual(due, (False, False))
+
+    def test_peer_cannot_list(self) -> None:
+        """Who lists the hosts in its place reads the keys as well."""
+        due = self.due(own_hosts_s=0.5, own_keys_s=100, hosts_s=20, keys_s=0.5)
+        self.assertEqual(due, (False, True))
+
+    def test_peer_cannot_read_keys(self) -> None:
+        """Who reads the keys in its place lists the hosts as well."""
+        due = self.due(own_hosts_s=100, own_keys_s=0.5, hosts_s=0.5, keys_s=20)
+        self.assertEqual(due, (True, False))
--- a/tests/relay/test_operator_keys.py
+++ b/tests/relay/test_operator_keys.py
@@ -7,10 +7,17 @@
 import asyncio
 import tempfile
 import unittest
+from dataclasses import replace
+from functools import partial
 from pathlib import Path
 
 from siskinbank.lab.rig.fleet import Program, RelayFleet
-from siskinbank.platform.store import EVACUATIONS_PREFIX
+from siskinbank.platform.encoding import StoreCall
+from siskinbank.platform.store import (
+    EVACUATIONS_PREFIX,
+    HOSTS_PREFIX,
+    OPERATOR_PREFIX,
+)
 from siskinbank.relay import messages
 
 # Limits of the platform, in seconds: until an evacuation is in force, and the
@@ -77,3 +84,34 @@
         await asyncio.sleep(_CONTACT_S)
         await self.set_evacuated(False)
         await self.set_evacuated(True)
+
+    async def test_entry_gets_one_kind_of_answers(self) -> None:
+        """Each entry in turn gets no listing, or no operator keys."""
+        for entry in self.fleet.entries:
+            ip = await self.separate_store(entry)
+            for prefix in (HOSTS_PREFIX, OPERATOR_PREFIX):
+                refused = partial(_is_call_for, ip, prefix)
+                self.fleet.store.refuses = refused
+                # Hosts write all the time: the listings of two entries differ.
+                await self.fleet.register(0)
+                await asyncio.sleep(_CONTACT_S)
+                with self.subTest(entry=entry.settings.name, prefix=prefix):
+                    await self.set_evacuated(True)
+                    await self.set_evacuated(False)
+
+    async def separate_store(self, entry: Program) -> str:
+        """Restart an entry with an address of its own for the store."""
+        _, port = entry.settings.store
+        address = (entry.settings.ip, port)
+        await self.fleet.store.open(address)
+        entry.kill()
+        entry.settings = replace(entry.settings, store=address)
+        entry.start()
+        await self.fleet.wait_until_ready()
+        return address[0]
+
+
+def _is_call_for(
+    expected_ip: str, prefix: str, ip: str, call: StoreCall
+) -> bool:
+    return (ip, call.prefix) == (expected_ip, prefix)
