Go by the operator's idle timeout instead of 15 s

Cause: the programs did not read the timeout. Entry and sidecar forgot flows after 20 s, and a sidecar denied flows from memory once it had run for 18 s. An announced stop was waited for 15 s, and a held request kept its flow idle for up to 13 s, which loses it where the operator states less.

Ruled out: the hosts (they hold the flows, and get no packet), a restart, a lost answer (all sidecars answer the search).

Change: the configuration's timeout is decoded, sent to sidecars with the record, and kept by IdleTimeout while it changes; without a statement a host may keep a flow for its lifetime, which is read from the settings. All places that assumed 15 s go by it.

Tests of memory that named 15 s state it as the operator's timeout now, with the same bounds.

--- a/siskinbank/admission/held_request.py
+++ b/siskinbank/admission/held_request.py
@@ -14,13 +14,12 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from siskinbank.admission.known_routes import RouteParameters
 
 # Packets held for one flow: a client has no more than these in flight.
 _MAX_PACKETS = 16
-# A host discards a flow that is idle for 15 s. A request is passed on this long
-# after the last packet to the host, in seconds.
-_MAX_IDLE_S = 13.0
 
 
 class HeldRequest(FlowRequest):
@@ -28,11 +27,9 @@
 
     Attributes:
         repeatable: whether the request may run more than once.
-        pass_by: time in seconds by which the request is passed on, as the host
-            would discard the flow.
     """
 
-    __slots__ = ('_packets', 'pass_by', 'repeatable')
+    __slots__ = ('_idle_since', '_max_idle_s', '_packets', 'repeatable')
 
     def __init__(
         self,
@@ -41,6 +38,7 @@
         queued_at: float,
         sent: float,
         work_s: float,
+        max_idle_s: Callable[[], float],
     ) -> None:
         """Initialize a request without packets.
 
@@ -51,10 +49,13 @@
             sent: time in seconds when the client sent the request, or the
                 first packet of a flow that it opened for the request.
             work_s: mean processing time of the route's requests, in seconds.
+            max_idle_s: returns the time in seconds after which the flow may be
+                idle no longer at its host. The operator may change it.
         """
         super().__init__(key, route, queued_at, sent, work_s)
         self.repeatable = route.repeatable
-        self.pass_by = queued_at + _MAX_IDLE_S
+        self._max_idle_s = max_idle_s
+        self._idle_since = queued_at
         self._packets: dict[tuple[int, int, int], bytes] = {}
 
     @property
@@ -62,9 +63,17 @@
         """The held packets in the order in which they arrived first."""
         return list(self._packets.values())
 
+    @property
+    def pass_by(self) -> float:
+        """The time in seconds by which the request is passed on.
+
+        The host would discard the flow later.
+        """
+        return self._idle_since + self._max_idle_s()
+
     def note_idle_since(self, last_seen: float) -> None:
         """Note when the host saw the last packet of the flow, in seconds."""
-        self.pass_by = last_seen + _MAX_IDLE_S
+        self._idle_since = last_seen
 
     def add(self, packet: bytes) -> bool:
         """Add a packet, or replace the one that it retransmits.
--- a/siskinbank/entry/flow_cache.py
+++ b/siskinbank/entry/flow_cache.py
@@ -13,9 +13,6 @@
 _SEQUENCE_NUMBERS = 1 << _SEQUENCE_BITS
 # When the cache is full, the oldest flow is evicted.
 _MAX_FLOWS = 65536
-# A flow idle for longer than this is removed, in seconds: hosts discard flows
-# that are idle for 15 s.
-_IDLE_TIMEOUT_S = 20.0
 # A client retransmits a packet after 0.2 s; a packet that arrives out of order or
 # late comes sooner, in seconds.
 _MIN_RETRANSMISSION_S = 0.15
@@ -172,9 +169,9 @@
         """Remove a flow."""
         self._flows.pop(key, None)
 
-    def sweep(self, now: float) -> None:
-        """Remove idle flows."""
-        oldest = now - _IDLE_TIMEOUT_S
+    def sweep(self, now: float, idle_s: float) -> None:
+        """Remove the flows that have been idle for longer than ``idle_s``."""
+        oldest = now - idle_s
         idle = [
             key for key, flow in self._flows.items() if flow.last_seen < oldest
         ]
--- a/siskinbank/lab/rig/fleet.py
+++ b/siskinbank/lab/rig/fleet.py
@@ -178,15 +178,19 @@
         self,
         routes: list[RouteDocument],
         cold_per_s: float = 0,
+        idle_timeout_s: float = 15,
     ) -> int:
         """Write a new configuration and return its version.
 
         Args:
             routes: routes of the configuration.
             cold_per_s: ``WarmupPerS`` of each service.
+            idle_timeout_s: ``IdleTimeoutMs`` in seconds.
         """
         self._version += 3
-        content = encode_configuration(self._version, routes, cold_per_s)
+        content = encode_configuration(
+            self._version, routes, cold_per_s, idle_timeout_s
+        )
         await self.store.put(CONFIGURATION_KEY, content)
         return self._version
 
--- a/siskinbank/platform/encoding.py
+++ b/siskinbank/platform/encoding.py
@@ -141,6 +141,7 @@
     version: int,
     routes: list[RouteDocument],
     cold_per_s: float = 0,
+    idle_timeout_s: float = 15,
 ) -> bytes:
     """Return the operator's configuration as JSON."""
     backends = [one.backends or ((one.service, 1),) for one in routes]
@@ -158,7 +159,7 @@
                 }
                 for service in services
             ],
-            'Limits': {'IdleTimeoutMs': 15000},
+            'Limits': {'IdleTimeoutMs': int(idle_timeout_s * _MS)},
         },
     )
 
--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -26,6 +26,7 @@
     'WarmUp',
     'decode_configuration',
     'decode_host',
+    'idle_timeout_s',
     'pack_ip',
     'route_port',
     'weighted_service',
@@ -185,12 +186,13 @@
 
 def decode_configuration(
     raw: bytes,
-) -> tuple[int, dict[bytes, Route], dict[str, WarmUp]]:
+) -> tuple[int, dict[bytes, Route], dict[str, WarmUp], float | None]:
     """Decode the operator's configuration.
 
     Returns:
         The version, the routes by address and port (4 + 2 bytes, as in a flow
-        key), and the warm-up settings by service name.
+        key), the warm-up settings by service name, and the time in seconds
+        after which hosts may discard idle flows, None if it is not stated.
 
     Raises:
         DocumentError: the configuration is incomplete or malformed; no part
@@ -205,7 +207,24 @@
         _parse_warm_up(service)
         for service in _object_rows(document, 'Services')
     )
-    return version, routes, services
+    return version, routes, services, idle_timeout_s(document)
+
+
+def idle_timeout_s(document: dict[str, object]) -> float | None:
+    """Return the time in seconds after which hosts may discard idle flows.
+
+    Returns:
+        None if the configuration states no number. Its routes are of use
+        nevertheless.
+    """
+    limits = document.get('Limits')
+    if not isinstance(limits, dict) or 'IdleTimeoutMs' not in limits:
+        return None
+    try:
+        return number_field(limits, 'IdleTimeoutMs', 0) / _MS
+    except DocumentError:
+        # Shown by the line that the process logs of each configuration.
+        return None
 
 
 def route_port(prefix: str) -> int:
--- a/siskinbank/platform/routing_document.py
+++ b/siskinbank/platform/routing_document.py
@@ -165,7 +165,7 @@
     version: int
     routes: list[_RouteModel]
     services: list[_ServiceModel]
-    # Processes don't read the limits, so that their values are not refused.
+    # Processes do without a limit that is malformed, so that it is not refused.
     limits: Any = None
 
     @field_validator('version', mode=_PLAIN)
--- a/siskinbank/platform/settings.py
+++ b/siskinbank/platform/settings.py
@@ -11,12 +11,20 @@
     text_field,
 )
 
-__all__ = ('READY_PATH', 'SETTINGS_VARIABLE', 'Settings', 'read_settings')
+__all__ = (
+    'DEFAULT_FLOW_LIFETIME_S',
+    'READY_PATH',
+    'SETTINGS_VARIABLE',
+    'Settings',
+    'read_settings',
+)
 
 # HTTP path of the readiness check of the platform.
 READY_PATH = '/api/ready'
 
 SETTINGS_VARIABLE = 'SISKINBANK_SETTINGS'
+# Lifetime of a flow, in seconds, where the settings do not state it.
+DEFAULT_FLOW_LIFETIME_S = 60.0
 _KILO = 1000
 
 
@@ -39,11 +47,13 @@
         store: address of the platform's store.
         link_kbps: rate of the machine's link in kbit/s, 0 if unknown.
         cores: processor time a second in cores, 0 if unknown.
+        flow_lifetime_s: age in seconds at which any flow may be discarded.
     """
 
     __slots__ = (
         'cores',
         'data_centre',
+        'flow_lifetime_s',
         'host_address',
         'instance',
         'ip',
@@ -81,14 +91,16 @@
         # `platform` holds only the address of the store.
         store = _object_field(document, 'platform')
         self.store = split_address(text_field(store, 'Address'))
-        limits = document.get('Limits')
-        if not isinstance(limits, dict):
-            limits = {}
+        limits = _optional_object(document, 'Limits')
         self.link_kbps = int(_optional_number(limits, 'LinkMbps') * _KILO)
         # `CpuShare` is a share of a processor that is `Cores` times as fast.
         self.cores = _optional_number(limits, 'CpuShare') * _optional_number(
             limits, 'Cores'
         )
+        bounds = _optional_object(document, 'Bounds')
+        self.flow_lifetime_s = (
+            _optional_number(bounds, 'FlowLifetimeS') or DEFAULT_FLOW_LIFETIME_S
+        )
 
 
 def read_settings(path: str) -> Settings:
@@ -109,6 +121,14 @@
     return value
 
 
+def _optional_object(
+    document: dict[str, object], name: str
+) -> dict[str, object]:
+    """Return an object that a process can run without, empty without it."""
+    value = document.get(name)
+    return value if isinstance(value, dict) else {}
+
+
 def _optional_address_field(
     document: dict[str, object],
     name: str,
--- a/siskinbank/relay/configuration_transfer.py
+++ b/siskinbank/relay/configuration_transfer.py
@@ -111,5 +111,5 @@
             )
             return
         if applied:
-            follower.log_configuration(before, ip)
+            follower.note_configuration(before, ip)
             self._on_change()
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -51,6 +51,9 @@
 __all__ = ('Entry',)
 
 _SWEEP_INTERVAL_S = 5.0
+# An idle flow is removed this long after the time for which its host may keep it,
+# in seconds: a search for it costs more than its place in the cache.
+_IDLE_MARGIN_S = 5.0
 # Interval at which flows at probed hosts are checked, in seconds: that of the
 # probes.
 _SUSPECT_CHECK_INTERVAL_S = 0.1
@@ -107,7 +110,7 @@
         self._suspect_flows = SuspectFlows()
         self._early_packets: list[tuple[float, bytes]] = []
         self._discovery_done = False
-        self._hosts = HostTable()
+        self._hosts = HostTable(settings.flow_lifetime_s)
         self._follower = StoreFollower(
             node, self._on_hosts_read, self._on_operator_read
         )
@@ -553,4 +556,5 @@
         self._node.loop.after(_STOP_DELAY_S, self._node.stop)
 
     def _sweep(self) -> None:
-        self._flows.sweep(self._node.loop.now)
+        idle_s = self._follower.longest_idle_s + _IDLE_MARGIN_S
+        self._flows.sweep(self._node.loop.now, idle_s)
--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -25,6 +25,7 @@
 from siskinbank.relay.loop import NEVER
 from siskinbank.tracking.configuration import Configuration
 from siskinbank.tracking.host_listing import HostListing
+from siskinbank.tracking.idle_timeout import IdleTimeout
 from siskinbank.tracking.store_position import StorePosition
 from siskinbank.tracking.store_reads import (
     StoreAvailability,
@@ -155,6 +156,7 @@
             on_operator: called after operator keys were read.
         """
         self.configuration = Configuration()
+        self._idle_timeout = IdleTimeout(node.settings.flow_lifetime_s)
         self.evacuated: frozenset[str] = frozenset()
         self.era = 0
         self.operator_position = StorePosition()
@@ -188,6 +190,11 @@
         """Digest of the addresses in the last listing of this process."""
         return self._hosts_digest
 
+    @property
+    def longest_idle_s(self) -> float:
+        """Time in seconds after which no host keeps an idle flow."""
+        return self._idle_timeout.longest_s(self._node.loop.now)
+
     def check(self) -> None:
         """Send the requests that are due."""
         if self._can_send_request(self._hosts_connection) and self.hosts_due():
@@ -238,17 +245,26 @@
             self._log_refusal('configuration.refused', source, error)
             return False
         if applied:
-            self.log_configuration(before, source)
+            self.note_configuration(before, source)
         return applied
 
-    def log_configuration(self, before: int, source: str) -> None:
-        """Log and count a change of the configuration in force."""
+    def note_configuration(self, before: int, source: str) -> None:
+        """Log and count a change of the configuration in force.
+
+        Args:
+            before: version of the configuration before.
+            source: ``store`` or the address of the peer that sent it.
+        """
+        configuration = self.configuration
+        idle_timeout_s = configuration.idle_timeout_s
+        self._idle_timeout.note(idle_timeout_s, self._node.loop.now)
         self._node.meters.count('configurations_total')
         self._node.log(
             'configuration.taken',
-            version=self.configuration.version,
+            version=configuration.version,
             before=before,
-            routes=len(self.configuration.routes),
+            routes=len(configuration.routes),
+            idle_timeout_s=idle_timeout_s,
             source=source,
         )
 
--- a/siskinbank/relay/host_monitor.py
+++ b/siskinbank/relay/host_monitor.py
@@ -159,6 +159,7 @@
             evidence.had_record = host.status.has_record
         else:
             evidence = Evidence(reasons.NONE, now - self._started)
+        evidence.idle_timeout_s = self._follower.longest_idle_s
         evidence.unanswered = self._hosts.probes.unanswered(ip, now)
         if evidence.unanswered:
             evidence.probed_s = self._hosts.probes.probed_s(ip, now)
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -206,7 +206,7 @@
 _FLOW_NOTE = Struct('!B12sIB')
 _STATUS = Struct('!BIIBHHHQIBHH')
 _ANNOUNCEMENT = Struct('!BBQIIII')
-_RECORD = Struct('!BBIIHIQQIIIQIQ')
+_RECORD = Struct('!BBIIHIQQIIIQIQI')
 _PIECE = Struct('!BQHH')
 _RELAYED = Struct('!B4sB')
 _ENTRY_CAPACITY = Struct('!BIIBH')
@@ -579,6 +579,8 @@
             keys.
         operator_age_s: seconds since the store confirmed the operator keys.
         version: version of the configuration in force.
+        idle_timeout_s: time after which hosts may discard idle flows by that
+            configuration, in seconds, None if it is not stated.
     """
 
     __slots__ = (
@@ -587,6 +589,7 @@
         'cold_per_s',
         'cold_s',
         'flags',
+        'idle_timeout_s',
         'operator_age_s',
         'operator_position',
         'position',
@@ -608,6 +611,7 @@
         self.operator_position = StorePosition()
         self.operator_age_s = _MAX_AGE_MS / _MS_PER_S
         self.version = 0
+        self.idle_timeout_s: float | None = None
 
     @classmethod
     def read(cls, raw: bytes) -> Record:
@@ -625,13 +629,18 @@
         record.born_ms = fields[7]
         record.cold_s = fields[8] / _MS_PER_S
         record.cold_per_s = fields[9] / _MS_PER_S
-        record.operator_position = StorePosition(*fields[-4:-2])
-        record.operator_age_s = fields[-2] / _MS_PER_S
-        record.version = fields[-1]
+        record.operator_position = StorePosition(*fields[-5:-3])
+        record.operator_age_s = fields[-3] / _MS_PER_S
+        record.version, idle_timeout_ms = fields[-2:]
+        if idle_timeout_ms < _MAX_AGE_MS:
+            record.idle_timeout_s = idle_timeout_ms / _MS_PER_S
         return record
 
     def pack(self) -> bytes:
         """Return the encoded datagram."""
+        idle_timeout_ms = _MAX_AGE_MS
+        if self.idle_timeout_s is not None:
+            idle_timeout_ms = _to_thousandths(self.idle_timeout_s)
         return _RECORD.pack(
             RECORD,
             self.flags,
@@ -647,6 +656,7 @@
             self.operator_position.revision,
             _to_thousandths(self.operator_age_s),
             self.version,
+            idle_timeout_ms,
         )
 
 
--- a/siskinbank/relay/records.py
+++ b/siskinbank/relay/records.py
@@ -29,6 +29,7 @@
     record.position = follower.hosts_position
     record.age_s = now - follower.hosts_read_at
     record.version = follower.configuration.version
+    record.idle_timeout_s = follower.configuration.idle_timeout_s
     if follower.operator_position:
         record.flags |= messages.OPERATOR_READ
         record.operator_position = follower.operator_position
--- a/siskinbank/relay/request_holding.py
+++ b/siskinbank/relay/request_holding.py
@@ -31,6 +31,9 @@
 _SCHEDULING = frozenset(
     (reasons.NONE, reasons.COLD, reasons.EVACUATED, reasons.REFUSING)
 )
+# A held request is passed on this long before its host may discard the flow, in
+# seconds, but not before half of the time.
+_PASS_ON_MARGIN_S = 2.0
 _MS = 1000
 
 
@@ -175,7 +178,9 @@
         host = self._host
         sent = host.expected_requests.sent_at(key)
         work_s = host.processing_time.of_route(route_key(key))
-        held = HeldRequest(key, route, now, sent or now, work_s)
+        held = HeldRequest(
+            key, route, now, sent or now, work_s, self._max_idle_s
+        )
         held.note_idle_since(flow.last_seen)
         held.add(packet)
         flow.note_packet(packet, now)
@@ -193,6 +198,11 @@
         self.on_hold()
         return True
 
+    def _max_idle_s(self) -> float:
+        """Return how long a held request may keep its flow idle."""
+        shortest_s = self._host.idle_timeout.shortest_s(self._node.loop.now)
+        return max(shortest_s - _PASS_ON_MARGIN_S, shortest_s / 2)
+
     def _is_scheduling(self, now: float) -> bool:
         """Return whether requests may be held at present."""
         host = self._host
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -47,8 +47,9 @@
 # Time for which a closed flow stays in the table, in seconds, for the last
 # packets that its client retransmits.
 _ENDED_FLOW_TTL_S = 5.0
-# Idle timeout of a flow, in seconds: hosts discard flows after 15 s idle.
-_IDLE_TIMEOUT_S = 20.0
+# An idle flow is removed this long after the time for which its host may keep it,
+# in seconds: a change of it may reach hosts and sidecars at different times.
+_IDLE_MARGIN_S = 5.0
 # A request without an answer after this time, in seconds, is no longer counted
 # as load: the deadline of most requests.
 _OVERDUE_AFTER_S = 3.0
@@ -85,7 +86,9 @@
         self._entry_reads = EntryReads(node.loop.now)
         service = messages.digest(settings.service or '')
         started_ms = int(time() * _MS)
-        self._host = OwnHost(service, node.loop.now, started_ms)
+        self._host = OwnHost(
+            service, node.loop.now, started_ms, settings.flow_lifetime_s
+        )
         self._tracker = RequestTracker(node, self._host)
         self._follower = StoreFollower(
             node, self._on_store_read, self._on_store_read
@@ -428,8 +431,9 @@
 
     def _sweep(self) -> None:
         now = self._node.loop.now
+        idle_s = self._host.idle_timeout.longest_s(now) + _IDLE_MARGIN_S
         for key, flow in list(self._flows.items()):
-            outcome = _timeout_outcome(flow, now)
+            outcome = _timeout_outcome(flow, now, idle_s)
             if outcome:
                 self._tracker.end(key, flow, outcome)
             if outcome == _IDLE:
@@ -441,10 +445,10 @@
                 self._unanswered.pop(key)
 
 
-def _timeout_outcome(flow: TrackedFlow, now: float) -> str:
+def _timeout_outcome(flow: TrackedFlow, now: float, idle_s: float) -> str:
     """Return the outcome of a flow that has timed out, empty if it hasn't."""
     expired = flow.ended_at and now - flow.ended_at > _ENDED_FLOW_TTL_S
-    if expired or now - flow.last_seen > _IDLE_TIMEOUT_S:
+    if expired or now - flow.last_seen > idle_s:
         return _IDLE
     # The client has abandoned the request. The slot may still be in use, but
     # the host must not count as busy without limit.
--- a/siskinbank/tracking/configuration.py
+++ b/siskinbank/tracking/configuration.py
@@ -22,15 +22,25 @@
         version: version number, 0 without a configuration.
         routes: routes by address and port, as in a flow key.
         warm_ups: limits of the services after a cold start, by service name.
+        idle_timeout_s: time in seconds after which hosts may discard idle flows,
+            None if it is not stated.
     """
 
-    __slots__ = ('_packed', '_raw', 'routes', 'version', 'warm_ups')
+    __slots__ = (
+        '_packed',
+        '_raw',
+        'idle_timeout_s',
+        'routes',
+        'version',
+        'warm_ups',
+    )
 
     def __init__(self) -> None:
         """Create an empty configuration with version 0."""
         self.version = 0
         self.routes: dict[bytes, Route] = {}
         self.warm_ups: dict[str, WarmUp] = {}
+        self.idle_timeout_s: float | None = None
         self._raw = b''
         self._packed = b''
 
@@ -51,12 +61,13 @@
             DocumentError: the document is invalid; the configuration in force
                 is kept.
         """
-        version, routes, warm_ups = decode_configuration(raw)
+        version, routes, warm_ups, idle_timeout_s = decode_configuration(raw)
         if version <= self.version:
             return False
         self.version = version
         self.routes = routes
         self.warm_ups = warm_ups
+        self.idle_timeout_s = idle_timeout_s
         self._raw = raw
         self._packed = b''
         return True
--- a/siskinbank/tracking/hosts.py
+++ b/siskinbank/tracking/hosts.py
@@ -6,6 +6,7 @@
 
 from siskinbank.admission import reasons
 from siskinbank.choice.host_speed import UNKNOWN, load_factor, median_ms
+from siskinbank.platform.settings import DEFAULT_FLOW_LIFETIME_S
 from siskinbank.relay.messages import Status
 from siskinbank.tracking.liveness import HostProbes
 
@@ -22,9 +23,6 @@
 # longer interval.
 _MISSED_UPDATES = 3
 _MS = 1000
-# A host without an update for this long, in seconds, is removed: the longest
-# lifetime of a flow on the platform.
-_EXPIRY_S = 60.0
 # Time for which a median of the processing times is used, in seconds: with 3,200
 # hosts it takes 1.5 ms, nearly a third of what ranking them takes.
 _MEDIAN_TTL_S = 1.0
@@ -122,11 +120,24 @@
         probes: unanswered probes of sidecars, also of hosts not in the table.
     """
 
-    __slots__ = ('_by_ip', '_by_service', '_medians', '_ordered', 'probes')
+    __slots__ = (
+        '_by_ip',
+        '_by_service',
+        '_expiry_s',
+        '_medians',
+        '_ordered',
+        'probes',
+    )
+
+    def __init__(self, expiry_s: float = DEFAULT_FLOW_LIFETIME_S) -> None:
+        """Create an empty table.
 
-    def __init__(self) -> None:
-        """Create an empty table."""
-        self.probes = HostProbes()
+        Args:
+            expiry_s: time in seconds after which a host without an update is
+                removed: the longest lifetime of a flow.
+        """
+        self.probes = HostProbes(expiry_s)
+        self._expiry_s = expiry_s
         self._by_ip: dict[str, TrackedHost] = {}
         self._by_service: dict[int, list[TrackedHost]] = {}
         self._ordered: tuple[TrackedHost, ...] = ()
@@ -224,7 +235,7 @@
         gone = [
             ip
             for ip, host in self._by_ip.items()
-            if now - host.last_seen > _EXPIRY_S
+            if now - host.last_seen > self._expiry_s
         ]
         for ip in gone:
             self._by_ip.pop(ip)
--- a/siskinbank/tracking/liveness.py
+++ b/siskinbank/tracking/liveness.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from siskinbank.admission import reasons
+from siskinbank.platform.settings import DEFAULT_FLOW_LIFETIME_S
 from siskinbank.relay.loop import NEVER
 
 __all__ = (
@@ -42,9 +43,6 @@
 # Probes during which this process did not run for this long, in seconds, prove
 # nothing: their answers may have been dropped.
 _MAX_CHECK_GAP_S = 0.5
-# Probes of a host end after this time, in seconds, like its entry in the table
-# of hosts.
-_EXPIRY_S = 60.0
 
 # A host with unanswered probes still counts as alive until its sidecar has been
 # silent for this long, in seconds. A request that may run only once waits
@@ -58,9 +56,6 @@
 # search.
 _MAX_SILENCE_WITH_RECORD_S = 1.8
 _MAX_SILENCE_ONCE_S = 3.0
-# The same for a sidecar that announced its stop: its host may still serve its
-# flows, which it discards after 15 s idle.
-_MAX_SILENCE_STOPPED_S = 15.0
 
 
 class Evidence:
@@ -76,10 +71,12 @@
         listed: whether the store has the host, by a listing that is newer than
             the last message; None if there is no such listing, or if it proves
             nothing.
+        idle_timeout_s: time for which hosts may keep idle flows, in seconds.
     """
 
     __slots__ = (
         'had_record',
+        'idle_timeout_s',
         'listed',
         'probed_s',
         'silent_s',
@@ -95,6 +92,7 @@
         self.had_record = False
         self.probed_s: float = 0
         self.listed: bool | None = None
+        self.idle_timeout_s = DEFAULT_FLOW_LIFETIME_S
 
     @property
     def is_unregistered(self) -> bool:
@@ -138,7 +136,8 @@
         return UNREGISTERED if evidence.silent_s > limit_s else ''
     limit_s = _MAX_SILENCE_IDEMPOTENT_S if idempotent else _MAX_SILENCE_ONCE_S
     if stopping:
-        limit_s = _MAX_SILENCE_STOPPED_S
+        # The host may still serve its flows until they are idle for too long.
+        limit_s = evidence.idle_timeout_s
     # With a long interval, silence begins before anything is wrong.
     silent_s = min(evidence.silent_s, evidence.probed_s + _UNPROBED_SILENCE_S)
     if evidence.had_record and evidence.silent_s <= _MAX_SILENCE_WITH_RECORD_S:
@@ -207,10 +206,15 @@
 class HostProbes:
     """Unanswered probes of an entry, by address of the host."""
 
-    __slots__ = ('_checked_at', '_series')
+    __slots__ = ('_checked_at', '_expiry_s', '_series')
 
-    def __init__(self) -> None:
-        """Create an empty collection."""
+    def __init__(self, expiry_s: float = DEFAULT_FLOW_LIFETIME_S) -> None:
+        """Create an empty collection.
+
+        Args:
+            expiry_s: time in seconds after which the probes of a host end.
+        """
+        self._expiry_s = expiry_s
         self._series: dict[str, _ProbeSeries] = {}
         self._checked_at = NEVER
 
@@ -268,7 +272,7 @@
         for ip, series in list(self._series.items()):
             if has_stalled:
                 series.restart(now)
-            if now - series.begun_at > _EXPIRY_S:
+            if now - series.begun_at > self._expiry_s:
                 self._series.pop(ip)
             elif series.check(now):
                 due.append(ip)
--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -16,8 +16,10 @@
     wait_for_slot_s,
 )
 from siskinbank.platform.packets import route_key
+from siskinbank.platform.settings import DEFAULT_FLOW_LIFETIME_S
 from siskinbank.relay import messages
 from siskinbank.relay.loop import NEVER
+from siskinbank.tracking.idle_timeout import IdleTimeout
 from siskinbank.tracking.store_position import StorePosition
 
 __all__ = ('NO_FREE_SLOTS', 'OwnHost')
@@ -34,9 +36,10 @@
 # written again within this time, in seconds: hosts write every second, and the
 # platform allows the operator this time for an evacuation.
 _SETTLING_S = 5.0
-# After this time, in seconds, a sidecar has seen all flows of its host: hosts
-# discard flows that are idle for 15 s.
-_OBSERVED_S = 18.0
+# A sidecar has seen all flows of its host this long after the time for which a
+# host may keep an idle flow, in seconds: a change of it may reach hosts and
+# sidecars at different times.
+_OBSERVATION_MARGIN_S = 3.0
 # Flags of a record that the operator sets.
 _OPERATOR_FLAGS = messages.EVACUATED | messages.OPERATOR_READ
 # A host that started at most this long before its sidecar, in milliseconds,
@@ -53,6 +56,7 @@
         record: last record from the store, None before the first one.
         confirmed_at: time when the store confirmed the record, in seconds.
         version: newest configuration version that was announced.
+        idle_timeout: how long the host may keep idle flows.
         stopping: whether the sidecar is about to stop.
         busy: number of requests in progress.
         in_progress: these requests, in order.
@@ -80,6 +84,7 @@
         'confirmed_at',
         'expected_requests',
         'has_accepted_flow',
+        'idle_timeout',
         'in_progress',
         'processing_time',
         'queue_capacity',
@@ -90,7 +95,13 @@
         'version',
     )
 
-    def __init__(self, service: int, now: float, started_ms: int) -> None:
+    def __init__(
+        self,
+        service: int,
+        now: float,
+        started_ms: int,
+        flow_lifetime_s: float = DEFAULT_FLOW_LIFETIME_S,
+    ) -> None:
         """Initialize the state without a record.
 
         Args:
@@ -98,11 +109,13 @@
             now: time in seconds on the clock that counts suspension.
             started_ms: wall-clock time of the sidecar's start in milliseconds,
                 comparable to the start time that hosts report.
+            flow_lifetime_s: age in seconds at which any flow may be discarded.
         """
         self.service = service
         self.record: messages.Record | None = None
         self.confirmed_at = NEVER
         self.version = 0
+        self.idle_timeout = IdleTimeout(flow_lifetime_s)
         self.stopping = False
         self.busy = 0
         self.in_progress = RequestsInProgress()
@@ -198,7 +211,8 @@
         started_together = born_ms > self._started_ms - _JOINT_START_MS
         if started_together and not self._is_born_in_future:
             return True
-        return now - self._observed_since > _OBSERVED_S
+        longest_s = self.idle_timeout.longest_s(now) + _OBSERVATION_MARGIN_S
+        return now - self._observed_since > longest_s
 
     def wait_for_record(self, now: float) -> None:
         """Wait for a new record after a stall."""
@@ -212,7 +226,9 @@
         other.
         """
         previous = self.record
-        self.version = max(self.version, record.version)
+        if record.version and record.version >= self.version:
+            self.version = record.version
+            self.idle_timeout.note(record.idle_timeout_s, now)
         if previous is None:
             self._operator_flags = record.flags & _OPERATOR_FLAGS
         elif not self._merge(previous, record, now):
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -102,7 +102,7 @@
             ],
             cold_per_s=4,
         )
-        version, routes, warm_ups = decode_configuration(raw)
+        version, routes, warm_ups, _ = decode_configuration(raw)
         self.assertEqual(version, 9)
         route = routes[bytes((198, 18, 0, 1, 443 >> 8, 443 & 255))]
         self.assertEqual(route.service_for(5), 'matcher')
@@ -110,6 +110,30 @@
         self.assertFalse(route.idempotent)
         self.assertEqual(warm_ups['matcher'].cold_requests_per_s, 4)
 
+    def test_idle_timeout(self) -> None:
+        """A timeout that is no number leaves the routes in force."""
+        document = json.loads(
+            encode_configuration(1, [RouteDocument('a', ('1.2.3.4', 80))]),
+        )
+        for limits, expected in (
+            ({'IdleTimeoutMs': 40000}, 40),
+            ({'IdleTimeoutMs': 0}, 0),
+            ({'IdleTimeoutMs': 2.5}, 0.0025),
+            ({'IdleTimeoutMs': '40000'}, None),
+            ({'IdleTimeoutMs': -1}, None),
+            ({'IdleTimeoutMs': True}, None),
+            ({}, None),
+            ([], None),
+            (None, None),
+        ):
+            document['Limits'] = limits
+            raw = json.dumps(document).encode()
+            _, routes, _, idle_timeout_s = decode_configuration(raw)
+            self.assertEqual((len(routes), idle_timeout_s), (1, expected))
+        document.pop('Limits')
+        raw = json.dumps(document).encode()
+        self.assertIsNone(decode_configuration(raw)[-1])
+
     def test_kinds(self) -> None:
         """Requests of unknown kinds may run once at most."""
         document = json.loads(
@@ -125,7 +149,7 @@
             (None, False),
         ):
             document['Routes'][0]['Kind'] = kind
-            _, routes, _ = decode_configuration(json.dumps(document).encode())
+            _, routes, *_ = decode_configuration(json.dumps(document).encode())
             found = [route.idempotent for route in routes.values()]
             self.assertEqual(found, [idempotent], kind)
 
@@ -154,7 +178,7 @@
             {'Service': 'b', 'Weight': 10},
             {'Service': 'c', 'Weight': 0},
         ]
-        _, routes, _ = decode_configuration(json.dumps(document).encode())
+        _, routes, *_ = decode_configuration(json.dumps(document).encode())
         found = next(iter(routes.values()))
         draws = [found.service_for(draw) for draw in range(1 << 16)]
         self.assertAlmostEqual(draws.count('a') / len(draws), 0.9, places=3)
@@ -182,5 +206,5 @@
 
 
 def _priority(document: dict[str, object]) -> int:
-    _, routes, _ = decode_configuration(json.dumps(document).encode())
+    _, routes, *_ = decode_configuration(json.dumps(document).encode())
     return next(iter(routes.values())).priority
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -107,6 +107,22 @@
                 found = (settings.link_kbps, settings.cores)
                 self.assertEqual(found, expected)
 
+    def test_flow_lifetime(self) -> None:
+        """It is that of the platform's pages unless the settings state one."""
+        document = json.loads(SETTINGS.encode())
+        self.assertEqual(Settings(document).flow_lifetime_s, 60)
+        for bounds, expected in (
+            ({'FlowLifetimeS': 90}, 90),
+            ({'FlowLifetimeS': 'long'}, 60),
+            ({'FlowLifetimeS': 0}, 60),
+            ({}, 60),
+            ([], 60),
+        ):
+            with self.subTest(bounds=bounds):
+                document['Bounds'] = bounds
+                found = Settings(document).flow_lifetime_s
+                self.assertEqual(found, expected)
+
     def test_invalid_fields(self) -> None:
         """A malformed field is refused."""
         document = json.loads(SETTINGS.encode())
--- a/tests/relay/simulated_entries.py
+++ b/tests/relay/simulated_entries.py
@@ -53,6 +53,7 @@
                 data_centre=self.data_centre,
                 link_kbps=link_kbps,
                 cores=0,
+                flow_lifetime_s=60.0,
             ),
             log=lambda event, **inputs: self.events.append(
                 (loop.now, event, inputs)
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -68,6 +68,7 @@
         unlisted: hosts whose record is missing in the store.
         operator_read_at: time when the sender of records last read the operator
             keys, 0 if it reads them before each record.
+        idle_timeout_s: the operator's idle timeout in seconds.
     """
 
     def __init__(self, hosts: int = 7, link_budget: bool = True) -> None:
@@ -86,6 +87,7 @@
         self.evacuated: set[str] = set()
         self.unlisted: set[str] = set()
         self.operator_read_at: float = 0
+        self.idle_timeout_s = 15.0
         self._nodes: dict[str, SimulatedNode] = {}
         self._in_flight: list[tuple[float, str, str, bytes]] = []
         self._paused_until: dict[str, float] = {}
@@ -222,6 +224,7 @@
                 instance=role,
                 service=SERVICE,
                 seeds=OTHER_ENTRIES[:1],
+                flow_lifetime_s=60.0,
                 store=('127.0.0.1', 1),
                 packet_port=31000,
                 peer_port=31001,
@@ -287,6 +290,8 @@
             record.operator_position = StorePosition(1, 1)
             operator_read_at = self.operator_read_at or self.now
             record.operator_age_s = self.now - operator_read_at
+            record.version = 1
+            record.idle_timeout_s = self.idle_timeout_s
             self._send(OTHER_ENTRIES[0], host, record.pack())
 
     def _confirm_listing(self) -> None:
--- a/tests/relay/simulated_host.py
+++ b/tests/relay/simulated_host.py
@@ -256,6 +256,7 @@
                 peer_port=31001,
                 outbound_address=(_IP, 31002),
                 host_address=(_IP, 31003),
+                flow_lifetime_s=60.0,
             ),
             send=self._handle_message,
             stop=lambda: None,
--- a/tests/relay/test_flow_searcher.py
+++ b/tests/relay/test_flow_searcher.py
@@ -80,6 +80,7 @@
             configuration=SimpleNamespace(routes=self.routes),
             listing=listing,
             absence_is_reliable=lambda: True,
+            longest_idle_s=15.0,
         )
         self.handlers = node.handlers
         self.hosts = hosts
--- a/tests/relay/test_gossip.py
+++ b/tests/relay/test_gossip.py
@@ -8,6 +8,7 @@
 from siskinbank.relay import messages
 from siskinbank.relay.gossip import Gossip
 from siskinbank.relay.loop import NEVER, Loop
+from siskinbank.tracking.configuration import Configuration
 from siskinbank.tracking.host_listing import (
     HostListing,
     digest_of_addresses,
@@ -39,7 +40,7 @@
         self.loop = Loop()
         self.hosts = HostTable()
         self.follower: Any = SimpleNamespace(
-            configuration=SimpleNamespace(version=0, warm_ups={}),
+            configuration=Configuration(),
             hosts={},
             hosts_digest=0,
             hosts_position=StorePosition(),
--- a/tests/relay/test_peer_fuzzing.py
+++ b/tests/relay/test_peer_fuzzing.py
@@ -40,6 +40,7 @@
             peer_port=31001,
             link_kbps=0,
             cores=0,
+            flow_lifetime_s=60.0,
             outbound_address=(ip, 31002),
             host_address=(ip, 31003),
         ),
--- a/tests/relay/test_request_scheduling.py
+++ b/tests/relay/test_request_scheduling.py
@@ -455,3 +455,17 @@
         self.host.send_request(HIGH, 23)
         self.host.run(0.05)
         self.assert_received((23, NEXT))
+
+    def test_operator_lowers_the_idle_timeout(self) -> None:
+        """What is held is passed on before the host may discard its flow.
+
+        Guards against requests that are lost with their flows.
+        """
+        self.host.send_request(LOW, 10)
+        self.host.run(0.5)
+        self.assert_received()
+        # The host has seen no packet of this flow for more than two seconds.
+        self.host.send_record(version=1, idle_timeout_s=4)
+        self.host.run(0.5)
+        self.assertGreater(self.host.state.busy, SLOTS)
+        self.assert_received((10, NEXT))
--- a/tests/relay/test_split_routes.py
+++ b/tests/relay/test_split_routes.py
@@ -64,6 +64,7 @@
                 peer_port=31001,
                 link_kbps=0,
                 cores=0,
+                flow_lifetime_s=60.0,
             ),
             send=lambda ip, datagram: None,
             stop=lambda: None,
--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -171,7 +171,9 @@
         self._loop = SimpleNamespace(now=100.0, every=lambda *_: None)
         node: Any = SimpleNamespace(
             loop=self._loop,
-            settings=SimpleNamespace(store=('127.0.0.1', 1)),
+            settings=SimpleNamespace(
+                store=('127.0.0.1', 1), flow_lifetime_s=60.0
+            ),
             meters=SimpleNamespace(count=self._count),
             log=self._log,
         )
--- a/tests/tracking/test_liveness.py
+++ b/tests/tracking/test_liveness.py
@@ -19,11 +19,13 @@
         probed_s: float = 60,
         state: int = reasons.NONE,
         unanswered: int = ENOUGH,
+        idle_timeout_s: float = 15,
     ) -> str:
         """Return the decision on a host that the store lists."""
         evidence = Evidence(state, silent_s)
         evidence.unanswered = unanswered
         evidence.probed_s = probed_s
+        evidence.idle_timeout_s = idle_timeout_s
         return gone_reason(evidence, idempotent)
 
     def test_wait_for_silent_host(self) -> None:
@@ -65,11 +67,19 @@
     def test_planned_stop(self) -> None:
         """Load pattern: a release stops sidecars before their hosts.
 
-        Such a host may serve its flows until they are idle for 15 s.
+        Such a host may serve its flows until they are idle for as long as the
+        operator allows.
         """
         stopping = reasons.STOPPING
-        self.assertEqual(self.reason(14.9, True, state=stopping), '')
-        self.assertEqual(self.reason(15.1, True, state=stopping), 'unanswered')
+        for limit_s in (15, 40):
+            for silent_s, reason in (
+                (limit_s - 0.1, ''),
+                (limit_s + 0.1, 'unanswered'),
+            ):
+                found = self.reason(
+                    silent_s, True, state=stopping, idle_timeout_s=limit_s
+                )
+                self.assertEqual(found, reason, (limit_s, silent_s))
 
     def test_silence_alone(self) -> None:
         """No silence, however long, counts without unanswered probes."""
--- a/tests/tracking/test_own_host.py
+++ b/tests/tracking/test_own_host.py
@@ -31,6 +31,8 @@
     found.position = StorePosition(era, revision)
     found.operator_position = StorePosition(era, operator_revision)
     found.born_ms = 7
+    found.version = 1
+    found.idle_timeout_s = 15
     return found
 
 
@@ -221,6 +223,36 @@
             self.assertEqual(host.has_observed_all_flows(101), complete)
             self.assertTrue(host.has_observed_all_flows(119))
 
+    def test_longer_idle_timeout(self) -> None:
+        """Flows that paused since before the sidecar's start may be open.
+
+        Guards against resets of flows that the host holds, after the operator
+        has raised the idle timeout.
+        """
+        host = OwnHost(SERVICE, 100, 50_000)
+        self.assertFalse(host.has_observed_all_flows(160))
+        host.apply_record(record(), 101)
+        self.assertTrue(host.has_observed_all_flows(119))
+        raised = record(20)
+        raised.version = 2
+        raised.idle_timeout_s = 40
+        host.apply_record(raised, 119)
+        self.assertFalse(host.has_observed_all_flows(140))
+        self.assertTrue(host.has_observed_all_flows(144))
+
+    def test_idle_timeout_of_an_older_version(self) -> None:
+        """An entry that lacks the newest configuration sends its record."""
+        host = OwnHost(SERVICE, 100, 50_000)
+        raised = record(20)
+        raised.version = 2
+        raised.idle_timeout_s = 40
+        host.apply_record(raised, 101)
+        for version in (1, 0):
+            older = record(21)
+            older.version = version
+            host.apply_record(older, 102)
+            self.assertEqual(host.idle_timeout.longest_s(200), 40)
+
     def test_a_host_without_a_record_gets_one_flow(self) -> None:
         """One flow at a time; a stall requires a new record."""
         host = OwnHost(SERVICE, 100, 50_000)
