Log: keep odd items of the store from forging or flooding it

Callers saw nothing.

Cause: log values held what other programs wrote, and each listing decoded and logged each item again. Raw items of all pages were kept until the last page.

Change: log_value shortens such values and leaves printable characters; items that were refused are decoded again only after a change; hosts are decoded by page; an era that messages can't hold counts as not stated.

--- a/siskinbank/platform/store.py
+++ b/siskinbank/platform/store.py
@@ -37,6 +37,8 @@
 # Header of all responses of the store, with the number of its era: it rises by
 # one when the store comes back from an older copy.
 ERA_HEADER = 'Store-Era'
+# Eras of more digits don't fit into the messages between processes.
+_MAX_ERA_DIGITS = 9
 EVACUATIONS_PREFIX = 'op/evacuate/'
 
 # Characters of a key that are not percent-encoded in a query.
@@ -116,8 +118,10 @@
 
 
 def read_era(header: str) -> int:
-    """Return the era in a header, 0 if the store does not state it."""
-    return int(header) if header.isascii() and header.isdecimal() else 0
+    """Return the era in a header, 0 if the store does not state a usable one."""
+    if len(header) > _MAX_ERA_DIGITS or not header.isascii():
+        return 0
+    return int(header) if header.isdecimal() else 0
 
 
 def read_change(body: bytes) -> Change:
--- a/siskinbank/relay/configuration_transfer.py
+++ b/siskinbank/relay/configuration_transfer.py
@@ -4,7 +4,7 @@
 
 from siskinbank.platform.documents import DocumentError
 from siskinbank.relay import messages
-from siskinbank.relay.log import without_spaces
+from siskinbank.relay.log import log_value
 from siskinbank.relay.loop import NEVER
 
 TYPE_CHECKING = False
@@ -107,7 +107,7 @@
             self._node.log(
                 'configuration.refused',
                 source=ip,
-                reason=without_spaces(error),
+                reason=log_value(error),
             )
             return
         if applied:
--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -21,7 +21,7 @@
     watch_path,
 )
 from siskinbank.relay.http import Client, Response
-from siskinbank.relay.log import without_spaces
+from siskinbank.relay.log import log_value
 from siskinbank.relay.loop import NEVER
 from siskinbank.tracking.configuration import Configuration
 from siskinbank.tracking.host_listing import HostListing
@@ -78,18 +78,16 @@
 
     Attributes:
         prefix: prefix of the listed keys.
-        changes: the items of the pages so far.
         era: era of the store at the first page.
         revision: revision of the store at the first page: what was written
             while the other pages were read may be missing.
     """
 
-    __slots__ = ('_after', 'changes', 'era', 'prefix', 'revision')
+    __slots__ = ('_after', 'era', 'prefix', 'revision')
 
     def __init__(self, prefix: str) -> None:
         self.prefix = prefix
         self._after = ''
-        self.changes: list[Change] = []
         self.era = 0
         self.revision = 0
 
@@ -110,13 +108,43 @@
             if not key.startswith(self.prefix) or key <= self._after:
                 raise DocumentError(f'{key} was not asked for')
         self.revision = self.revision or page.revision
-        self.changes.extend(page.changes)
         if not page.more or not page.changes:
             return ''
         self._after = page.changes[-1].key
         return self._after
 
 
+class _Refusals:
+    """Items of the last listings that are no host records.
+
+    Load pattern: another client of the store leaves items of up to a megabyte.
+    They are decoded and logged once, and again after a change.
+    """
+
+    __slots__ = ('_current', '_previous')
+
+    def __init__(self) -> None:
+        """Start without any item."""
+        # Era and revision of each item, by key.
+        self._previous: dict[str, tuple[int, int]] = {}
+        self._current: dict[str, tuple[int, int]] = {}
+
+    def is_known(self, era: int, change: Change) -> bool:
+        """Return whether an item was refused before."""
+        if self._previous.get(change.key) != (era, change.revision):
+            return False
+        self.add(era, change)
+        return True
+
+    def add(self, era: int, change: Change) -> None:
+        """Add an item that was refused."""
+        self._current[change.key] = (era, change.revision)
+
+    def end_listing(self) -> None:
+        """Forget the items that are no longer listed."""
+        self._previous, self._current = self._current, {}
+
+
 class StoreFollower:
     """State read from the store by this process.
 
@@ -181,7 +209,10 @@
         self._operator_connection = _StoreConnection(Client(node.loop, store))
         self._has_operator_listing = False
         self._hosts_listing = _Listing(HOSTS_PREFIX)
+        self._listed_hosts: dict[str, HostRecord] = {}
+        self._refusals = _Refusals()
         self._operator_listing = _Listing(OPERATOR_PREFIX)
+        self._operator_changes: list[Change] = []
         self._store_availability = StoreAvailability()
         node.loop.every(_CHECK_INTERVAL_S, self.check)
 
@@ -276,6 +307,7 @@
 
     def _begin_hosts_listing(self) -> None:
         self._hosts_listing = _Listing(HOSTS_PREFIX)
+        self._listed_hosts = {}
         self._list_hosts('')
 
     def _list_hosts(self, after: str) -> None:
@@ -298,36 +330,42 @@
         after = self._add_page(self._hosts_connection, listing, page)
         if after is None:
             return
+        self._add_hosts(listing.era, page.changes)
         if after:
             self._list_hosts(after)
             return
         now = self._node.loop.now
         self._store_availability.note_listing(now, now)
-        self.hosts = self._decode_hosts(listing.changes)
+        self._refusals.end_listing()
+        self.hosts, self._listed_hosts = self._listed_hosts, {}
         self.hosts_position = StorePosition(listing.era, listing.revision)
         self.hosts_read_at = now
         self.listing.replace(map(inet_aton, self.hosts), now)
         self._hosts_digest = self.listing.digest
         self._on_hosts()
 
-    def _decode_hosts(self, changes: list[Change]) -> dict[str, HostRecord]:
-        hosts: dict[str, HostRecord] = {}
+    def _add_hosts(self, era: int, changes: list[Change]) -> None:
+        """Add the hosts of a page to the listing in progress."""
+        hosts = self._listed_hosts
         for change in changes:
+            if self._refusals.is_known(era, change):
+                continue
             try:
                 record = decode_host(change.content or b'')
             except DocumentError as error:
                 # Not a host record: written by another client of the store.
                 self._log_refusal('record.refused', change.key, error)
+                self._refusals.add(era, change)
                 continue
             other = hosts.get(record.ip)
             # Addresses are reused; the latest incarnation counts.
             if other is None or other.born_ms <= record.born_ms:
                 hosts[record.ip] = record
-        return hosts
 
     def _follow_operator(self) -> None:
         if not self._has_operator_listing:
             self._operator_listing = _Listing(OPERATOR_PREFIX)
+            self._operator_changes = []
             self._list_operator('')
             return
         self._node.meters.count('store_calls_total')
@@ -360,16 +398,18 @@
         after = self._add_page(self._operator_connection, listing, page)
         if after is None:
             return
+        self._operator_changes.extend(page.changes)
         if after:
             self._list_operator(after)
             return
         self._has_operator_listing = True
         self.operator_position = StorePosition(listing.era, listing.revision)
-        present = {change.key for change in listing.changes}
+        changes, self._operator_changes = self._operator_changes, []
+        present = {change.key for change in changes}
         self._set_evacuated(
             key for key in present if key.startswith(EVACUATIONS_PREFIX)
         )
-        self._apply_operator_changes(listing.changes)
+        self._apply_operator_changes(changes)
         self.check()
 
     def _on_operator_watch(self, response: Response) -> None:
@@ -420,7 +460,7 @@
             self.evacuated = names
             self._node.log(
                 'evacuation.changed',
-                out=','.join(sorted(names)) or '-',
+                out=log_value(','.join(sorted(names))) or '-',
                 revision=self.operator_position,
             )
 
@@ -477,7 +517,7 @@
 
     def _log_refusal(self, event: str, source: str, error: Exception) -> None:
         self._node.meters.count('records_refused_total')
-        self._node.log(event, source=source, reason=without_spaces(error))
+        self._node.log(event, source=log_value(source), reason=log_value(error))
 
 
 def _era_of(response: Response) -> int:
--- a/siskinbank/relay/log.py
+++ b/siskinbank/relay/log.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from siskinbank.relay.loop import Loop
 
-__all__ = ('Log', 'without_spaces')
+__all__ = ('Log', 'log_value')
 
 _STDOUT = 1
 # Sustained rate in lines a second, and burst size in lines: twice the decisions
@@ -27,6 +27,8 @@
 _BURST_LINES = 240.0
 # Interval between flushes, in seconds; the lines of one interval share a write.
 _FLUSH_INTERVAL_S = 0.25
+# Length limit of values that another program determines.
+_MAX_VALUE_CHARACTERS = 200
 
 
 class Log:
@@ -111,6 +113,20 @@
         return True
 
 
-def without_spaces(error: Exception) -> str:
-    """Return the text of an error without spaces, for use as a log value."""
-    return str(error).replace(' ', '_')
+def log_value(text: object) -> str:
+    """Return a text as a log value.
+
+    Load pattern: another client of the store writes keys and values of any length
+    with line breaks, and each listing refuses them.
+
+    Args:
+        text: a text, or an error.
+
+    Returns:
+        The begin of the text, in which underscores replace spaces and all that is
+        not printable.
+    """
+    return ''.join(
+        char if char.isprintable() and char != ' ' else '_'
+        for char in str(text)[:_MAX_VALUE_CHARACTERS]
+    )
--- a/siskinbank/relay/node.py
+++ b/siskinbank/relay/node.py
@@ -21,7 +21,7 @@
 from siskinbank.platform.settings import READY_PATH, read_settings
 from siskinbank.relay.datagrams import open_udp_socket, read_datagrams
 from siskinbank.relay.http import Server
-from siskinbank.relay.log import Log, without_spaces
+from siskinbank.relay.log import Log, log_value
 from siskinbank.relay.loop import Loop
 from siskinbank.relay.messages import UNKNOWN, DatagramError
 from siskinbank.relay.meters import Meters
@@ -150,7 +150,7 @@
         try:
             fresh = read_settings(self._path)
         except (OSError, DocumentError) as error:
-            self.log('settings.refused', reason=without_spaces(error))
+            self.log('settings.refused', reason=log_value(error))
             return
         before = self.settings
         if (fresh.seeds, fresh.service) != (before.seeds, before.service):
@@ -208,7 +208,7 @@
             self.log(
                 'packet.refused',
                 sender=sender,
-                reason=without_spaces(error),
+                reason=log_value(error),
             )
 
     def _readiness(self) -> tuple[int, str]:
@@ -223,7 +223,7 @@
                 {METRICS_PATH: lambda: (200, self.meters.text())},
             )
         except OSError as error:
-            self.log('metrics.refused', reason=without_spaces(error))
+            self.log('metrics.refused', reason=log_value(error))
             return
         self._servers.append(server)
 
@@ -255,7 +255,7 @@
         self.log(
             'process.fault',
             kind=type(fault).__name__,
-            reason=without_spaces(fault),
+            reason=log_value(fault),
             place=place,
         )
 
