Store client: wait for a response that keeps arriving

Cause: each call was abandoned 1 s after it was sent, also while its answer arrived; the first read of the configuration takes 1.3 s there and began anew for ever.

Ruled out: the store (it answers each call whole), peers (none has the configuration after the kill), the decoder.

Change: reads of the operator's keys have their timeout until the first byte, and then 1 s without a byte, 7 s in all. The client finds the end of a response by its stated length instead of splitting all bytes again with each piece.

--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -374,7 +374,10 @@
             OPERATOR_PREFIX, self.operator_position.revision, watch_s
         )
         self._operator_connection.client.get(
-            path, watch_s + _REQUEST_TIMEOUT_S, self._on_operator_watch
+            path,
+            watch_s + _REQUEST_TIMEOUT_S,
+            self._on_operator_watch,
+            _REQUEST_TIMEOUT_S,
         )
 
     def _list_operator(self, after: str) -> None:
@@ -383,6 +386,7 @@
             page_path(OPERATOR_PREFIX, after),
             _REQUEST_TIMEOUT_S,
             self._on_operator_page,
+            _REQUEST_TIMEOUT_S,
         )
 
     def _on_operator_page(self, response: Response) -> None:
--- a/siskinbank/relay/http.py
+++ b/siskinbank/relay/http.py
@@ -44,6 +44,9 @@
 # quarter of the time after which the kernel retransmits a lost SYN. The caller
 # then tries a new connection.
 _CONNECT_TIMEOUT_S = 0.25
+# Time limit of a response of which bytes keep arriving, in seconds: 4 MB at 5
+# Mbit/s.
+_MAX_TRANSFER_S = 7.0
 _HEAD_END = b'\r\n\r\n'
 
 
@@ -73,12 +76,15 @@
 
     __slots__ = (
         '_connect_timer',
+        '_expected_bytes',
         '_loop',
         '_on_response',
         '_peer',
         '_received',
+        '_silence_s',
         '_socket',
         '_timer',
+        '_transfer_ends_at',
     )
 
     def __init__(self, loop: Loop, peer: tuple[str, int]) -> None:
@@ -86,10 +92,13 @@
         self._loop = loop
         self._peer = peer
         self._socket: socket | None = None
-        self._received = b''
+        self._received = bytearray()
+        self._expected_bytes = 0
         self._on_response: ResponseCallback | None = None
         self._timer: Timer | None = None
         self._connect_timer: Timer | None = None
+        self._silence_s: float = 0
+        self._transfer_ends_at: float = 0
 
     @property
     def busy(self) -> bool:
@@ -97,7 +106,11 @@
         return self._on_response is not None
 
     def get(
-        self, path: str, timeout: float, on_response: ResponseCallback
+        self,
+        path: str,
+        timeout: float,
+        on_response: ResponseCallback,
+        silence_s: float = 0,
     ) -> None:
         """Send a GET request.
 
@@ -105,9 +118,16 @@
             path: path and query.
             timeout: seconds until the connection is abandoned.
             on_response: called once with the response.
+            silence_s: seconds without a byte after which a response that has
+                begun is abandoned, in place of the timeout; 0 to keep that. A
+                large response over a thin link takes longer than one that is
+                missing.
         """
         self._on_response = on_response
-        self._received = b''
+        self._silence_s = silence_s
+        self._transfer_ends_at = 0
+        self._received = bytearray()
+        self._expected_bytes = 0
         self._timer = self._loop.after(timeout, self._expire)
         ip, port = self._peer
         request = f'GET {path} HTTP/1.1\r\nHost: {ip}:{port}\r\n\r\n'.encode()
@@ -173,7 +193,10 @@
             self._finish(Response())
             return
         self._received += received
-        message = _split_message(self._received)
+        if len(self._received) < self._expected_bytes:
+            self._extend()
+            return
+        message = _split_message(bytes(self._received))
         if message:
             head, body, rest = message
             if rest:
@@ -181,6 +204,21 @@
             self._finish(Response(head, body))
         elif len(self._received) > _MAX_RESPONSE_BYTES:
             self._finish(Response())
+        else:
+            self._expected_bytes = _message_length(self._received)
+            self._extend()
+
+    def _extend(self) -> None:
+        """Wait for the rest of a response that has begun."""
+        if not self._silence_s:
+            return
+        now = self._loop.now
+        if not self._transfer_ends_at:
+            self._transfer_ends_at = now + _MAX_TRANSFER_S
+        if self._timer is not None:
+            self._loop.cancel(self._timer)
+        delay_s = min(self._silence_s, self._transfer_ends_at - now)
+        self._timer = self._loop.after(delay_s, self._expire)
 
     def _expire(self) -> None:
         self._finish(Response())
@@ -316,6 +354,15 @@
     return head, rest[:length], rest[length:]
 
 
+def _message_length(received: bytearray) -> int:
+    """Return the length of a message, 0 while its head is incomplete."""
+    end = received.find(_HEAD_END)
+    if end < 0:
+        return 0
+    length = _content_length(bytes(received[:end]))
+    return min(end + len(_HEAD_END) + length, _MAX_RESPONSE_BYTES)
+
+
 def _content_length(head: bytes) -> int:
     length = _header(head, b'content-length')
     return int(length) if length.isdecimal() else 0
--- a/tests/relay/test_loop.py
+++ b/tests/relay/test_loop.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 from collections.abc import Callable
+from contextlib import suppress
 
 from siskinbank.relay.http import Client, Response, Server
 from siskinbank.relay.loop import Loop
@@ -228,6 +229,54 @@
         self.assertEqual(self.request_status(serve), 0)
 
 
+class TestThinLink(unittest.TestCase):
+    """Load pattern: a large response takes longer than a missing one.
+
+    Guards against first reads of a large configuration that never end.
+    """
+
+    def serve(self, pause_s: float) -> tuple[str, int]:
+        """Send a response in ten parts with a pause before each one."""
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+
+        def answer() -> None:
+            connection, _ = listener.accept()
+            with connection, suppress(OSError):
+                connection.recv(1000)
+                connection.send(b'HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n')
+                connection.send(b'\r\n')
+                for _ in range(10):
+                    time.sleep(pause_s)
+                    connection.send(b'x' * 100)
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        self.addCleanup(thread.join)
+        address: tuple[str, int] = listener.getsockname()
+        return address
+
+    def response(self, pause_s: float, **limits: float) -> Response:
+        """Return the response to a request with a timeout of 0.2 s."""
+        loop = Loop()
+        client = Client(loop, self.serve(pause_s))
+        self.addCleanup(client.close)
+        found: list[Response] = []
+        client.get('/', 0.2, found.append, **limits)
+        run_until(loop, _has_length(found, 1))
+        return found[0]
+
+    def test_bytes_keep_arriving(self) -> None:
+        """The response is read whole, unless it has to be there in time."""
+        whole = self.response(0.05, silence_s=0.2)
+        self.assertEqual((whole.status, len(whole.body)), (200, 1000))
+        self.assertEqual(self.response(0.05).status, 0)
+
+    def test_connection_goes_silent(self) -> None:
+        """The response is abandoned after the time without a byte."""
+        self.assertEqual(self.response(0.4, silence_s=0.2).status, 0)
+
+
 class TestServer(unittest.TestCase):
     """Valid and invalid requests."""
 
--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -130,7 +130,13 @@
         """Whether a request is in progress."""
         return self._on_response is not None
 
-    def get(self, path: str, _timeout: float, on_response: Any) -> None:
+    def get(
+        self,
+        path: str,
+        _timeout: float,
+        on_response: Any,
+        _silence_s: float = 0,
+    ) -> None:
         """Send a request."""
         self._path = path
         self._on_response = on_response
