Host records: require all fields that hosts write

Change: Sequence, Version and WarmupLeftMs are required, and of two records for one address one with a service of the configuration goes first. born stays optional: the platform's example of a record lacks it.

--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -33,6 +33,8 @@
 )
 
 _MS = 1000
+# Default of a number that must be stated.
+_REQUIRED = -1
 # Resolution of the weighted choice of a service.
 _WEIGHT_STEPS = 0x10000
 # Higher slot counts are capped at this value.
@@ -88,8 +90,12 @@
                 f'State {state!r} is unknown, expected ready or draining'
             )
         self.draining = state == 'draining'
+        # Hosts write these, too. Without them another client of the store has
+        # written the document, which may have copied the rest.
+        text_field(document, 'Version')
+        integer_field(document, 'Sequence')
         # A remaining duration, not a timestamp.
-        self.cold_s = number_field(document, 'WarmupLeftMs', 0) / _MS
+        self.cold_s = number_field(document, 'WarmupLeftMs', _REQUIRED) / _MS
         self.born_ms = (
             integer_field(document, 'born') if 'born' in document else 0
         )
--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -358,10 +358,21 @@
                 self._refusals.add(era, change)
                 continue
             other = hosts.get(record.ip)
-            # Addresses are reused; the latest incarnation counts.
-            if other is None or other.born_ms <= record.born_ms:
+            if other is None or self._supersedes(record, other):
                 hosts[record.ip] = record
 
+    def _supersedes(self, record: HostRecord, other: HostRecord) -> bool:
+        """Return whether a record counts in place of another of its address.
+
+        Addresses are reused, and the latest incarnation counts; but another
+        client of the store may state a service that does not exist.
+        """
+        services = self.configuration.services
+        exists = record.service in services
+        if exists != (other.service in services):
+            return exists
+        return other.born_ms <= record.born_ms
+
     def _follow_operator(self) -> None:
         if not self._has_operator_listing:
             self._operator_listing = _Listing(OPERATOR_PREFIX)
--- a/siskinbank/tracking/configuration.py
+++ b/siskinbank/tracking/configuration.py
@@ -22,6 +22,7 @@
         version: version number, 0 without a configuration.
         routes: routes by address and port, as in a flow key.
         warm_ups: limits of the services after a cold start, by service name.
+        services: names of the services and of those that routes state.
         idle_timeout_s: time in seconds after which hosts may discard idle flows,
             None if it is not stated.
     """
@@ -31,6 +32,7 @@
         '_raw',
         'idle_timeout_s',
         'routes',
+        'services',
         'version',
         'warm_ups',
     )
@@ -40,6 +42,7 @@
         self.version = 0
         self.routes: dict[bytes, Route] = {}
         self.warm_ups: dict[str, WarmUp] = {}
+        self.services: frozenset[str] = frozenset()
         self.idle_timeout_s: float | None = None
         self._raw = b''
         self._packed = b''
@@ -67,6 +70,9 @@
         self.version = version
         self.routes = routes
         self.warm_ups = warm_ups
+        self.services = frozenset(warm_ups).union(
+            service for route in routes.values() for service, _ in route.shares
+        )
         self.idle_timeout_s = idle_timeout_s
         self._raw = raw
         self._packed = b''
--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -9,9 +9,11 @@
         --config unittest.cfg tests.relay.test_store_eras.TestSchedules
 """
 
+import json
 import random
 import unittest
 from collections import Counter
+from itertools import product
 from types import SimpleNamespace
 from typing import Any
 
@@ -347,6 +349,37 @@
         self.assertGreater(schedule.counts['store_outdated_total'], 0)
         self.assertEqual(schedule.follower.hosts, {})
 
+    def test_items_of_another_client(self) -> None:
+        """They don't stand for the host at their address.
+
+        Guards against a draining host that gets flows on, as a copy of its
+        record without some field hides it.
+        """
+        draining = HostDocument('a', ('10.0.0.1', 80), 'x', draining=True)
+        document = json.loads(draining.encode())
+        copies = [
+            {name: document[name] for name in document if name != missing}
+            for missing in ('Sequence', 'Version', 'WarmupLeftMs')
+        ]
+        copies.extend(
+            document | changes | {'State': 'ready'}
+            for changes in (
+                {'Service': 'nobody', 'born': 99},
+                {'Sequence': 'x'},
+                {'Version': 7},
+                {'WarmupLeftMs': None},
+            )
+        )
+        for order, copy in product(('a', 'z'), copies):
+            schedule = Schedule(1)
+            schedule.store.put(f'{HOSTS_PREFIX}i-1', draining.encode())
+            content = json.dumps({**copy, 'State': 'ready'}).encode()
+            schedule.store.put(f'{HOSTS_PREFIX}{order}', content)
+            for _ in range(40):
+                schedule.advance()
+            with self.subTest(order=order, copy=copy):
+                self.assertTrue(schedule.follower.hosts['10.0.0.1'].draining)
+
     def test_absence_proves_nothing_in_a_new_era(self) -> None:
         """Hosts that registered since the copy are missing for a while."""
         schedule = Schedule(1)
