Limit flows to hosts that may be cold since their last record

Cause: the operator's change was sent with records from the listing before, and a sidecar that saw its host start again went by the record from before.

Change: a data centre that was taken back counts as evacuated until its hosts are listed again, at once; a host that refused packets, or lost a flow, since its record was read counts as cold until a newer one.

--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -208,6 +208,9 @@
         self._hosts_connection = _StoreConnection(Client(node.loop, store))
         self._operator_connection = _StoreConnection(Client(node.loop, store))
         self._has_operator_listing = False
+        # Data centres taken back by the operator, whose hosts may have become
+        # cold since the last listing, with the position of the change.
+        self._returning: dict[str, StorePosition] = {}
         self._hosts_listing = _Listing(HOSTS_PREFIX)
         self._listed_hosts: dict[str, HostRecord] = {}
         self._refusals = _Refusals()
@@ -228,7 +231,9 @@
 
     def check(self) -> None:
         """Send the requests that are due."""
-        if self._can_send_request(self._hosts_connection) and self.hosts_due():
+        if self._can_send_request(self._hosts_connection) and (
+            self._returning or self.hosts_due()
+        ):
             self._begin_hosts_listing()
         if (
             self._can_send_request(self._operator_connection)
@@ -263,6 +268,14 @@
             self._node.log('store.era', era=era, before=before, source=source)
             self._node.meters.count('store_eras_total')
 
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Return whether the hosts of a data centre get no new flows.
+
+        One that the operator has taken back gets flows once its hosts are listed
+        again: they may have become cold before.
+        """
+        return data_centre in self.evacuated or data_centre in self._returning
+
     def absence_is_reliable(self) -> bool:
         """Return whether a host without a record in the store is gone."""
         return self._store_availability.absence_is_reliable(self._node.loop.now)
@@ -339,6 +352,11 @@
         self._refusals.end_listing()
         self.hosts, self._listed_hosts = self._listed_hosts, {}
         self.hosts_position = StorePosition(listing.era, listing.revision)
+        self._returning = {
+            name: position
+            for name, position in self._returning.items()
+            if self.hosts_position.is_before(position)
+        }
         self.hosts_read_at = now
         self.listing.replace(map(inet_aton, self.hosts), now)
         self._hosts_digest = self.listing.digest
@@ -472,6 +490,8 @@
     def _set_evacuated(self, keys: Iterable[str]) -> None:
         names = frozenset(key[len(EVACUATIONS_PREFIX) :] for key in keys)
         if names != self.evacuated:
+            for name in self.evacuated - names:
+                self._returning[name] = self.operator_position
             self.evacuated = names
             self._node.log(
                 'evacuation.changed',
--- a/siskinbank/relay/records.py
+++ b/siskinbank/relay/records.py
@@ -39,7 +39,7 @@
     record.flags |= messages.REGISTERED
     if host.draining:
         record.flags |= messages.DRAINING
-    if host.data_centre in follower.evacuated:
+    if follower.is_evacuated(host.data_centre):
         record.flags |= messages.EVACUATED
     record.service = messages.digest(host.service)
     record.slots = host.slots
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -216,6 +216,7 @@
             return
         if flow.established:
             # The host answered the flow before and has lost its state.
+            self._host.note_restart(self._node.loop.now)
             self._node.reset_flow(self._client_socket, packet, 'host-forgot')
         elif flow.entry:
             self._send_absent(key, flow.entry, packet)
--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -76,6 +76,7 @@
         '_observed_since',
         '_operator_flags',
         '_record_wait_until',
+        '_restart_noted_at',
         '_settled_at',
         '_started',
         '_started_ms',
@@ -127,6 +128,7 @@
         self._cold = ColdLimit()
         self._cold_until = NEVER
         self._unreachable_at = NEVER
+        self._restart_noted_at = NEVER
         self._record_wait_until = now + _RECORD_WAIT_S
         self._settled_at = NEVER
         # The operator's flags as last read, without those that are only kept.
@@ -247,9 +249,18 @@
         """Note that the host is unreachable; return whether that is new."""
         newly_unreachable = now - self._unreachable_at > _UNREACHABLE_S
         self._unreachable_at = now
+        self._restart_noted_at = now
         self.has_accepted_flow = False
         return newly_unreachable
 
+    def note_restart(self, now: float) -> None:
+        """Note that the host has lost a flow, as after a restart.
+
+        Load pattern: hosts return cold while the store is down, so that no
+        record tells of it.
+        """
+        self._restart_noted_at = now
+
     def state(self, now: float) -> int:
         """Return the reason why entries should avoid this host, or NONE."""
         return self._persistent_reason(self.service, now)
@@ -327,10 +338,14 @@
 
         Returns:
             None if there is no limit: the host is warm or without a record,
-            or its service states no rate.
+            or its service states no rate. A host that seems to have started
+            again since its record was read counts as cold.
         """
         record = self.record
-        if record is None or not record.cold_per_s or not self.is_cold(now):
+        if record is None or not record.cold_per_s:
+            return None
+        may_be_cold = self._restart_noted_at > self.confirmed_at
+        if not may_be_cold and not self.is_cold(now):
             return None
         return self._cold.flows_left(now, record.cold_per_s)
 
--- a/tests/relay/test_gossip.py
+++ b/tests/relay/test_gossip.py
@@ -53,7 +53,7 @@
             absence_is_reliable=lambda: True,
             operator_position=StorePosition(),
             operator_read_at=NEVER,
-            evacuated=frozenset(),
+            is_evacuated=lambda data_centre: False,
             rank=0,
             check=bool,
         )
--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -349,6 +349,32 @@
         self.assertGreater(schedule.counts['store_outdated_total'], 0)
         self.assertEqual(schedule.follower.hosts, {})
 
+    def test_hosts_of_a_returning_data_centre(self) -> None:
+        """They count as evacuated until they are listed again.
+
+        Guards against flows to hosts that were replaced by cold ones, of which
+        only the next listing tells; that comes at once.
+        """
+        for seed in range(20):
+            schedule = Schedule(seed)
+            key = f'{EVACUATIONS_PREFIX}x'
+            schedule.store.put(key, b'{}')
+            for _ in range(40):
+                schedule.advance()
+            follower = schedule.follower
+            self.assertTrue(follower.is_evacuated('x'))
+            follower.hosts_due = bool
+            for _ in range(20):
+                schedule.advance()
+            schedule.store.put(key, None)
+            for _ in range(20):
+                schedule.advance()
+                if not follower.is_evacuated('x'):
+                    break
+            self.assertFalse(follower.is_evacuated('x'))
+            position = follower.hosts_position
+            self.assertGreaterEqual(position.revision, schedule.store.revision)
+
     def test_items_of_another_client(self) -> None:
         """They don't stand for the host at their address.
 
--- a/tests/tracking/test_own_host.py
+++ b/tests/tracking/test_own_host.py
@@ -165,6 +165,26 @@
         cold.cold_per_s = 0
         self.assertIsNone(self.host.cold_flows_left(100.5))
 
+    def test_host_that_seems_to_have_restarted(self) -> None:
+        """Load pattern: hosts return cold while the store is down.
+
+        Guards against the record of the warm host, by which nothing is limited.
+        """
+        for now, note in (
+            (100, self.host.note_restart),
+            (200, self.host.note_unreachable),
+        ):
+            warm = record(now)
+            warm.cold_per_s = 1
+            self.host.apply_record(warm, now)
+            self.assertIsNone(self.host.cold_flows_left(now + 1))
+            note(now + 1)
+            self.assertIsNotNone(self.host.cold_flows_left(now + 3))
+            fresh = record(now + 1)
+            fresh.cold_per_s = 1
+            self.host.apply_record(fresh, now + 4)
+            self.assertIsNone(self.host.cold_flows_left(now + 4))
+
     def test_a_planned_stop(self) -> None:
         """No new flows from then on."""
         self.host.stopping = True
