Store client: replace a connection that was idle for five seconds

Callers saw nothing yet; read in the code while looking at sidecars that read the store in a second partition. A connection from the first one may have gone silent; the first call times out after 1 s, and a sidecar pauses for 3.2 s then, so that an evacuation at the begin of the partition is in force after 6.3 s, 5 s allowed.

Change: a connection that was not used for 5 s is closed before the next request. The first reader uses its connections all the time.

Measured: test_idle_connection_is_replaced gets no response on the code before.

--- a/siskinbank/relay/http.py
+++ b/siskinbank/relay/http.py
@@ -44,6 +44,9 @@
 # quarter of the time after which the kernel retransmits a lost SYN. The caller
 # then tries a new connection.
 _CONNECT_TIMEOUT_S = 0.25
+# A connection that has been idle for longer than this, in seconds, is replaced. It
+# may have gone silent, which only a timeout would show.
+_MAX_IDLE_S = 5.0
 # Time limit of a response of which bytes keep arriving, in seconds: 4 MB at 5
 # Mbit/s.
 _MAX_TRANSFER_S = 7.0
@@ -85,6 +88,7 @@
         '_socket',
         '_timer',
         '_transfer_ends_at',
+        '_used_at',
     )
 
     def __init__(self, loop: Loop, peer: tuple[str, int]) -> None:
@@ -99,6 +103,7 @@
         self._connect_timer: Timer | None = None
         self._silence_s: float = 0
         self._transfer_ends_at: float = 0
+        self._used_at: float = 0
 
     @property
     def busy(self) -> bool:
@@ -131,6 +136,8 @@
         self._timer = self._loop.after(timeout, self._expire)
         ip, port = self._peer
         request = f'GET {path} HTTP/1.1\r\nHost: {ip}:{port}\r\n\r\n'.encode()
+        if self._loop.now - self._used_at > _MAX_IDLE_S:
+            self.close()
         try:
             self._send(request)
         except OSError:
@@ -235,6 +242,7 @@
             self._timer = None
         if not response.status:
             self.close()
+        self._used_at = self._loop.now
         on_response, self._on_response = self._on_response, None
         if on_response is not None:
             on_response(response)
--- a/tests/relay/test_loop.py
+++ b/tests/relay/test_loop.py
@@ -278,6 +278,60 @@
         self.assertEqual(self.response(0.4, silence_s=0.2).status, 0)
 
 
+class TestIdleConnection(unittest.TestCase):
+    """Load pattern: open connections go silent while new ones work.
+
+    Guards against processes that read the store in place of others and lose the
+    time of a timeout and a pause with their first call.
+    """
+
+    def setUp(self) -> None:
+        """Serve each connection until it is told to be silent."""
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        self.connections: list[socket.socket] = []
+        self.silent: set[int] = set()
+        self.loop = Loop()
+        self.client = Client(self.loop, listener.getsockname())
+        self.addCleanup(self.client.close)
+        listener.setblocking(False)
+        self.loop.watch(listener.fileno(), lambda _: self.accept(listener))
+
+    def accept(self, listener: socket.socket) -> None:
+        """Answer the requests on a new connection."""
+        connection, _ = listener.accept()
+        number = len(self.connections)
+        self.connections.append(connection)
+        self.addCleanup(connection.close)
+
+        def answer(_events: int) -> None:
+            if connection.recv(1000) and number not in self.silent:
+                connection.send(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+
+        self.loop.watch(connection.fileno(), answer)
+
+    def status(self) -> int:
+        """Return the status of the response to a request."""
+        found: list[Response] = []
+        self.client.get('/', 0.3, found.append)
+        run_until(self.loop, _has_length(found, 1))
+        return found[0].status
+
+    def test_connection_in_use_is_kept(self) -> None:
+        """Requests soon after each other share it."""
+        for _ in range(3):
+            self.assertEqual(self.status(), 200)
+        self.assertEqual(len(self.connections), 1)
+
+    def test_idle_connection_is_replaced(self) -> None:
+        """The first request after a while gets its response."""
+        self.assertEqual(self.status(), 200)
+        self.silent.add(0)
+        self.client._used_at -= 6  # noqa: SLF001
+        self.assertEqual(self.status(), 200)
+        self.assertEqual(len(self.connections), 2)
+
+
 class TestServer(unittest.TestCase):
     """Valid and invalid requests."""
 
