--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,7 +10,7 @@
 
 from standins import HEARTBEAT_S, FlowLost, main, now_ms
 
-TARGET = ('198.18.0.1', 8443)
+TARGET = ('127.1.0.1', 8443)
 # How long killed processes take to start again.
 RESTART_S = 0.5
 
