--- a/siskinbank/relay/configuration_transfer.py
+++ b/siskinbank/relay/configuration_transfer.py
@@ -112,4 +112,5 @@
             return
         if applied:
             follower.note_configuration(before, ip)
+            follower.update_hosts()
             self._on_change()
--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -24,7 +24,7 @@
 from siskinbank.relay.log import log_value
 from siskinbank.relay.loop import NEVER
 from siskinbank.tracking.configuration import Configuration
-from siskinbank.tracking.host_listing import HostListing
+from siskinbank.tracking.host_listing import HostListing, digest_of_addresses
 from siskinbank.tracking.idle_timeout import IdleTimeout
 from siskinbank.tracking.store_position import StorePosition
 from siskinbank.tracking.store_reads import (
@@ -157,10 +157,12 @@
         operator_position: position of the last known operator change.
         operator_read_at: time of the store's last response about operator keys.
         hosts: host records by IP address, from the last listing that this
-            process read.
+            process read; empty without a configuration.
         listing: addresses of the hosts, from this process or a peer.
-        hosts_position: position of the last listing of the hosts.
-        hosts_read_at: time when that listing was read.
+        hosts_position: position of the last listing of the hosts, empty until
+            there is a configuration as well.
+        hosts_read_at: time when that listing was read, also without a
+            configuration.
         hosts_read_by_peer_at: time when the store confirmed the newest listing
             that a peer announced.
         rank: position of this process in the order of readers, from 0.
@@ -212,7 +214,13 @@
         # cold since the last listing, with the position of the change.
         self._returning: dict[str, StorePosition] = {}
         self._hosts_listing = _Listing(HOSTS_PREFIX)
-        self._listed_hosts: dict[str, HostRecord] = {}
+        self._listed_records: list[HostRecord] = []
+        # All records of the last listing, also of services without a
+        # configuration, and the position of that listing.
+        self._records: list[HostRecord] = []
+        self._records_position = StorePosition()
+        # Services by which the hosts were selected, None before that.
+        self._selected_services: frozenset[str] | None = None
         self._refusals = _Refusals()
         self._operator_listing = _Listing(OPERATOR_PREFIX)
         self._operator_changes: list[Change] = []
@@ -292,6 +300,12 @@
             self.note_configuration(before, source)
         return applied
 
+    def update_hosts(self) -> None:
+        """Select the hosts anew if the services have changed since."""
+        is_listed = bool(self._records_position)
+        if is_listed and self._selected_services != self.configuration.services:
+            self._select_hosts()
+
     def note_configuration(self, before: int, source: str) -> None:
         """Log and count a change of the configuration in force.
 
@@ -320,7 +334,7 @@
 
     def _begin_hosts_listing(self) -> None:
         self._hosts_listing = _Listing(HOSTS_PREFIX)
-        self._listed_hosts = {}
+        self._listed_records = []
         self._list_hosts('')
 
     def _list_hosts(self, after: str) -> None:
@@ -350,21 +364,13 @@
         now = self._node.loop.now
         self._store_availability.note_listing(now, now)
         self._refusals.end_listing()
-        self.hosts, self._listed_hosts = self._listed_hosts, {}
-        self.hosts_position = StorePosition(listing.era, listing.revision)
-        self._returning = {
-            name: position
-            for name, position in self._returning.items()
-            if self.hosts_position.is_before(position)
-        }
+        self._records, self._listed_records = self._listed_records, []
+        self._records_position = StorePosition(listing.era, listing.revision)
         self.hosts_read_at = now
-        self.listing.replace(map(inet_aton, self.hosts), now)
-        self._hosts_digest = self.listing.digest
-        self._on_hosts()
+        self._select_hosts()
 
     def _add_hosts(self, era: int, changes: list[Change]) -> None:
         """Add the hosts of a page to the listing in progress."""
-        hosts = self._listed_hosts
         for change in changes:
             if self._refusals.is_known(era, change):
                 continue
@@ -375,21 +381,38 @@
                 self._log_refusal('record.refused', change.key, error)
                 self._refusals.add(era, change)
                 continue
-            other = hosts.get(record.ip)
-            if other is None or self._supersedes(record, other):
-                hosts[record.ip] = record
+            self._listed_records.append(record)
 
-    def _supersedes(self, record: HostRecord, other: HostRecord) -> bool:
-        """Return whether a record counts in place of another of its address.
+    def _select_hosts(self) -> None:
+        """Select the hosts among the records of the last listing.
 
-        Addresses are reused, and the latest incarnation counts; but another
-        client of the store may state a service that does not exist.
+        Another client of the store may write complete records of services that
+        nobody has configured. Until the first configuration is known nothing
+        tells them from hosts.
         """
+        if not self.configuration.version:
+            return
         services = self.configuration.services
-        exists = record.service in services
-        if exists != (other.service in services):
-            return exists
-        return other.born_ms <= record.born_ms
+        hosts: dict[str, HostRecord] = {}
+        for record in self._records:
+            if record.service not in services:
+                continue
+            other = hosts.get(record.ip)
+            # Addresses are reused, and the latest incarnation counts.
+            if other is None or other.born_ms <= record.born_ms:
+                hosts[record.ip] = record
+        self._selected_services = services
+        self.hosts = hosts
+        self.hosts_position = self._records_position
+        self._returning = {
+            name: position
+            for name, position in self._returning.items()
+            if self.hosts_position.is_before(position)
+        }
+        addresses = frozenset(map(inet_aton, hosts))
+        self._hosts_digest = digest_of_addresses(addresses)
+        self.listing.replace(addresses, self.hosts_read_at)
+        self._on_hosts()
 
     def _follow_operator(self) -> None:
         if not self._has_operator_listing:
@@ -485,6 +508,7 @@
                 if change.content is not None:
                     evacuated.add(change.key)
         self._set_evacuated(evacuated)
+        self.update_hosts()
         self._on_operator()
 
     def _set_evacuated(self, keys: Iterable[str]) -> None:
--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -337,7 +337,11 @@
         announcement.stopping = self.stopping
         announcement.version = follower.configuration.version
         announcement.operator_age_s = now - follower.operator_read_at
-        announcement.hosts_age_s = now - follower.hosts_read_at
+        # Without a configuration this entry sends no records of what it has read.
+        hosts_read_at = (
+            follower.hosts_read_at if follower.hosts_position else NEVER
+        )
+        announcement.hosts_age_s = now - hosts_read_at
         announcement.hosts_digest = follower.hosts_digest
         announcement.era = follower.era
         return announcement
--- a/siskinbank/relay/records.py
+++ b/siskinbank/relay/records.py
@@ -20,9 +20,11 @@
 
     Returns:
         None if the host has no record in the store, but may be registered
-        again after an outage of the store.
+        again after an outage of the store, or if this process knows no hosts.
     """
     host = follower.hosts.get(ip)
+    if not follower.hosts_position:
+        return None
     if host is None and not follower.absence_is_reliable():
         return None
     record = messages.Record()
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -83,6 +83,9 @@
             )
         self._flows: dict[bytes, TrackedFlow] = {}
         self._unanswered: dict[bytes, UnansweredPacket] = {}
+        # Times of the last packets of flows that the host may have lost in a
+        # restart, by flow key: it decides on their next packets.
+        self._doubtful_flows: dict[bytes, float] = {}
         self._entry_reads = EntryReads(node.loop.now)
         service = messages.digest(settings.service or '')
         started_ms = int(time() * _MS)
@@ -192,6 +195,7 @@
         entry = unanswered.entry if unanswered else ''
         flow = TrackedFlow(entry, client, self._node.loop.now)
         self._flows[key] = flow
+        self._doubtful_flows.pop(key, None)
         if unanswered and not flags_of(unanswered.packet) & SYN:
             self._tracker.track_packet(key, flow, unanswered.packet)
         return flow
@@ -204,6 +208,7 @@
         if flags_of(packet) & SYN:
             self._admission.note_host_refusal(key, unanswered)
             return
+        self._doubtful_flows.pop(key, None)
         flow = self._flows.pop(key, None)
         if flow is None:
             if unanswered:
@@ -261,18 +266,19 @@
 
     def _handle_flow_query(self, raw: bytes, ip: str) -> None:
         self._reporter.note_entry(ip)
-        unknown: list[bytes] = []
+        answers: dict[int, list[bytes]] = {}
+        complete = self._host.has_observed_all_flows(self._node.loop.now)
         for key in messages.read_keys(raw):
             flow = self._flows.get(key)
             if flow:
                 flow.entry = ip
                 self._send_held(key, flow)
             elif not self._may_open(key):
-                unknown.append(key)
-        if unknown:
-            complete = self._host.has_observed_all_flows(self._node.loop.now)
-            kind = messages.NOT_HELD if complete else messages.HELD_UNKNOWN
-            self._node.send(ip, messages.pack_keys(kind, unknown))
+                is_known = complete and key not in self._doubtful_flows
+                kind = messages.NOT_HELD if is_known else messages.HELD_UNKNOWN
+                answers.setdefault(kind, []).append(key)
+        for kind, keys in answers.items():
+            self._node.send(ip, messages.pack_keys(kind, keys))
 
     def _may_open(self, key: bytes) -> bool:
         """Return whether the host may accept a first packet of a flow yet."""
@@ -334,6 +340,7 @@
         self._planned_stop.note_unreachable()
         flows = list(self._flows.items())
         self._flows.clear()
+        self._doubtful_flows.clear()
         # Clients of flows that are not reset retransmit what was held.
         for held_key, _ in flows:
             self._holding.drop(held_key, 'host-unreachable')
@@ -360,12 +367,13 @@
     def _apply_record(self, record: messages.Record, source: str) -> None:
         host = self._host
         before = host.record
+        born_before_ms = host.born_ms
         if not host.apply_record(record, self._node.loop.now):
             return
-        restarted = before and record.born_ms not in {0, before.born_ms}
-        if before and before.born_ms and restarted:
-            self._drop_flows()
-        elif before and before.flags == record.flags:
+        if host.born_ms != born_before_ms:
+            if born_before_ms:
+                self._doubt_flows()
+        elif before and _is_same_state(before, record):
             return
         self._node.log(
             'host.changed',
@@ -380,23 +388,27 @@
         self._reporter.send_status()
         self._admission.release()
 
-    def _drop_flows(self) -> None:
-        """Drop the flows from before the start of the host's incarnation.
+    def _doubt_flows(self) -> None:
+        """Doubt the flows from before the start of the host's incarnation.
+
+        Only the host can tell whether it has lost them: the time of day jumps,
+        and the record may be of something else at its address.
 
         Load pattern: a restarted host serves new flows before its record is
         read.
         """
         born_at = self._host.born_at
-        dropped = [
+        doubtful = [
             (key, flow, self._holding.drop(key, 'host-restarted'))
             for key, flow in self._flows.items()
             if flow.opened_at < born_at
         ]
-        for lost_key, _, _ in dropped:
-            self._flows.pop(lost_key)
-        for key, flow, held_packets in dropped:
+        for doubtful_key, _, _ in doubtful:
+            flow = self._flows.pop(doubtful_key)
+            self._doubtful_flows[doubtful_key] = flow.last_seen
+        for key, flow, held_packets in doubtful:
             self._tracker.end(key, flow, 'host-restarted')
-            # The new incarnation refuses them, and the entry is told.
+            # A new incarnation refuses them, and the entry is told.
             for packet in held_packets:
                 self._forward_to_host(packet, flow.entry, searching=False)
 
@@ -440,12 +452,19 @@
             if outcome == _IDLE:
                 self._flows.pop(key)
                 self._holding.drop(key, _IDLE)
+        for key, last_seen in list(self._doubtful_flows.items()):
+            if now - last_seen > idle_s:
+                self._doubtful_flows.pop(key)
         cutoff = now - _UNANSWERED_TTL_S
         for key, unanswered in list(self._unanswered.items()):
             if unanswered.sent_at < cutoff:
                 self._unanswered.pop(key)
 
 
+def _is_same_state(before: messages.Record, record: messages.Record) -> bool:
+    return (before.flags, before.service) == (record.flags, record.service)
+
+
 def _timeout_outcome(flow: TrackedFlow, now: float, idle_s: float) -> str:
     """Return the outcome of a flow that has timed out, empty if it hasn't."""
     expired = flow.ended_at and now - flow.ended_at > _ENDED_FLOW_TTL_S
--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -54,6 +54,8 @@
     Attributes:
         service: digest of the service in the sidecar's settings.
         record: last record from the store, None before the first one.
+        born_ms: start of the host's incarnation in Unix milliseconds, by the
+            last record of the sidecar's service that states it; 0 if unknown.
         confirmed_at: time when the store confirmed the record, in seconds.
         version: newest configuration version that was announced.
         idle_timeout: how long the host may keep idle flows.
@@ -81,6 +83,7 @@
         '_started',
         '_started_ms',
         '_unreachable_at',
+        'born_ms',
         'busy',
         'confirmed_at',
         'expected_requests',
@@ -114,6 +117,7 @@
         """
         self.service = service
         self.record: messages.Record | None = None
+        self.born_ms = 0
         self.confirmed_at = NEVER
         self.version = 0
         self.idle_timeout = IdleTimeout(flow_lifetime_s)
@@ -151,8 +155,7 @@
     @property
     def born_at(self) -> float:
         """Start of the host's incarnation in seconds, from its time of day."""
-        born_ms = self.record.born_ms if self.record else 0
-        return self._started + (born_ms - self._started_ms) / _MS
+        return self._started + (self.born_ms - self._started_ms) / _MS
 
     @property
     def is_leaving(self) -> bool:
@@ -209,8 +212,7 @@
         or if both started together: a host gets no packet before its sidecar
         runs.
         """
-        born_ms = self.record.born_ms if self.record else 0
-        started_together = born_ms > self._started_ms - _JOINT_START_MS
+        started_together = self.born_ms > self._started_ms - _JOINT_START_MS
         if started_together and not self._is_born_in_future:
             return True
         longest_s = self.idle_timeout.longest_s(now) + _OBSERVATION_MARGIN_S
@@ -235,11 +237,8 @@
             self._operator_flags = record.flags & _OPERATOR_FLAGS
         elif not self._merge(previous, record, now):
             return False
-        is_new = previous is None or previous.born_ms != record.born_ms
         self.record = record
-        if is_new:
-            # The time of day was set back since the host started.
-            self._is_born_in_future = self.born_at > now
+        self._note_incarnation(record, now)
         self.confirmed_at = now - record.age_s
         self._cold_until = now + record.cold_s if record.cold_s else NEVER
         self._record_wait_until = NEVER
@@ -381,7 +380,7 @@
         """Add what is still known to a record; return False if it is older."""
         self._note_era(previous, record, now)
         settling = now < self._settled_at
-        if settling and 0 < record.born_ms < previous.born_ms:
+        if settling and 0 < self._stated_born_ms(record) < self.born_ms:
             # A copy of the store may have the record of an earlier incarnation.
             return False
         if record.position.is_before(previous.position):
@@ -397,12 +396,32 @@
         self._operator_flags = record.flags & _OPERATOR_FLAGS
         if settling:
             _keep_restrictions(previous, record)
-        if record.born_ms not in {0, previous.born_ms}:
+        return True
+
+    def _stated_born_ms(self, record: messages.Record) -> int:
+        """Return the start of the host that a record states, 0 if it doesn't.
+
+        The record of another service at this address tells nothing of the host:
+        addresses are reused, and other clients write to the store.
+        """
+        is_own = record.service == self.service
+        is_registered = bool(record.flags & messages.REGISTERED)
+        return record.born_ms if is_own and is_registered else 0
+
+    def _note_incarnation(self, record: messages.Record, now: float) -> None:
+        """Note which incarnation of the host a record is of."""
+        born_ms = self._stated_born_ms(record)
+        if born_ms in {0, self.born_ms}:
+            return
+        has_restarted = self.born_ms != 0
+        self.born_ms = born_ms
+        # The time of day was set back since the host started.
+        self._is_born_in_future = self.born_at > now
+        if has_restarted:
             self._unreachable_at = NEVER
             self._observed_since = now
             self.refusal_backoff.note_accepted()
             self.processing_time.forget_speed()
-        return True
 
     def _keep_host_state(
         self, previous: messages.Record, record: messages.Record, now: float
--- a/tests/relay/test_gossip.py
+++ b/tests/relay/test_gossip.py
@@ -233,6 +233,7 @@
         self.assertEqual(context.sent, [(OTHERS[0], request)])
         reader = GossipContext()
         reader.follower.hosts_read_at = reader.loop.now
+        reader.follower.hosts_position = StorePosition(1, 1)
         reader.receive(request, OWN)
         self.assertEqual(reader.sent_kinds(), [messages.RECORD])
         self.assertEqual(reader.sent[0][0], '10.0.2.1')
