--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -179,6 +179,8 @@
             self._tracker.track_answer(key, flow, packet)
             if flags & (FIN | RST) and not flow.ended_at:
                 flow.ended_at = self._node.loop.now
+                # No client goes on with a flow that its host has reset.
+                flow.has_client_ended |= bool(flags & RST)
                 self._holding.end(key, 'host-closed')
         if unanswered or flags & SYN:
             self._send_held(key, flow)
@@ -467,7 +469,8 @@
 
 def _timeout_outcome(flow: TrackedFlow, now: float, idle_s: float) -> str:
     """Return the outcome of a flow that has timed out, empty if it hasn't."""
-    expired = flow.ended_at and now - flow.ended_at > _ENDED_FLOW_TTL_S
+    is_closed = flow.ended_at and flow.has_client_ended
+    expired = is_closed and now - flow.ended_at > _ENDED_FLOW_TTL_S
     if expired or now - flow.last_seen > idle_s:
         return _IDLE
     # The client has abandoned the request. The slot may still be in use, but
--- a/siskinbank/sidecar/tracked_flows.py
+++ b/siskinbank/sidecar/tracked_flows.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 from siskinbank.platform.packets import (
+    FIN,
     HEADER_BYTES,
+    RST,
     Answer,
     begins_request,
+    flags_of,
     read_answer,
     request_id,
     sequence_numbers,
@@ -81,7 +84,9 @@
         last_seen: time of the last packet.
         header: first ``HEADER_BYTES`` bytes of the client's last packet.
         request: the request in progress.
-        ended_at: when the end of the flow was detected, 0 while it is open.
+        ended_at: when its host was seen to close its side or to reset the flow, 0
+            before that.
+        has_client_ended: whether its client has done so.
     """
 
     __slots__ = (
@@ -90,6 +95,7 @@
         'ended_at',
         'entry',
         'established',
+        'has_client_ended',
         'header',
         'last_seen',
         'number',
@@ -108,12 +114,15 @@
         self.header = b''
         self.request: Request | None = None
         self.ended_at: float = 0
+        self.has_client_ended = False
         self._last_request = _NO_SEQUENCE
 
     def note_packet(self, packet: bytes, now: float) -> None:
         """Note a client's packet that may not have reached the host yet."""
         self.last_seen = now
         self.header = packet[:HEADER_BYTES]
+        if flags_of(packet) & (FIN | RST):
+            self.has_client_ended = True
 
     def may_hold(self, packet: bytes) -> bool:
         """Return whether a packet starts a request that may be held.
--- a/tests/relay/test_idle_flows.py
+++ b/tests/relay/test_idle_flows.py
@@ -9,10 +9,12 @@
 
 from siskinbank.lab.rig.client import ClientFlow, ClientStandIn
 from siskinbank.lab.rig.fleet import TARGET
-from siskinbank.platform.encoding import RouteDocument
-from siskinbank.platform.packets import FLOW_KEY
+from siskinbank.platform.encoding import Packet, RouteDocument
+from siskinbank.platform.packets import ACK, FIN, FLOW_KEY
+from siskinbank.relay import messages
 from tests.relay.fleet_case import FleetCase
 from tests.relay.simulated_fleet import SimulatedFleet
+from tests.relay.simulated_host import ENTRY, LOW, SimulatedHost
 
 RAISED_S = 40.0
 # Pause of a client, in seconds: below the raised timeout, and longer than flows
@@ -114,6 +116,35 @@
         self.assertNotIn(packet[FLOW_KEY], flows)
 
 
+class TestHalfClosedFlow(unittest.TestCase):
+    """A host closes its side of a flow; its client may still send."""
+
+    def query(self, *, client_closes: bool) -> set[int]:
+        """Return the kinds of the answers when the client has paused."""
+        host = SimulatedHost()
+        self.addCleanup(host.close)
+        # It has seen all flows that the host may hold.
+        host.run(70)
+        key = host.send_opening(LOW, 10)
+        host.send_packet(LOW, 10)
+        answer = Packet(LOW, host.received[-1].source, FIN | ACK).write()
+        host.sidecar._check_packet(answer, ('', 0))  # noqa: SLF001
+        host.send_packet(LOW, 10, flags=ACK | FIN if client_closes else ACK)
+        host.run(10)
+        host.sent.clear()
+        query = messages.pack_keys(messages.FLOW_QUERY, [key])
+        host.handlers[messages.FLOW_QUERY](query, ENTRY)
+        return {raw[0] for raw in host.sent}
+
+    def test_client_goes_on(self) -> None:
+        """The sidecar does not deny the flow."""
+        self.assertEqual(self.query(client_closes=False), {messages.HELD})
+
+    def test_both_have_closed(self) -> None:
+        """The flow is forgotten long before its idle timeout."""
+        self.assertEqual(self.query(client_closes=True), {messages.NOT_HELD})
+
+
 class TestRealProcesses(FleetCase):
     """Two entries, and three hosts that keep idle flows."""
 
