--- a/siskinbank/entry/first_packets.py
+++ b/siskinbank/entry/first_packets.py
@@ -9,6 +9,7 @@
 from itertools import islice
 
 __all__ = (
+    'CLIENT_CONNECTED',
     'DROP',
     'EARLIER_COPY_ELSEWHERE',
     'FirstPackets',
@@ -25,6 +26,7 @@
 SEARCH = 'search'
 
 # Reasons for not rejecting it at once.
+CLIENT_CONNECTED = 'client-connected'
 NEXT_COPY_DUE = 'next-copy-due'
 EARLIER_COPY_ELSEWHERE = 'earlier-copy-elsewhere'
 SEARCH_LIMIT = 'search-limit'
--- a/siskinbank/entry/flow_cache.py
+++ b/siskinbank/entry/flow_cache.py
@@ -7,12 +7,16 @@
 
 from __future__ import annotations
 
-__all__ = ('CachedFlow', 'FlowCache')
+__all__ = ('CachedFlow', 'FlowCache', 'completes_handshake')
 
 _SEQUENCE_BITS = 32
 _SEQUENCE_NUMBERS = 1 << _SEQUENCE_BITS
 # When the cache is full, the oldest flow is evicted.
 _MAX_FLOWS = 65536
+# Maximum distance from the number of a host's first packet to what a client
+# acknowledges at the begin of its flow. The number of another host lies in it once
+# in 65,536 times.
+_MAX_ACKNOWLEDGED = 0x10000
 # A client retransmits a packet after 0.2 s; a packet that arrives out of order or
 # late comes sooner, in seconds.
 _MIN_RETRANSMISSION_S = 0.15
@@ -24,7 +28,12 @@
     Attributes:
         ip: the host's address.
         confirmed: whether a sidecar has confirmed that its host holds the
-            flow; until then ``ip`` is only where the first packet was sent.
+            flow, open or half open; until then ``ip`` is only where the first
+            packet was sent.
+        is_open: whether its client has sent more than its first packet, and so
+            is connected to some host.
+        is_connected: whether its client is known to be connected to the host at
+            ``ip``, and not to one that got another copy of the first packet.
         queueing_host: the host whose sidecar queues the first packet until a
             slot is free, empty if none does.
         last_seen: time of the last packet, in seconds.
@@ -41,6 +50,8 @@
         '_holders',
         'confirmed',
         'ip',
+        'is_connected',
+        'is_open',
         'last_seen',
         'queueing_host',
         'repeats',
@@ -52,6 +63,8 @@
         """Initialize with the host that the first packet is sent to."""
         self.ip = ip
         self.confirmed = False
+        self.is_open = False
+        self.is_connected = False
         self.queueing_host = ''
         self.service = ''
         self.last_seen = last_seen
@@ -106,6 +119,7 @@
             self.ip = ip
         self.confirmed = True
         self._holders[ip] = (established, number)
+        self.is_connected = established and not self.contested
 
     def select_holder(self, acknowledged: int) -> None:
         """Select the host that the client is connected to.
@@ -129,6 +143,33 @@
                 key=lambda ip: _sequence_distance(acknowledged, holders[ip][1]),
             )
         self._holders = {self.ip: holders[self.ip]}
+        self.is_connected = False
+
+    def note_acknowledged(self, acknowledged: int) -> None:
+        """Record a packet that its client sent after its first one.
+
+        Args:
+            acknowledged: the acknowledgement number of the packet.
+        """
+        self.is_open = True
+        if self.contested:
+            self.select_holder(acknowledged)
+        if self.ip in self._holders:
+            established, number = self._holders[self.ip]
+            self.is_connected = established or completes_handshake(
+                acknowledged, number
+            )
+
+
+def completes_handshake(acknowledged: int, number: int) -> bool:
+    """Return whether a client answers the first packet of a certain host.
+
+    Args:
+        acknowledged: the acknowledgement number of a client's packet.
+        number: the initial sequence number of the host, 0 if unknown.
+    """
+    distance = (acknowledged - number) % _SEQUENCE_NUMBERS
+    return number != 0 and 0 < distance <= _MAX_ACKNOWLEDGED
 
 
 def _sequence_distance(acknowledged: int, number: int) -> int:
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -189,21 +189,28 @@
             return
         now = self._node.loop.now
         flow.last_seen = now
-        if flow.contested:
-            flow.select_holder(sequence_numbers(packet)[1])
+        if not flow.is_connected:
+            flow.note_acknowledged(sequence_numbers(packet)[1])
         gone = self._monitor.loss_reason(flow.ip, key)
+        is_suspect = flow.ip in self._hosts.probes
+        if _may_be_elsewhere(flow, packet, bool(gone) or is_suspect):
+            self._search_host(key, packet)
+            return
         if gone:
             self._reset_lost_flow(packet, flow.ip, gone)
             return
-        if flow.ip in self._hosts.probes and not flags_of(packet) & RST:
+        if is_suspect and not flags_of(packet) & RST:
             self._suspect_flows.add(key, flow.ip, packet)
         wrap = messages.pack_forward if flow.confirmed else messages.pack_search
         self._node.send(flow.ip, wrap(packet))
-        if flow.confirmed and len(packet) > HEADER_BYTES:
-            repeated = flow.note_data(sequence_numbers(packet)[0], now)
-            # What a backlogged link has dropped is not sent twice over it.
-            if repeated and not self._shedding.is_backlogged:
-                self._detours.send_copy(key, flow, packet)
+        repeated = (
+            flow.confirmed
+            and len(packet) > HEADER_BYTES
+            and flow.note_data(sequence_numbers(packet)[0], now)
+        )
+        # What a backlogged link has dropped is not sent twice over it.
+        if repeated and not self._shedding.is_backlogged:
+            self._detours.send_copy(key, flow, packet)
 
     def _reset_lost_flow(self, packet: bytes, ip: str, gone: str) -> None:
         evidence = self._monitor.describe(ip)
@@ -215,9 +222,14 @@
             self._hosts.probes.__contains__, self._monitor.loss_reason
         )
         for ip, packet, gone in decided:
-            flow = self._flows.get(packet[FLOW_KEY])
-            if flow and flow.ip == ip:
+            key = packet[FLOW_KEY]
+            flow = self._flows.get(key)
+            if flow is None or flow.ip != ip:
+                continue
+            if flow.is_connected:
                 self._reset_lost_flow(packet, ip, gone)
+            else:
+                self._search_host(key, packet)
 
     # First packets.
 
@@ -447,6 +459,7 @@
         )
 
     def _search_host(self, key: bytes, packet: bytes) -> None:
+        self._flows.drop(key)
         if not self._is_discovery_done():
             self._queue_early_packet(packet)
         elif not flags_of(packet) & RST:
@@ -462,6 +475,10 @@
 
     def _handle_held(self, raw: bytes, ip: str) -> None:
         key, number, established = messages.read_flow_note(raw)
+        if not established and self._searcher.excludes(key, number):
+            # Half open at this host, while the client is connected to another.
+            self._searcher.add_absent(key, ip)
+            return
         flow = self._flows.get(key)
         if flow is None:
             flow = self._flows.add(key, ip, self._node.loop.now)
@@ -486,7 +503,6 @@
             return
         flow = self._flows.get(key)
         if flow and flow.ip == ip and len(packet) >= HEADER_BYTES:
-            self._flows.drop(key)
             self._search_host(key, packet)
 
     def _handle_refused(self, raw: bytes, ip: str) -> None:
@@ -495,6 +511,9 @@
         flow = self._flows.get(key)
         if flow is None or flow.confirmed or len(packet) < HEADER_BYTES:
             return
+        if flow.is_open:
+            # Another host has accepted a copy, and its message was lost.
+            return
         flow.queueing_host = ''
         tries = len(flow.tried)
         name = reasons.name_of(reason)
@@ -558,3 +577,23 @@
     def _sweep(self) -> None:
         idle_s = self._follower.longest_idle_s + _IDLE_MARGIN_S
         self._flows.sweep(self._node.loop.now, idle_s)
+
+
+def _may_be_elsewhere(
+    flow: CachedFlow, packet: bytes, is_suspect: bool
+) -> bool:
+    """Return whether a client may be connected to another host than is known.
+
+    Load pattern: an entry is stopped, or comes back, while clients connect. A copy
+    of a first packet went to another entry, which placed it at another host. The
+    one that this entry tried is gone, or has accepted its copy as well and holds
+    the flow half open.
+
+    Args:
+        flow: the flow.
+        packet: a packet of its client, not the first one.
+        is_suspect: whether the known host is gone or being probed.
+    """
+    if flow.is_connected or flags_of(packet) & RST:
+        return False
+    return flow.confirmed or is_suspect
--- a/siskinbank/relay/flow_rejection.py
+++ b/siskinbank/relay/flow_rejection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from siskinbank.entry.first_packets import (
+    CLIENT_CONNECTED,
     DROP,
     NEXT_COPY_DUE,
     REJECT,
@@ -59,7 +60,8 @@
             reset: called to reset the flow of a packet, with the packet, the
                 reason and other values for the log.
             search: called with flow key and packet to search for the host of a
-                flow.
+                flow; further packets join the search, not go where a copy was
+                sent.
         """
         self._node = node
         self._hosts = hosts
@@ -88,6 +90,10 @@
             inputs: other values behind the decision, for the log.
         """
         key = packet[FLOW_KEY]
+        flow = self._flows.get(key)
+        if flow and flow.is_open:
+            self._log_withheld(key, reason, DROP, CLIENT_CONNECTED)
+            return
         now = self._node.loop.read_clock()
         action, doubt = self._first_packets.decide(key, now, len(self._hosts))
         if action == REJECT:
@@ -95,8 +101,6 @@
             return
         self._log_withheld(key, reason, action, doubt)
         if action == SEARCH:
-            # Further packets join the search, not go where a copy was sent.
-            self._flows.drop(key)
             self._search(key, packet)
 
     def reset_not_held(
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -12,12 +12,19 @@
 
 from _socket import inet_aton, inet_ntoa
 
+from siskinbank.entry.flow_cache import completes_handshake
 from siskinbank.entry.flow_searches import (
     REPEAT_INTERVAL_S,
     FlowSearch,
     FlowSearches,
 )
-from siskinbank.platform.packets import SYN, describe_flow, flags_of
+from siskinbank.platform.packets import (
+    ACK,
+    SYN,
+    describe_flow,
+    flags_of,
+    sequence_numbers,
+)
 from siskinbank.relay import messages
 from siskinbank.relay.host_monitor import DISCOVERY_TIMEOUT_S
 from siskinbank.relay.loop import NEVER
@@ -100,6 +107,9 @@
     def search(self, key: bytes, packet: bytes) -> None:
         """Start a search for the host of a packet's flow, or join one."""
         search = self._searches.get(key)
+        if search and _replaces_first_packet(search, packet):
+            self._end_outdated(key)
+            search = self._searches.get(key)
         if search:
             _join(search, packet)
             return
@@ -115,6 +125,19 @@
         self._queue_query(key, search, hosts)
         self._schedule_round()
 
+    def excludes(self, key: bytes, number: int) -> bool:
+        """Return whether a host is not the one that a client is connected to.
+
+        Args:
+            key: key of a flow.
+            number: the initial sequence number of the host in this flow.
+        """
+        search = self._searches.get(key)
+        if search is None or not number or not flags_of(search.first) & ACK:
+            return False
+        acknowledged = sequence_numbers(search.first)[1]
+        return not completes_handshake(acknowledged, number)
+
     def cancel(self, key: bytes) -> None:
         """End a search, if there is one, without a result."""
         self._searches.end(key)
@@ -144,6 +167,19 @@
                 self._end_if_not_held(key, search, hosts)
         return True
 
+    def _end_outdated(self, key: bytes) -> None:
+        """End the search for a first packet whose client has connected since.
+
+        A host may have accepted a copy after it said that it lacks the flow. Such
+        answers that wait are handled before the next search begins.
+        """
+        self._node.receive_pending()
+        search = self._searches.get(key)
+        if search and flags_of(search.first) & SYN:
+            self._searches.end(key)
+            for host in self._hosts.all():
+                host.note_held(key)
+
     def _queue_query(
         self, key: bytes, search: FlowSearch, hosts: list[TrackedHost]
     ) -> None:
@@ -267,17 +303,14 @@
         return True
 
 
+def _replaces_first_packet(search: FlowSearch, packet: bytes) -> bool:
+    """Return whether a first packet is searched for and its client connected."""
+    return bool(flags_of(search.first) & SYN) and not flags_of(packet) & SYN
+
+
 def _join(search: FlowSearch, packet: bytes) -> None:
-    """Add a packet to a search.
-
-    A client that sends other packets is connected: these replace its first
-    packet, and another copy of that is not needed any more.
-    """
-    if flags_of(packet) & SYN:
-        return
-    if flags_of(search.first) & SYN:
-        search.first = packet
-    else:
+    """Add a packet to a search; a copy of a first packet is not needed."""
+    if not flags_of(packet) & SYN:
         search.queue_packet(packet)
 
 
