--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -352,6 +352,11 @@
                 self._node.reset_flow(
                     self._client_socket, flow.header, 'host-gone'
                 )
+        for unknown_key, unanswered in list(self._unanswered.items()):
+            # The clients of first packets send other copies.
+            if not flags_of(unanswered.packet) & SYN:
+                self._unanswered.pop(unknown_key)
+                self._send_not_held(unknown_key, unanswered)
         self._reporter.send_status()
 
     # Known state of the host.
--- a/tests/relay/test_unconfirmed_flows.py
+++ b/tests/relay/test_unconfirmed_flows.py
@@ -6,6 +6,7 @@
 
 import unittest
 from collections.abc import Callable
+from socket import inet_aton
 
 from siskinbank.admission import reasons
 from siskinbank.platform.encoding import Packet
@@ -17,6 +18,7 @@
     SERVICE,
     SimulatedFleet,
 )
+from tests.relay.simulated_host import CLIENT_IP, ENTRY, LOW, SimulatedHost
 
 # Initial sequence numbers of the host that was tried first and of the one that
 # holds the flow.
@@ -155,6 +157,30 @@
         self.assertEqual([why for _, why, _ in self.fleet.resets], [])
 
 
+class TestTriedHostHasCrashed(unittest.TestCase):
+    """Nothing listens on the port of the host; its sidecar runs."""
+
+    def setUp(self) -> None:
+        """Start a sidecar beside a host that has crashed."""
+        self.host = SimulatedHost()
+        self.addCleanup(self.host.close)
+        self.host.run(1)
+        self.host.listening = False
+        self.host.sent.clear()
+
+    def test_packet_of_an_unknown_flow(self) -> None:
+        """The entry is told, and can search for the flow elsewhere."""
+        self.host.send_packet(LOW, 10, searching=True)
+        self.assertIn(messages.ABSENT, {raw[0] for raw in self.host.sent})
+
+    def test_relayed_packet(self) -> None:
+        """The search does not wait for this host any more."""
+        packet = Packet((CLIENT_IP, 10), LOW, ACK, 7, 9).write()
+        relayed = messages.pack_relayed(inet_aton(ENTRY), [], packet)
+        self.host.handlers[messages.RELAYED](relayed, ENTRY)
+        self.assertIn(messages.NOT_HELD, {raw[0] for raw in self.host.sent})
+
+
 class TestSearchForFirstPacket(UnconfirmedFlowCase):
     """A copy is searched for when the client connects."""
 
