--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -132,6 +132,7 @@
             self._monitor,
             self._rejection.reset_not_held,
         )
+        self._searcher.knows_all_hosts = self._gossip.knows_hosts_of_peers
         self._shedding = LinkShedding(
             node, self._flows, self._follower, link_budget
         )
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -53,7 +53,12 @@
 
 
 class FlowSearcher:
-    """Searches for the hosts of flows that an entry has not cached."""
+    """Searches for the hosts of flows that an entry has not cached.
+
+    Attributes:
+        knows_all_hosts: returns whether no further hosts are expected to become
+            known; until then no search ends without a host.
+    """
 
     __slots__ = (
         '_follower',
@@ -68,6 +73,7 @@
         '_round_scheduled',
         '_searches',
         '_started',
+        'knows_all_hosts',
     )
 
     def __init__(
@@ -88,6 +94,7 @@
             reset: called to reset the flow of a packet, with the packet, the
                 reason and the evidence for the log.
         """
+        self.knows_all_hosts: Callable[[], bool] = lambda: True
         self._node = node
         self._hosts = hosts
         self._follower = follower
@@ -283,7 +290,8 @@
     ) -> bool:
         """End a search and reset the flow if no host can hold it."""
         is_starting = self._node.loop.now - self._started < DISCOVERY_TIMEOUT_S
-        if is_starting or not self._follower.listing.known:
+        is_known = self._follower.listing.known and self.knows_all_hosts()
+        if is_starting or not is_known:
             return False
         unresponsive = _unanswered(key, search, hosts)
         self._monitor.probe(unresponsive)
--- a/siskinbank/relay/gossip.py
+++ b/siskinbank/relay/gossip.py
@@ -12,6 +12,7 @@
 )
 from siskinbank.relay.listing_transfer import ListingTransfer
 from siskinbank.relay.loop import NEVER
+from siskinbank.relay.peer_discovery import PeerDiscovery
 from siskinbank.relay.records import record_for
 from siskinbank.relay.rotation import Rotation
 from siskinbank.tracking.store_reads import (
@@ -46,6 +47,8 @@
 _SWEEP_INTERVAL_S = 5.0
 # Maximum number of addresses in a list in a message.
 _MAX_ADDRESSES = 250
+# Maximum number of addresses of unlisted hosts that precede such a list.
+_MAX_UNLISTED = 50
 # Records older than this, in seconds, are not sent in reply to a hello.
 _MAX_RECORD_AGE_S = 1.5
 # Time for which an entry that is no seed waits at its start for a first peer,
@@ -87,12 +90,14 @@
         self._announce_turn = Rotation(_MAX_PEERS_PER_TURN)
         self._entries_turn = Rotation(_MAX_ADDRESSES)
         self._sidecars_turn = Rotation(_MAX_ADDRESSES)
+        self._unlisted_turn = Rotation(_MAX_UNLISTED)
         self._greeting_turn = Rotation(_MAX_ADDRESSES)
         self._peers_received_at = NEVER
         #: Address of the peer that announced the newest listing.
         self._reader = node.settings.ip
         self._sent_operator_state = ('', 0)
         self._started = node.loop.now
+        self._discovery = PeerDiscovery(node.loop.now)
         self._is_seed = node.settings.ip in node.settings.seeds
         node.loop.after(_FIRST_PEER_WAIT_S, follower.check)
         follower.hosts_due = self._hosts_due
@@ -112,6 +117,10 @@
         """Return the packed addresses of all other entries."""
         return list(self._last_seen)
 
+    def knows_hosts_of_peers(self) -> bool:
+        """Return whether other entries have said which hosts they know."""
+        return self._discovery.knows_hosts(self._node.loop.now, self._last_seen)
+
     def announce(self) -> None:
         """Announce version and ages to all other entries."""
         self._send_announcement(list(self._last_seen))
@@ -208,8 +217,13 @@
         interval_s = STARTUP_PEERS_INTERVAL_S if starting else _PEERS_INTERVAL_S
         wants_peers = now - self._peers_received_at > interval_s
         self._greet_seeds(messages.WANTS_PEERS if wants_peers else 0)
-        # Seeds may be down; sidecars know other entries.
-        self._greet_sidecars(0 if self._last_seen else messages.WANTS_PEERS)
+        self._greet_sidecars()
+        seeds = map(inet_aton, self._node.settings.seeds)
+        if any(self._last_seen.get(seed, NEVER) > NEVER for seed in seeds):
+            return
+        asked = self._discovery.next_asked(self._last_seen, self.sidecars)
+        for packed in asked:
+            self._send_hello(inet_ntoa(packed), messages.WANTS_PEERS)
 
     def _greet_seeds(self, flags: int) -> None:
         for seed in self._node.settings.seeds:
@@ -219,12 +233,11 @@
             if packed != self._node.packed_ip and (flags or silent):
                 self._send_hello(seed, flags)
 
-    def _greet_sidecars(self, flags: int) -> None:
+    def _greet_sidecars(self) -> None:
         for packed in self._greeting_turn.next(list(self.sidecars)):
             ip = inet_ntoa(packed)
-            host = self._hosts.get(ip)
-            if host is None or (flags and host.is_silent(self._node.loop.now)):
-                self._send_hello(ip, flags)
+            if self._hosts.get(ip) is None:
+                self._send_hello(ip, 0)
 
     def _send_hello(self, ip: str, flags: int) -> None:
         self._node.send(ip, messages.pack_hello(flags, self._data_centre))
@@ -266,7 +279,12 @@
         sidecars: list[bytes] = []
         if not to_sidecar:
             addresses = self._hosts.addresses(self._node.loop.now)
-            sidecars = self._sidecars_turn.next(addresses)
+            listed = self._follower.listing.addresses
+            # No listing of the store names these to the receiver.
+            sidecars = self._unlisted_turn.next(
+                [packed for packed in addresses if packed not in listed]
+            )
+            sidecars.extend(self._sidecars_turn.next(addresses))
         reply = messages.pack_addresses(
             messages.PEERS,
             self._entries_turn.next(entries),
@@ -277,6 +295,7 @@
     def _handle_peers(self, raw: bytes, ip: str) -> None:
         entries, sidecars = messages.read_peers(raw)
         self._peers_received_at = self._node.loop.now
+        self._discovery.note_hosts(sidecars)
         for packed in entries:
             if packed not in self._last_seen and packed != self._node.packed_ip:
                 self._last_seen[packed] = NEVER
--- a/tests/relay/test_flow_searcher.py
+++ b/tests/relay/test_flow_searcher.py
@@ -113,6 +113,25 @@
         self.resets.append(reason)
 
 
+class TestUnknownHosts(unittest.TestCase):
+    """Hosts that only other entries know of."""
+
+    def test_search_waits_for_peers(self) -> None:
+        """All known hosts lack the flow; one of the others may hold it."""
+        env = Environment()
+        env.searcher.knows_all_hosts = bool
+        key = flow_key(1)
+        env.searcher.search(key, packet_of(key))
+        env.searcher._send_queries()  # noqa: SLF001
+        for ip, datagram in env.sent:
+            env.handlers[messages.NOT_HELD](datagram, ip)
+        env.run(0.3)
+        self.assertEqual(env.resets, [])
+        env.searcher.knows_all_hosts = lambda: True
+        env.run(0.3)
+        self.assertEqual(env.resets, ['no-host-holds-it'])
+
+
 class TestSearchCost(unittest.TestCase):
     """Load pattern: a power loss ended all flows; all hosts answer queries."""
 
--- a/tests/relay/test_gossip.py
+++ b/tests/relay/test_gossip.py
@@ -307,6 +307,71 @@
         self.assertEqual(self.receivers(context, 0), {'10.0.2.1'})
 
 
+class TestAddedEntry(unittest.TestCase):
+    """Load pattern: an entry is added whose seeds are stale.
+
+    Guards against resets of flows at hosts that the store does not list, as the
+    added entry learns of them from nobody (review/8).
+    """
+
+    def asked(self, context: GossipContext) -> set[str]:
+        """Return who is asked for addresses in the next rounds."""
+        context.sent.clear()
+        context.run(0.5)
+        return {
+            ip
+            for ip, datagram in context.sent
+            if datagram[0] == messages.HELLO
+            and messages.read_hello(datagram)[0] == messages.WANTS_PEERS
+        }
+
+    def test_others_are_asked(self) -> None:
+        """Listed sidecars know entries, and these know unlisted hosts."""
+        context = GossipContext(others=())
+        sidecar, unlisted = '10.0.2.1', bytes((10, 0, 2, 9))
+        context.gossip.add_sidecars([HOST])
+        self.assertIn(sidecar, self.asked(context))
+        self.assertTrue(context.gossip.knows_hosts_of_peers())
+        entry = bytes((10, 0, 9, 9))
+        peers = messages.pack_addresses(messages.PEERS, [entry], [])
+        context.receive(peers, sidecar)
+        self.assertFalse(context.gossip.knows_hosts_of_peers())
+        self.assertIn('10.0.9.9', self.asked(context))
+        peers = messages.pack_addresses(messages.PEERS, [entry], [unlisted])
+        context.receive(peers, '10.0.9.9')
+        self.assertTrue(context.gossip.knows_hosts_of_peers())
+        self.assertIn(unlisted, context.gossip.sidecars)
+        self.assertNotIn('10.0.9.9', self.asked(context))
+
+    def test_peers_that_do_not_answer(self) -> None:
+        """They have ended; searches wait for them no longer than a start."""
+        context = GossipContext(others=())
+        peers = messages.pack_addresses(
+            messages.PEERS, [bytes((10, 0, 9, 9))], []
+        )
+        context.receive(peers, '10.0.2.1')
+        self.assertFalse(context.gossip.knows_hosts_of_peers())
+        context.run(2.1)
+        self.assertTrue(context.gossip.knows_hosts_of_peers())
+
+    def test_unlisted_hosts_come_first(self) -> None:
+        """A list has not room for all sidecars."""
+        context = GossipContext()
+        now = context.loop.now
+        hosts = [
+            bytes((10, 0, 3 + number // 200, number % 200))
+            for number in range(600)
+        ]
+        for packed in hosts:
+            status = messages.Status(0, 0)
+            context.hosts.update_status(inet_ntoa(packed), status, now)
+        context.follower.listing.replace(hosts[:-1], now)
+        hello = messages.pack_hello(messages.WANTS_PEERS, 1)
+        context.receive(hello, OTHERS[0])
+        sidecars = messages.read_peers(context.sent[0][1])[1]
+        self.assertIn(hosts[-1], sidecars)
+
+
 class TestReads(unittest.TestCase):
     """Load pattern: all entries start at once, or one of them restarts."""
 
