--- a/siskinbank/relay/flow_admission.py
+++ b/siskinbank/relay/flow_admission.py
@@ -153,6 +153,8 @@
         self._host.version = max(self._host.version, opening.version)
         self._reporter.note_entry(entry)
         self._holding.routes.note(route_key(key), opening)
+        if opening.service == self._host.service:
+            self._host.warm_up = (opening.cold_per_s, opening.warm_up_s)
         flow = self._flows.get(key)
         if flow:
             flow.entry = entry
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -202,7 +202,7 @@
 
 _HELLO = Struct('!BBI')
 _LISTING = Struct('!BIIHH')
-_OPENING_HEADER = Struct('!BBIQ4sHHIBB4sHB')
+_OPENING_HEADER = Struct('!BBIQ4sHHIBBII4sHB')
 _FLOW_NOTE = Struct('!B12sIB')
 _STATUS = Struct('!BIIBHHHQIBHH')
 _ANNOUNCEMENT = Struct('!BBQIIII')
@@ -275,6 +275,9 @@
             to the client.
         priority: priority of the route, 0 is the highest.
         idempotent: whether the route's requests may run more than once.
+        cold_per_s: requests a second that a cold host of the service accepts, 0
+            if that is not stated.
+        warm_up_s: duration of the warm-up of such a host, in seconds.
         best: address of the host with the shortest expected wait so far.
         best_wait_ms: that wait in milliseconds, MAX_WAIT_MS if there is none.
         candidates: addresses of further candidate hosts, in order of
@@ -286,6 +289,7 @@
         'best',
         'best_wait_ms',
         'candidates',
+        'cold_per_s',
         'entry',
         'hops',
         'idempotent',
@@ -296,6 +300,7 @@
         'timeout_ms',
         'version',
         'wait_limit_ms',
+        'warm_up_s',
     )
 
     def __init__(self, entry: bytes, packet: bytes) -> None:
@@ -310,6 +315,8 @@
         self.timeout_ms = 0
         self.priority = 0
         self.idempotent = False
+        self.cold_per_s: float = 0
+        self.warm_up_s: float = 0
         self.best = entry
         self.best_wait_ms = MAX_WAIT_MS
         self.candidates: list[bytes] = []
@@ -329,6 +336,8 @@
         opening.target_latency_ms, opening.wait_limit_ms = fields[5:7]
         opening.timeout_ms, opening.priority = fields[7:9]
         opening.idempotent = bool(fields[9])
+        opening.cold_per_s = fields[10] / _MS_PER_S
+        opening.warm_up_s = fields[11] / _MS_PER_S
         opening.best, opening.best_wait_ms = fields[-3:-1]
         opening.candidates = unpack_addresses(raw[start:end])
         return opening
@@ -362,6 +371,8 @@
             min(self.timeout_ms, _MAX_AGE_MS),
             self.priority,
             self.idempotent,
+            _to_thousandths(self.cold_per_s),
+            _to_thousandths(self.warm_up_s),
             self.best,
             self.best_wait_ms,
             len(self.candidates),
--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -67,11 +67,15 @@
             yet.
         queue_capacity: learned capacity of the host's queue.
         refusal_backoff: pauses new flows while the host refuses all of them.
+        warm_up: requests a second that a cold host of the service accepts, 0 if
+            that is not stated, and the duration of a warm-up in seconds, as an
+            entry last told.
         has_accepted_flow: whether the host has accepted a flow since this
             process started or last found it unreachable.
     """
 
     __slots__ = (
+        '_admitting_since',
         '_cold',
         '_cold_until',
         '_is_born_in_future',
@@ -97,6 +101,7 @@
         'service',
         'stopping',
         'version',
+        'warm_up',
     )
 
     def __init__(
@@ -129,6 +134,9 @@
         self.queue_capacity = QueueCapacity()
         self.refusal_backoff = RefusalBackoff()
         self.has_accepted_flow = False
+        self.warm_up = (0.0, 0.0)
+        # Time of the first flow that was admitted to the host, as far as known.
+        self._admitting_since = NEVER
         self._cold = ColdLimit()
         self._cold_until = NEVER
         self._unreachable_at = NEVER
@@ -249,6 +257,7 @@
         newly_unreachable = now - self._unreachable_at > _UNREACHABLE_S
         self._unreachable_at = now
         self._restart_noted_at = now
+        self._admitting_since = NEVER
         self.has_accepted_flow = False
         return newly_unreachable
 
@@ -259,6 +268,7 @@
         record tells of it.
         """
         self._restart_noted_at = now
+        self._admitting_since = now
 
     def state(self, now: float) -> int:
         """Return the reason why entries should avoid this host, or NONE."""
@@ -336,12 +346,15 @@
         """Return the number of flows that a cold host may still accept.
 
         Returns:
-            None if there is no limit: the host is warm or without a record,
-            or its service states no rate. A host that seems to have started
-            again since its record was read counts as cold.
+            None if there is no limit: the host is warm, or its service states no
+            rate. A host that seems to have started again since its record was
+            read counts as cold, and one without a record for as long as a
+            warm-up lasts after the first flow.
         """
         record = self.record
-        if record is None or not record.cold_per_s:
+        if record is None:
+            return self._unrecorded_flows_left(now)
+        if not record.cold_per_s:
             return None
         may_be_cold = self._restart_noted_at > self.confirmed_at
         if not may_be_cold and not self.is_cold(now):
@@ -361,8 +374,22 @@
                 if unknown.
         """
         self._cold.note(now)
+        if self._admitting_since == NEVER:
+            self._admitting_since = now
         self.expected_requests.add(key, now, priority, sent)
 
+    def _unrecorded_flows_left(self, now: float) -> int | None:
+        """Return ``cold_flows_left`` of a host without a record.
+
+        Load pattern: hosts are added, or come back cold, while the store is
+        down. A host starts before its first flow.
+        """
+        per_s, duration_s = self.warm_up
+        is_new = self._admitting_since == NEVER
+        if per_s and (is_new or now - self._admitting_since < duration_s):
+            return self._cold.flows_left(now, per_s)
+        return None
+
     def _note_era(
         self, previous: messages.Record, record: messages.Record, now: float
     ) -> None:
--- a/tests/tracking/test_own_host.py
+++ b/tests/tracking/test_own_host.py
@@ -288,6 +288,29 @@
         self.assertFalse(host.may_accept_trial_flow(200.1))
         self.assertTrue(host.is_trusted(200.6))
 
+    def test_a_cold_host_without_a_record(self) -> None:
+        """Load pattern: a host is added while the store is down (review/10).
+
+        Guards against a host that gets any number of flows as nothing says that
+        it is cold. The limit ends with the warm-up, or with a record.
+        """
+        host = OwnHost(SERVICE, 100, 50_000)
+        self.assertIsNone(host.cold_flows_left(100))
+        host.warm_up = (10.0, 2.0)
+        allowed = host.cold_flows_left(100)
+        self.assertIsNotNone(allowed)
+        for number in range(allowed or 0):
+            now = 100 + number * 0.01
+            self.assertGreater(host.cold_flows_left(now) or 0, 0)
+            host.note_admitted(bytes((number,)), now)
+        self.assertLessEqual(allowed or 0, 15)
+        self.assertEqual(host.cold_flows_left(100.5), 0)
+        self.assertIsNone(host.cold_flows_left(102.1))
+        host.note_unreachable(110)
+        self.assertEqual(host.cold_flows_left(110), allowed)
+        host.apply_record(record(), 111)
+        self.assertIsNone(host.cold_flows_left(111))
+
     def test_a_restarted_host_is_observed_anew(self) -> None:
         """Flows of its earlier incarnation do not count."""
         host = OwnHost(SERVICE, 100, 50_000)
