--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -312,10 +312,7 @@
         opening.timeout_ms = int(route.timeout_s * _MS)
         opening.priority = route.priority
         opening.idempotent = route.idempotent
-        warm_up = self._follower.configuration.warm_ups.get(service)
-        if warm_up:
-            opening.cold_per_s = warm_up.cold_requests_per_s
-            opening.warm_up_s = warm_up.duration_s
+        opening.warm_up = self._follower.configuration.warm_up_of(service)
         opening.candidates = [host.packed for host in chosen]
         self._node.send(opening.pop_next(), opening.pack())
 
--- a/siskinbank/relay/flow_admission.py
+++ b/siskinbank/relay/flow_admission.py
@@ -154,7 +154,7 @@
         self._reporter.note_entry(entry)
         self._holding.routes.note(route_key(key), opening)
         if opening.service == self._host.service:
-            self._host.warm_up = (opening.cold_per_s, opening.warm_up_s)
+            self._host.note_warm_up(*opening.warm_up)
         flow = self._flows.get(key)
         if flow:
             flow.entry = entry
--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -221,6 +221,8 @@
         self._records_position = StorePosition()
         # Services by which the hosts were selected, None before that.
         self._selected_services: frozenset[str] | None = None
+        # Addresses and services of the records that were left out.
+        self._unconfigured: set[tuple[str, str]] = set()
         self._refusals = _Refusals()
         self._operator_listing = _Listing(OPERATOR_PREFIX)
         self._operator_changes: list[Change] = []
@@ -394,13 +396,19 @@
             return
         services = self.configuration.services
         hosts: dict[str, HostRecord] = {}
+        unconfigured: set[tuple[str, str]] = set()
         for record in self._records:
             if record.service not in services:
+                unconfigured.add((record.ip, record.service))
                 continue
             other = hosts.get(record.ip)
             # Addresses are reused, and the latest incarnation counts.
             if other is None or other.born_ms <= record.born_ms:
                 hosts[record.ip] = record
+        for ip, service in unconfigured - self._unconfigured:
+            error = DocumentError(f'service {service!r} is not configured')
+            self._log_refusal('record.refused', ip, error)
+        self._unconfigured = unconfigured
         self._selected_services = services
         self.hosts = hosts
         self.hosts_position = self._records_position
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -275,9 +275,8 @@
             to the client.
         priority: priority of the route, 0 is the highest.
         idempotent: whether the route's requests may run more than once.
-        cold_per_s: requests a second that a cold host of the service accepts, 0
-            if that is not stated.
-        warm_up_s: duration of the warm-up of such a host, in seconds.
+        warm_up: requests a second that a cold host of the service accepts, 0 if
+            that is not stated, and the duration of its warm-up in seconds.
         best: address of the host with the shortest expected wait so far.
         best_wait_ms: that wait in milliseconds, MAX_WAIT_MS if there is none.
         candidates: addresses of further candidate hosts, in order of
@@ -289,7 +288,6 @@
         'best',
         'best_wait_ms',
         'candidates',
-        'cold_per_s',
         'entry',
         'hops',
         'idempotent',
@@ -300,7 +298,7 @@
         'timeout_ms',
         'version',
         'wait_limit_ms',
-        'warm_up_s',
+        'warm_up',
     )
 
     def __init__(self, entry: bytes, packet: bytes) -> None:
@@ -315,8 +313,7 @@
         self.timeout_ms = 0
         self.priority = 0
         self.idempotent = False
-        self.cold_per_s: float = 0
-        self.warm_up_s: float = 0
+        self.warm_up: tuple[float, float] = (0, 0)
         self.best = entry
         self.best_wait_ms = MAX_WAIT_MS
         self.candidates: list[bytes] = []
@@ -336,8 +333,8 @@
         opening.target_latency_ms, opening.wait_limit_ms = fields[5:7]
         opening.timeout_ms, opening.priority = fields[7:9]
         opening.idempotent = bool(fields[9])
-        opening.cold_per_s = fields[10] / _MS_PER_S
-        opening.warm_up_s = fields[11] / _MS_PER_S
+        cold_per_s, warm_up_s = fields[-5:-3]
+        opening.warm_up = (cold_per_s / _MS_PER_S, warm_up_s / _MS_PER_S)
         opening.best, opening.best_wait_ms = fields[-3:-1]
         opening.candidates = unpack_addresses(raw[start:end])
         return opening
@@ -371,8 +368,7 @@
             min(self.timeout_ms, _MAX_AGE_MS),
             self.priority,
             self.idempotent,
-            _to_thousandths(self.cold_per_s),
-            _to_thousandths(self.warm_up_s),
+            *map(_to_thousandths, self.warm_up),
             self.best,
             self.best_wait_ms,
             len(self.candidates),
--- a/siskinbank/tracking/configuration.py
+++ b/siskinbank/tracking/configuration.py
@@ -54,6 +54,18 @@
             self._packed = compress(self._raw, _COMPRESSION_LEVEL)
         return self._packed
 
+    def warm_up_of(self, service: str) -> tuple[float, float]:
+        """Return how the cold hosts of a service are limited.
+
+        Returns:
+            Their rate in requests a second, 0 without a limit, and the duration
+            of a warm-up in seconds.
+        """
+        warm_up = self.warm_ups.get(service)
+        if warm_up is None:
+            return 0, 0
+        return warm_up.cold_requests_per_s, warm_up.duration_s
+
     def apply(self, raw: bytes) -> bool:
         """Apply a configuration if it is newer; return whether it was applied.
 
--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from siskinbank.admission import reasons
 from siskinbank.admission.arrivals import (
     LOWEST_PRIORITY,
@@ -54,8 +56,6 @@
     Attributes:
         service: digest of the service in the sidecar's settings.
         record: last record from the store, None before the first one.
-        born_ms: start of the host's incarnation in Unix milliseconds, by the
-            last record of the sidecar's service that states it; 0 if unknown.
         confirmed_at: time when the store confirmed the record, in seconds.
         version: newest configuration version that was announced.
         idle_timeout: how long the host may keep idle flows.
@@ -67,15 +67,13 @@
             yet.
         queue_capacity: learned capacity of the host's queue.
         refusal_backoff: pauses new flows while the host refuses all of them.
-        warm_up: requests a second that a cold host of the service accepts, 0 if
-            that is not stated, and the duration of a warm-up in seconds, as an
-            entry last told.
         has_accepted_flow: whether the host has accepted a flow since this
             process started or last found it unreachable.
     """
 
     __slots__ = (
-        '_admitting_since',
+        '_assumed_cold_until',
+        '_born_ms',
         '_cold',
         '_cold_until',
         '_is_born_in_future',
@@ -87,7 +85,7 @@
         '_started',
         '_started_ms',
         '_unreachable_at',
-        'born_ms',
+        '_warm_up',
         'busy',
         'confirmed_at',
         'expected_requests',
@@ -101,7 +99,6 @@
         'service',
         'stopping',
         'version',
-        'warm_up',
     )
 
     def __init__(
@@ -122,7 +119,7 @@
         """
         self.service = service
         self.record: messages.Record | None = None
-        self.born_ms = 0
+        self._born_ms = 0
         self.confirmed_at = NEVER
         self.version = 0
         self.idle_timeout = IdleTimeout(flow_lifetime_s)
@@ -134,9 +131,10 @@
         self.queue_capacity = QueueCapacity()
         self.refusal_backoff = RefusalBackoff()
         self.has_accepted_flow = False
-        self.warm_up = (0.0, 0.0)
-        # Time of the first flow that was admitted to the host, as far as known.
-        self._admitting_since = NEVER
+        # Rate and duration of a warm-up, as an entry last stated them.
+        self._warm_up: tuple[float, float] = (0, 0)
+        # End of the warm-up of a host without a record, as far as known.
+        self._assumed_cold_until = inf
         self._cold = ColdLimit()
         self._cold_until = NEVER
         self._unreachable_at = NEVER
@@ -160,10 +158,18 @@
         """Position of the record in the history of the store."""
         return self.record.position if self.record else StorePosition()
 
+    @property
+    def born_ms(self) -> int:
+        """Start of the host's incarnation in Unix milliseconds, 0 if unknown.
+
+        It is that of the last record of the sidecar's service that states it.
+        """
+        return self._born_ms
+
     @property
     def born_at(self) -> float:
         """Start of the host's incarnation in seconds, from its time of day."""
-        return self._started + (self.born_ms - self._started_ms) / _MS
+        return self._started + (self._born_ms - self._started_ms) / _MS
 
     @property
     def is_leaving(self) -> bool:
@@ -220,7 +226,7 @@
         or if both started together: a host gets no packet before its sidecar
         runs.
         """
-        started_together = self.born_ms > self._started_ms - _JOINT_START_MS
+        started_together = self._born_ms > self._started_ms - _JOINT_START_MS
         if started_together and not self._is_born_in_future:
             return True
         longest_s = self.idle_timeout.longest_s(now) + _OBSERVATION_MARGIN_S
@@ -252,12 +258,22 @@
         self._record_wait_until = NEVER
         return True
 
+    def note_warm_up(self, cold_per_s: float, duration_s: float) -> None:
+        """Note what an entry states of the warm-up of the service's hosts.
+
+        Args:
+            cold_per_s: requests a second that a cold host accepts, 0 if that is
+                not stated.
+            duration_s: duration of a warm-up in seconds.
+        """
+        self._warm_up = (cold_per_s, duration_s)
+
     def note_unreachable(self, now: float) -> bool:
         """Note that the host is unreachable; return whether that is new."""
         newly_unreachable = now - self._unreachable_at > _UNREACHABLE_S
         self._unreachable_at = now
         self._restart_noted_at = now
-        self._admitting_since = NEVER
+        self._assumed_cold_until = inf
         self.has_accepted_flow = False
         return newly_unreachable
 
@@ -268,7 +284,7 @@
         record tells of it.
         """
         self._restart_noted_at = now
-        self._admitting_since = now
+        self._assumed_cold_until = now + self._warm_up[1]
 
     def state(self, now: float) -> int:
         """Return the reason why entries should avoid this host, or NONE."""
@@ -349,17 +365,19 @@
             None if there is no limit: the host is warm, or its service states no
             rate. A host that seems to have started again since its record was
             read counts as cold, and one without a record for as long as a
-            warm-up lasts after the first flow.
+            warm-up lasts after its first flow, as when hosts are added while
+            the store is down.
         """
-        record = self.record
-        if record is None:
-            return self._unrecorded_flows_left(now)
-        if not record.cold_per_s:
-            return None
-        may_be_cold = self._restart_noted_at > self.confirmed_at
-        if not may_be_cold and not self.is_cold(now):
+        if self.record is None:
+            per_s = self._warm_up[0]
+            may_be_cold = now < self._assumed_cold_until
+        else:
+            per_s = self.record.cold_per_s
+            has_restarted = self._restart_noted_at > self.confirmed_at
+            may_be_cold = has_restarted or self.is_cold(now)
+        if not per_s or not may_be_cold:
             return None
-        return self._cold.flows_left(now, record.cold_per_s)
+        return self._cold.flows_left(now, per_s)
 
     def note_admitted(
         self, key: bytes, now: float, priority: int = 0, sent: float = 0
@@ -374,22 +392,11 @@
                 if unknown.
         """
         self._cold.note(now)
-        if self._admitting_since == NEVER:
-            self._admitting_since = now
+        # The host had started before.
+        cold_until = now + self._warm_up[1]
+        self._assumed_cold_until = min(self._assumed_cold_until, cold_until)
         self.expected_requests.add(key, now, priority, sent)
 
-    def _unrecorded_flows_left(self, now: float) -> int | None:
-        """Return ``cold_flows_left`` of a host without a record.
-
-        Load pattern: hosts are added, or come back cold, while the store is
-        down. A host starts before its first flow.
-        """
-        per_s, duration_s = self.warm_up
-        is_new = self._admitting_since == NEVER
-        if per_s and (is_new or now - self._admitting_since < duration_s):
-            return self._cold.flows_left(now, per_s)
-        return None
-
     def _note_era(
         self, previous: messages.Record, record: messages.Record, now: float
     ) -> None:
@@ -407,7 +414,10 @@
         """Add what is still known to a record; return False if it is older."""
         self._note_era(previous, record, now)
         settling = now < self._settled_at
-        if settling and 0 < self._stated_born_ms(record) < self.born_ms:
+        if (
+            settling
+            and 0 < _stated_born_ms(record, self.service) < self._born_ms
+        ):
             # A copy of the store may have the record of an earlier incarnation.
             return False
         if record.position.is_before(previous.position):
@@ -425,23 +435,13 @@
             _keep_restrictions(previous, record)
         return True
 
-    def _stated_born_ms(self, record: messages.Record) -> int:
-        """Return the start of the host that a record states, 0 if it doesn't.
-
-        The record of another service at this address tells nothing of the host:
-        addresses are reused, and other clients write to the store.
-        """
-        is_own = record.service == self.service
-        is_registered = bool(record.flags & messages.REGISTERED)
-        return record.born_ms if is_own and is_registered else 0
-
     def _note_incarnation(self, record: messages.Record, now: float) -> None:
         """Note which incarnation of the host a record is of."""
-        born_ms = self._stated_born_ms(record)
-        if born_ms in {0, self.born_ms}:
+        born_ms = _stated_born_ms(record, self.service)
+        if born_ms in {0, self._born_ms}:
             return
-        has_restarted = self.born_ms != 0
-        self.born_ms = born_ms
+        has_restarted = self._born_ms != 0
+        self._born_ms = born_ms
         # The time of day was set back since the host started.
         self._is_born_in_future = self.born_at > now
         if has_restarted:
@@ -519,3 +519,14 @@
     if record.flags & messages.DRAINING:
         return reasons.DRAINING
     return reasons.NONE
+
+
+def _stated_born_ms(record: messages.Record, service: int) -> int:
+    """Return the start that a record states of the host of a service, or 0.
+
+    The record of another service at this address tells nothing of the host:
+    addresses are reused, and other clients write to the store.
+    """
+    is_own = record.service == service
+    is_registered = bool(record.flags & messages.REGISTERED)
+    return record.born_ms if is_own and is_registered else 0
--- a/tests/relay/test_messages.py
+++ b/tests/relay/test_messages.py
@@ -26,8 +26,7 @@
         opening.timeout_ms = 90_000
         opening.priority = 2
         opening.idempotent = True
-        opening.cold_per_s = 7.5
-        opening.warm_up_s = 2.25
+        opening.warm_up = (7.5, 2.25)
         opening.hops = 2
         decoded = messages.Opening.read(opening.pack())
         for name in messages.Opening.__slots__:
--- a/tests/tracking/test_own_host.py
+++ b/tests/tracking/test_own_host.py
@@ -296,7 +296,7 @@
         """
         host = OwnHost(SERVICE, 100, 50_000)
         self.assertIsNone(host.cold_flows_left(100))
-        host.warm_up = (10.0, 2.0)
+        host.note_warm_up(10, 2)
         allowed = host.cold_flows_left(100)
         self.assertIsNotNone(allowed)
         for number in range(allowed or 0):
