--- a/siskinbank/tracking/own_host.py
+++ b/siskinbank/tracking/own_host.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from math import inf
-
 from siskinbank.admission import reasons
 from siskinbank.admission.arrivals import (
     LOWEST_PRIORITY,
@@ -42,6 +40,8 @@
 # host may keep an idle flow, in seconds: a change of it may reach hosts and
 # sidecars at different times.
 _OBSERVATION_MARGIN_S = 3.0
+# End of a warm-up that has not begun yet.
+_NOT_BEGUN = -NEVER
 # Flags of a record that the operator sets.
 _OPERATOR_FLAGS = messages.EVACUATED | messages.OPERATOR_READ
 # A host that started at most this long before its sidecar, in milliseconds,
@@ -134,7 +134,7 @@
         # Rate and duration of a warm-up, as an entry last stated them.
         self._warm_up: tuple[float, float] = (0, 0)
         # End of the warm-up of a host without a record, as far as known.
-        self._assumed_cold_until = inf
+        self._assumed_cold_until = _NOT_BEGUN
         self._cold = ColdLimit()
         self._cold_until = NEVER
         self._unreachable_at = NEVER
@@ -273,7 +273,7 @@
         newly_unreachable = now - self._unreachable_at > _UNREACHABLE_S
         self._unreachable_at = now
         self._restart_noted_at = now
-        self._assumed_cold_until = inf
+        self._assumed_cold_until = _NOT_BEGUN
         self.has_accepted_flow = False
         return newly_unreachable
 
