--- a/siskinbank/lab/rig/client.py
+++ b/siskinbank/lab/rig/client.py
@@ -35,6 +35,7 @@
         answers: packets received and not read yet.
         copies: time in seconds and entry of each packet sent with data.
         is_reset: whether it was reset.
+        reset_by: address of the process that did so, empty if none did.
     """
 
     port: int
@@ -44,6 +45,7 @@
     answers: asyncio.Queue[Packet] = field(default_factory=asyncio.Queue)
     copies: list[tuple[float, str]] = field(default_factory=list)
     is_reset: bool = False
+    reset_by: str = ''
 
 
 class ClientStandIn(asyncio.DatagramProtocol):
@@ -91,6 +93,8 @@
             return
         flow = self._flows.get(packet.target[1])
         if flow and packet.source == flow.target:
+            if packet.flags & RST:
+                flow.reset_by = addr[0]
             flow.answers.put_nowait(packet)
 
     async def connect(self, target: tuple[str, int]) -> ClientFlow:
--- a/siskinbank/lab/rig/drill_checks.py
+++ b/siskinbank/lab/rig/drill_checks.py
@@ -141,14 +141,19 @@
 
     def check_logs(self) -> None:
         """Check that no process ended, failed or went back to a version."""
+        self.check_faults()
+        for program in (*self._fleet.entries, *self._fleet.sidecars):
+            if not _is_running(program):
+                self._trace.violate(f'{program.settings.name} has ended')
+
+    def check_faults(self) -> None:
+        """Check that no process failed or went back to a version."""
         for program in (*self._fleet.entries, *self._fleet.sidecars):
             name, log = program.settings.name, program.log
             for regression in version_regressions(log):
                 self._trace.violate(f'{name}: {regression}')
             if ' process.fault ' in log:
                 self._trace.violate(f'{name}: process.fault')
-            if not _is_running(program):
-                self._trace.violate(f'{name} has ended')
 
     async def _check_last_route(self, client: ClientStandIn, last: int) -> None:
         deadline = time.monotonic() + APPLY_S
--- a/siskinbank/lab/rig/fleet.py
+++ b/siskinbank/lab/rig/fleet.py
@@ -155,8 +155,8 @@
         await self.publish([RouteDocument(_SERVICE, TARGET)])
         for index in range(self.host_count):
             await self._add_host(index)
-        for index in range(self.entry_count):
-            self._add_entry(index)
+        for _ in range(self.entry_count):
+            self.add_entry()
         for index in range(self.entry_count):
             ip = self._ip(_FIRST_CLIENT_NUMBER + index)
             entry = self.entries[index].settings.ip
@@ -209,6 +209,21 @@
         """Take a data centre out of service."""
         await self.store.put(f'{EVACUATIONS_PREFIX}{data_centre}', b'{}')
 
+    def add_entry(self, seeds: tuple[str, ...] = ()) -> None:
+        """Start another entry.
+
+        Args:
+            seeds: its seeds, empty for those of the other processes.
+        """
+        index = len(self.entries)
+        ip = self._ip(_FIRST_ENTRY_NUMBER + index)
+        settings = self._settings(f'entry-{index}', ip, index, None)
+        if self.links_mbps:
+            settings = replace(settings, link_mbps=self.links_mbps[index])
+        if seeds:
+            settings = replace(settings, seeds=seeds)
+        self._start(Program(settings, 'entry', self.folder), self.entries)
+
     def data_centre(self, index: int) -> str:
         """Return the data centre of a host or entry."""
         return self.data_centres[index % len(self.data_centres)]
@@ -240,13 +255,6 @@
         settings = self._settings(f'side-{index}', ip, index, address)
         self._start(Program(settings, 'sidecar', self.folder), self.sidecars)
 
-    def _add_entry(self, index: int) -> None:
-        ip = self._ip(_FIRST_ENTRY_NUMBER + index)
-        settings = self._settings(f'entry-{index}', ip, index, None)
-        if self.links_mbps:
-            settings = replace(settings, link_mbps=self.links_mbps[index])
-        self._start(Program(settings, 'entry', self.folder), self.entries)
-
     def _settings(
         self,
         name: str,
--- a/siskinbank/lab/rig/overload_drill.py
+++ b/siskinbank/lab/rig/overload_drill.py
@@ -8,7 +8,6 @@
 from dataclasses import replace
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM, Signals
-from zlib import crc32
 
 from siskinbank.lab.rig.client import ClientFlow, ClientStandIn, FlowFailed
 from siskinbank.lab.rig.drill_checks import DrillChecks
@@ -26,6 +25,7 @@
     OverloadEvidence,
     RequestReport,
 )
+from siskinbank.lab.rig.router import Router
 from siskinbank.lab.rig.writers import StoreWriters
 from siskinbank.platform.encoding import RouteDocument
 
@@ -73,10 +73,6 @@
 _DRAIN_S = 1.0
 _MAX_START_S = 15.0
 _MAX_STOP_S = 7.0
-# Routers probe twice a second; an entry leaves after two failed probes.
-_PROBE_INTERVAL_S = 0.5
-_PROBE_TIMEOUT_S = 0.4
-_MAX_FAILURES = 2
 _MS = 1000
 
 
@@ -122,7 +118,8 @@
         )
         self._fleet = fleet
         self._rng = random.Random(seed)
-        self._failures = dict.fromkeys(self.evidence.entries, 0)
+        self._router = Router(fleet.entries)
+        self.evidence.samples = self._router.samples
         self._request_count = 0
         self._moving = moving
         self._may_return = asyncio.Event()
@@ -130,7 +127,7 @@
     async def run(self) -> None:
         """Run load and faults, and collect the evidence."""
         for client in self._fleet.clients:
-            client.entry_for = self._entry_for
+            client.entry_for = self._router.entry_for
         await self._fleet.publish(list(_ROUTES.values()))
         for index, host in enumerate(self._fleet.hosts):
             self.evidence.arrivals[host.name] = host.arrivals
@@ -140,7 +137,7 @@
             born_ms = self._rng.choice((1, int(time.time() * _MS)))
             await self._register(index, born_ms=born_ms)
         async with asyncio.TaskGroup() as group:
-            tasks = [group.create_task(self._probe_entries())]
+            tasks = [group.create_task(self._router.probe_entries())]
             samples = self.evidence.samples
             async with asyncio.timeout(_MAX_START_S):
                 while not samples or samples[-1][1].count(UNREADY) < _BETTER:
@@ -161,31 +158,6 @@
         writers = StoreWriters(self._fleet, self.trace)
         DrillChecks(self._fleet, writers, self.trace).check_logs()
 
-    # Router.
-
-    async def _probe_entries(self) -> None:
-        while True:
-            at = time.monotonic()
-            probes = [
-                readiness(entry.settings, _PROBE_TIMEOUT_S)
-                for entry in self._fleet.entries
-            ]
-            statuses = await asyncio.gather(*probes)
-            self.evidence.samples.append((at, statuses))
-            for ip, status in zip(self._failures, statuses, strict=True):
-                failures = self._failures[ip] + 1
-                self._failures[ip] = 0 if status == READY else failures
-            await asyncio.sleep(_PROBE_INTERVAL_S)
-
-    def _entry_for(self, port: int) -> str:
-        """Return the entry for a flow; few move when an entry leaves."""
-        ready = [
-            ip for ip in self._failures if self._failures[ip] < _MAX_FAILURES
-        ]
-        if len(ready) * 2 < len(self._failures):
-            ready = list(self._failures)
-        return max(ready, key=lambda ip: crc32(f'{ip}:{port}'.encode()))
-
     # Load.
 
     async def _send_requests(self, route: str) -> None:
