--- a/siskinbank/lab/rig/flow_drill.py
+++ b/siskinbank/lab/rig/flow_drill.py
@@ -27,12 +27,12 @@
 # Flows that are opened a second by each client, and the pauses between the
 # requests on a flow, in seconds: they outlast what excuses a reset.
 _OPEN_INTERVAL_S = (0.02, 0.06)
-_PAUSES_S = (0, 4.6, 1.5)
+_PAUSES_S = (0, 6.2)
 # Time from the start of the load to the first event, and from the end of the last
 # one to the end of the run, in seconds.
 _WARM_UP_S = 2.0
 _COOL_DOWN_S = 9.0
-_EVENTS = (2, 6)
+_EVENTS = (3, 8)
 _GAPS_S = (0, 0.2, 0.6, 1.2, 2.5, 4.5)
 # An unplanned disruption excuses a reset for this long, in seconds: `ContactMs`.
 _CONTACT_S = 4.0
@@ -169,10 +169,14 @@
     # Events.
 
     async def _run_events(self) -> None:
+        # Those that stand twice are drawn twice as often.
         events: tuple[_Event, ...] = (
+            self._end_entries,
             self._end_entries,
             self._end_sidecar,
             self._write_foreign_record,
+            self._write_foreign_record,
+            self._lose_host,
             self._lose_host,
             self._release_host,
             self._restart_host,
@@ -190,7 +194,8 @@
     async def _end_entries(self, rng: random.Random) -> None:
         """Kill some entries at once, or restart them in turn by plan."""
         entries = self._fleet.entries
-        chosen = rng.sample(entries, rng.randint(1, len(entries)))
+        count = rng.choice((1, len(entries)))
+        chosen = rng.sample(entries, count)
         away_s = rng.uniform(*_START_AGAIN_S)
         if rng.choice((True, False)):
             await asyncio.gather(
--- a/tests/relay/test_flow_drills.py
+++ b/tests/relay/test_flow_drills.py
@@ -19,7 +19,8 @@
 from siskinbank.lab.rig.flow_drill import FlowDrill
 from tests.seeds import seeds_to_run
 
-_SEEDS = seeds_to_run('FLOW_DRILL_SEEDS', range(1, 3))
+# Seed 14 showed the reset of flows beside a foreign record (review/6).
+_SEEDS = seeds_to_run('FLOW_DRILL_SEEDS', range(13, 15))
 # Number of fleets that run at the same time.
 _MAX_PARALLEL = 3
 _START_S = 20
