--- a/siskinbank/relay/peer_discovery.py
+++ b/siskinbank/relay/peer_discovery.py
@@ -22,7 +22,7 @@
 _ASKED_PER_ROUND = 3
 # Time after the start for which an answer of other entries is waited for, in
 # seconds: longer than a single one takes after a pause.
-_MAX_WAIT_S = 2.0
+_MAX_WAIT_S = 1.0
 
 
 class PeerDiscovery:
