--- a/tests/relay/test_records_of_other_services.py
+++ b/tests/relay/test_records_of_other_services.py
@@ -215,6 +215,7 @@
         """Sidecars and entries are stopped and started in turn."""
         for program in (*self.fleet.sidecars, *self.fleet.entries):
             await self.restart(program)
+            await self.fleet.wait_until_ready()
         await self.assert_flows_kept()
 
     async def test_store_is_away(self) -> None:
@@ -240,7 +241,6 @@
             while process and process.poll() is None:
                 await asyncio.sleep(0.05)
         program.start()
-        await self.fleet.wait_until_ready()
 
 
 if __name__ == '__main__':
