--- a/siskinbank/lab/rig/flow_drill.py
+++ b/siskinbank/lab/rig/flow_drill.py
@@ -24,8 +24,8 @@
 
 _Event = Callable[[random.Random], Coroutine[None, None, None]]
 
-# Flows that are opened a second by each client, and the pauses between the
-# requests on a flow, in seconds: they outlast what excuses a reset.
+# Time between the flows that each client opens, and pauses before the requests on a
+# flow, in seconds: the second one outlasts what excuses a reset.
 _OPEN_INTERVAL_S = (0.02, 0.06)
 _PAUSES_S = (0, 6.2)
 # Time from the start of the load to the first event, and from the end of the last
@@ -66,7 +66,7 @@
 
     Attributes:
         trace: what happened.
-        kept: number of requests answered on flows that were open before.
+        kept: number of flows whose requests were all answered.
         excused: number of open flows that were reset beside an unplanned
             disruption of a process involved.
     """
