--- a/review/12/case.py
+++ b/review/12/case.py
@@ -71,7 +71,7 @@
         await asyncio.sleep(0.4)
         for line in site.decisions('host.changed', 'flow.taken'):
             case.note(line)
-        return not (TROUBLE and late)
+        return not late if TROUBLE else not lost
     finally:
         await site.close()
 
