--- a/review/rig3/site3.py
+++ b/review/rig3/site3.py
@@ -15,10 +15,10 @@
 import time
 import tomllib
 from pathlib import Path
-from signal import SIGKILL
+from signal import SIGKILL, SIGTERM
 from zlib import crc32
 
-from ends import Client, Host
+from ends import Client, Host, Reset, Unanswered
 
 from siskinbank.lab.rig.store import StoreStandIn
 
@@ -29,6 +29,7 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 READY_S = 15
 HEARTBEAT_S = 0.77
+HISTORY_S = 20
 BOUNDS = {
     'SeedLagS': 3,
     'AddrReuseS': 2,
@@ -50,6 +51,44 @@
 }
 
 
+class Store(StoreStandIn):
+    """The project's stand-in, which forgets its history after ``HistoryS``.
+
+    Attributes:
+        watches: time, caller, status and bytes of each answer to a watch.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.watches = []
+        self._callers = {}
+        self._written = []
+
+    async def put(self, key, content):
+        """Write or remove an item, and forget what is too old."""
+        now = time.monotonic()
+        await super().put(key, content)
+        self._written.append((now, self._revision))
+        while self._written[0][0] < now - HISTORY_S:
+            self._oldest_revision = self._written.pop(0)[1]
+        self._history = [
+            item
+            for item in self._history
+            if item.revision > self._oldest_revision
+        ]
+
+    async def _answer(self, path, writer):
+        task = asyncio.current_task()
+        self._callers[task] = writer.get_extra_info('peername')[0]
+        return await super()._answer(path, writer)
+
+    async def _watch(self, call):
+        status, body = await super()._watch(call)
+        caller = self._callers[asyncio.current_task()]
+        self.watches.append((time.monotonic(), caller, status, len(body)))
+        return status, body
+
+
 class NotRun(Exception):
     """The case could not run."""
 
@@ -99,14 +138,14 @@
             'Entry': 'announcement',
             'HeartbeatMs': int(HEARTBEAT_S * 1000),
             'FaultTolerance': {'Machines': 2, 'Zones': 1, 'Regions': 0},
-            'Bounds': BOUNDS,
+            'Bounds': site.bounds,
             'Hash': 'steady',
             'DeploymentMode': 'agent',
             'platform': {
                 'Address': f'{site.store_ip}:{site.port + 5}',
                 'DeploymentMode': 'read',
                 'ReadsPerS': 2000,
-                'HistoryS': 20,
+                'HistoryS': HISTORY_S,
                 'ValueBytes': 1048576,
             },
         } | (extra or {})
@@ -171,9 +210,10 @@
 class Site:
     """Entries, hosts with sidecars, a store, routers and clients."""
 
-    def __init__(self, record, zones=('gr-north-a', 'gr-north-b')):
+    def __init__(self, record, zones=('gr-north-a', 'gr-north-b'), bounds=BOUNDS):
         self.record = record
         self.zones = zones
+        self.bounds = bounds
         self.folder = Path(tempfile.mkdtemp(prefix='case-'))
         self.roles = tomllib.loads(
             (ROOT / 'deploy' / 'system.toml').read_text()
@@ -182,7 +222,7 @@
         self.port = random.randrange(20000, 28000, 10)
         self.store_ip = f'{self.prefix}.200'
         self.seeds = [f'{self.prefix}.{1 + index}' for index in range(2)]
-        self.store = StoreStandIn()
+        self.store = Store()
         self.entries = []
         self.hosts = []
         self.clients = []
@@ -203,37 +243,42 @@
         """Write a configuration with routes as (address, service, kind)."""
         self.version += 3
         services = sorted({service for _, service, _ in routes})
-        return await self.put(
-            'op/config',
-            {
-                'Version': self.version,
-                'Routes': [
-                    {
-                        'Name': f'r-{address[1]}',
-                        'Host': address[0],
-                        'Prefix': f'/{address[1]}/',
-                        'Kind': kind,
-                        'TimeoutMs': 2000,
-                        'TargetLatencyMs': 225,
-                        'Priority': 1,
-                        'Service': service,
-                        'MaxAttempts': 2,
-                    }
-                    for address, service, kind in routes
-                ],
-                'Services': [
-                    {
-                        'Name': service,
-                        'HealthPath': '/health',
-                        'MaxConns': 2000,
-                        'WarmupS': 2.0,
-                        'WarmupPerS': 0.0,
-                    }
-                    for service in services
-                ],
-                'Limits': {'IdleTimeoutMs': idle_ms},
-            },
-        )
+        # Written like the examples of the pages, without spaces.
+        document = self._configuration(routes, services, idle_ms)
+        content = json.dumps(document, separators=(',', ':')).encode()
+        return await self.put('op/config', content)
+
+    def _configuration(self, routes, services, idle_ms):
+        return {
+            'Version': self.version,
+            'Routes': [
+                {
+                    'Name': f'r-{index}',
+                    'Host': address[0],
+                    'Prefix': f'/{address[1]}/',
+                    'Kind': kind,
+                    'TimeoutMs': 2000,
+                    'TargetLatencyMs': 225,
+                    'Priority': 1,
+                    'Service': service,
+                    'MaxAttempts': 2,
+                }
+                for index, (address, service, kind) in enumerate(routes)
+            ],
+            'Services': [
+                {
+                    'Name': service,
+                    'HealthPath': '/health',
+                    'MaxConns': 2000,
+                    'Protocol': 'h1',
+                    'Tls': False,
+                    'WarmupS': 2.0,
+                    'WarmupPerS': 0.0,
+                }
+                for service in services
+            ],
+            'Limits': {'IdleTimeoutMs': idle_ms},
+        }
 
     async def register(self, host):
         """Write the entry of a host."""
@@ -364,12 +409,23 @@
     case.note(f'trouble={int(TROUBLE)}')
 
     async def limited():
+        # A run that is stopped ends its processes, too.
+        asyncio.get_running_loop().add_signal_handler(
+            SIGTERM, asyncio.current_task().cancel
+        )
         async with asyncio.timeout(110):
             return await run(case)
 
     try:
         status = 0 if asyncio.run(limited()) else 1
-    except (NotRun, TimeoutError, OSError, AssertionError) as error:
+    except (
+        NotRun,
+        Reset,
+        Unanswered,
+        TimeoutError,
+        OSError,
+        asyncio.CancelledError,
+    ) as error:
         case.note(f'not run: {type(error).__name__} {error}')
         status = 2
     case.note(f'exit status {status}')
