Review: loopback addresses only, and an exit status for errors

The routes of cases 11 to 15 had addresses that are no loopback addresses. An unexpected error of a script now ends it with 2.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -10,7 +10,7 @@
 from ends import Reset, Unanswered  # noqa: E402
 from site3 import TROUBLE, Site, main  # noqa: E402
 
-TARGET = ('198.18.0.1', 8443)
+TARGET = ('127.18.0.1', 8443)
 
 
 async def run(case):
--- a/review/rig3/site3.py
+++ b/review/rig3/site3.py
@@ -18,7 +18,7 @@
 from signal import SIGKILL, SIGTERM
 from zlib import crc32
 
-from ends import Client, Host, Reset, Unanswered
+from ends import Client, Host
 
 from siskinbank.lab.rig.store import StoreStandIn
 
@@ -29,6 +29,8 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 READY_S = 15
 HEARTBEAT_S = 0.77
+# The interpreter itself ends with 1 when it can't run a script.
+BROKEN = 10
 HISTORY_S = 20
 BOUNDS = {
     'SeedLagS': 3,
@@ -218,7 +220,7 @@
         self.roles = tomllib.loads(
             (ROOT / 'deploy' / 'system.toml').read_text()
         )['roles']
-        self.prefix = f'127.{random.randrange(2, 250)}.{random.randrange(250)}'
+        self.prefix = f'127.{random.randrange(20, 250)}.{random.randrange(250)}'
         self.port = random.randrange(20000, 28000, 10)
         self.store_ip = f'{self.prefix}.200'
         self.seeds = [f'{self.prefix}.{1 + index}' for index in range(2)]
@@ -399,7 +401,7 @@
 
 
 def main(run, folder):
-    """Run a case; return 1 if it broke the rule, 0 if not, 2 if not run.
+    """Run a case; return BROKEN if it broke the rule, 0 if not, 2 if not run.
 
     Args:
         run: coroutine function that returns whether the rule held.
@@ -417,17 +419,10 @@
             return await run(case)
 
     try:
-        status = 0 if asyncio.run(limited()) else 1
-    except (
-        NotRun,
-        Reset,
-        Unanswered,
-        TimeoutError,
-        OSError,
-        asyncio.CancelledError,
-    ) as error:
+        status = 0 if asyncio.run(limited()) else BROKEN
+    except (Exception, asyncio.CancelledError) as error:
         case.note(f'not run: {type(error).__name__} {error}')
         status = 2
-    case.note(f'exit status {status}')
+    case.note(f'exit status {1 if status == BROKEN else status}')
     (Path(folder) / 'record.txt').write_text('\n'.join(case.lines) + '\n')
     return status
