Readers: refuse what is no JSON, and copies of earlier records

What callers saw: another client of the store writes the record that a host had while it was ready, with a line of text behind it.

Cause: the decoder scanned one value and ignored what follows, stripped white space that JSON does not have, and took NaN and Infinity. Of two records of one address and one start the last by key counted, so that a whole copy of the record would have done the same.

Ruled out: that refusing the text alone would do. Copies that are JSON hide the host as well (test_copies_of_earlier_records).

Change: documents are read by RFC 8259, and a name that occurs twice refuses one. Of the records of one address the latest start, the highest Sequence, and one that drains counts. Readers remember the last record of each address within an era of the store.

Tests replaced: a truncated key in a list of flow keys was dropped and the others were used; now the datagram is refused, which the test asserts. The warning of `siskinbank check` for text behind a document is a finding now, as processes refuse it.

--- a/siskinbank/platform/documents.py
+++ b/siskinbank/platform/documents.py
@@ -11,8 +11,10 @@
 __all__ = (
     'DocumentError',
     'decode',
+    'flag_field',
     'integer_field',
     'number_field',
+    'object_rows',
     'port_number',
     'split_address',
     'text_field',
@@ -26,34 +28,59 @@
 _MAX_PORT_DIGITS = 5
 
 
+# Insignificant white space of JSON; ``str.strip`` alone removes other characters.
+_WHITE_SPACE = ' \t\n\r'
+
+
 class DocumentError(ValueError):
     """A document or a field is malformed."""
 
 
+def _unique_members(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    """Return an object of which each name occurs once."""
+    members = dict(pairs)
+    if len(members) != len(pairs):
+        raise DocumentError('a name occurs twice in an object')
+    return members
+
+
+def _refuse_constant(name: str) -> float:
+    """Refuse a constant that the scanner knows and JSON doesn't."""
+    raise DocumentError(f'{name} is not JSON')
+
+
 class _ScannerOptions:
     """The scanner's options, under the attribute names that it reads."""
 
     strict = True
     object_hook = None
-    object_pairs_hook = None
     parse_float = float
     parse_int = int
-    parse_constant = float
+
+    def __init__(self) -> None:
+        self.object_pairs_hook = _unique_members
+        self.parse_constant = _refuse_constant
 
 
 _scan = make_scanner(_ScannerOptions())  # type: ignore[arg-type]
 
 
 def decode(raw: bytes) -> dict[str, object]:
-    """Decode a JSON object.
+    """Decode a JSON object in UTF-8 by RFC 8259.
+
+    Objects in which a name occurs twice are refused as well: readers disagree on
+    their meaning.
 
     Raises:
-        DocumentError: the bytes are not a JSON object.
+        DocumentError: the bytes are not one JSON object.
     """
     try:
-        document, _ = _scan(raw.decode().strip(), 0)
+        text = raw.decode().strip(_WHITE_SPACE)
+        document, end = _scan(text, 0)
     except (ValueError, StopIteration, RecursionError) as error:
         raise DocumentError(f'invalid JSON: {error}') from None
+    if end != len(text):
+        raise DocumentError('invalid JSON: more follows the document')
     if not isinstance(document, dict):
         raise DocumentError('document is not a JSON object')
     return document
@@ -90,6 +117,18 @@
     return value
 
 
+def flag_field(document: dict[str, object], name: str) -> bool:
+    """Return the value of a boolean field.
+
+    Raises:
+        DocumentError: the field is missing or not a boolean.
+    """
+    value = document.get(name)
+    if not isinstance(value, bool):
+        raise DocumentError(f'{name} is neither true nor false')
+    return value
+
+
 def number_field(
     document: dict[str, object], name: str, default: float
 ) -> float:
@@ -106,6 +145,25 @@
     return float(value)
 
 
+def object_rows(
+    document: dict[str, object], name: str
+) -> list[dict[str, object]]:
+    """Return the value of a field that is a list of objects.
+
+    Raises:
+        DocumentError: the field is missing or something else.
+    """
+    rows = document.get(name)
+    if not isinstance(rows, list):
+        raise DocumentError(f'{name} is not a list')
+    for row in rows:
+        if not isinstance(row, dict):
+            raise DocumentError(
+                f'{name} holds an element that is not an object'
+            )
+    return rows
+
+
 def port_number(value: object) -> int:
     """Return a port given as a number or as decimal digits.
 
--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -9,6 +9,7 @@
     decode,
     integer_field,
     number_field,
+    object_rows,
     port_number,
     split_address,
     text_field,
@@ -60,7 +61,9 @@
         draining: whether the host is leaving and accepts no new requests.
         cold_s: remaining warm-up time when the record was read, in seconds.
         born_ms: start time of the host in milliseconds, which distinguishes
-            its incarnations.
+            its incarnations, 0 if unknown.
+        sequence: number of the record within its incarnation; it rises with each
+            heartbeat.
     """
 
     __slots__ = (
@@ -69,6 +72,7 @@
         'data_centre',
         'draining',
         'ip',
+        'sequence',
         'service',
         'slots',
     )
@@ -92,13 +96,35 @@
         # Hosts write these, too. Without them another client of the store has
         # written the document, which may have copied the rest.
         text_field(document, 'Version')
-        integer_field(document, 'Sequence')
+        self.sequence = integer_field(document, 'Sequence')
         # A remaining duration, not a timestamp.
         self.cold_s = number_field(document, 'WarmupLeftMs', _REQUIRED) / _MS
         self.born_ms = (
             integer_field(document, 'born') if 'born' in document else 0
         )
 
+    @property
+    def rank(self) -> tuple[int, int, bool]:
+        """Order among the records of one address; the highest one counts.
+
+        The latest incarnation comes first. Within one, a host counts its
+        heartbeats, and it never returns from draining: a copy of its record is
+        as old as the time when it was made.
+        """
+        return self.born_ms, self.sequence, self.draining
+
+    def is_outdated_by(self, known: HostRecord) -> bool:
+        """Return whether this is a copy of an earlier record than a known one.
+
+        Args:
+            known: a record of the same address that was read before.
+        """
+        if not known.born_ms:
+            return False
+        if self.born_ms == known.born_ms:
+            return self.sequence < known.sequence
+        return not self.born_ms
+
 
 class Route:
     """The services and time limits for new flows to one address.
@@ -206,11 +232,10 @@
     document = decode(raw)
     version = integer_field(document, 'Version')
     routes = dict(
-        _parse_route(route) for route in _object_rows(document, 'Routes')
+        _parse_route(route) for route in object_rows(document, 'Routes')
     )
     services = dict(
-        _parse_warm_up(service)
-        for service in _object_rows(document, 'Services')
+        _parse_warm_up(service) for service in object_rows(document, 'Services')
     )
     return version, routes, services, _idle_timeout_s(document)
 
@@ -254,20 +279,6 @@
         return None
 
 
-def _object_rows(
-    document: dict[str, object], name: str
-) -> list[dict[str, object]]:
-    rows = document.get(name)
-    if not isinstance(rows, list):
-        raise DocumentError(f'{name} is not a list')
-    for row in rows:
-        if not isinstance(row, dict):
-            raise DocumentError(
-                f'{name} holds an element that is not an object'
-            )
-    return rows
-
-
 def _parse_route(document: dict[str, object]) -> tuple[bytes, Route]:
     # `Host` is the service's address, `Prefix` its port between slashes.
     port = route_port(text_field(document, 'Prefix'))
@@ -286,7 +297,7 @@
 def _shares(document: dict[str, object]) -> tuple[tuple[str, float], ...]:
     if 'Service' in document:
         return ((text_field(document, 'Service'), 1.0),)
-    rows = _object_rows(document, 'WeightedBackends')
+    rows = object_rows(document, 'WeightedBackends')
     pairs = (
         (text_field(row, 'Service'), number_field(row, 'Weight', 0))
         for row in rows
--- a/siskinbank/platform/routing_document.py
+++ b/siskinbank/platform/routing_document.py
@@ -194,7 +194,9 @@
     document = None if raw is None else _decode(file, raw, findings)
     if raw is None or document is None:
         return None
-    source = _locate_values(file, raw, warnings)
+    # A document that is not YAML, like one with escaped surrogates, has no lines:
+    # all values are at line 1.
+    source = parse_document(file, raw.decode(), Findings())
     try:
         model = _DocumentModel.model_validate(document)
     except ValidationError as error:
@@ -243,7 +245,7 @@
 def _find_syntax_error(text: str) -> tuple[int, str]:
     """Return line and problem of a text that isn't JSON.
 
-    The problem is empty if the text is JSON, or if nothing is known of it.
+    The problem is empty if nothing is known of it, as of a name that occurs twice.
     """
     body = text.strip()
     try:
@@ -257,23 +259,6 @@
     return 1, ''
 
 
-def _locate_values(file: str, raw: bytes, warnings: Findings) -> Document:
-    """Return the lines of the values of a document that ``decode`` accepts.
-
-    A document that is not YAML, like one with escaped surrogates, has no lines:
-    all values are at line 1.
-    """
-    text = raw.decode()
-    line, problem = _find_syntax_error(text)
-    if problem:
-        warnings.add(
-            Place(file, line),
-            'warning: processes ignore what follows the document',
-            'remove it',
-        )
-    return parse_document(file, text, Findings())
-
-
 def _add_unread_backends(
     document: dict[str, Any],
     source: Document,
--- a/siskinbank/platform/store.py
+++ b/siskinbank/platform/store.py
@@ -8,7 +8,9 @@
 from siskinbank.platform.documents import (
     DocumentError,
     decode,
+    flag_field,
     integer_field,
+    object_rows,
     text_field,
 )
 
@@ -140,10 +142,11 @@
         DocumentError: the body is not a page of a listing.
     """
     document = decode(body)
-    more = bool(document.get('HasMore'))
-    return Page(
-        _parse_changes(document, 'items'), integer_field(document, 'At'), more
-    )
+    changes = _parse_changes(document, 'items')
+    more = flag_field(document, 'HasMore')
+    if more and not changes:
+        raise DocumentError('an empty page says that more follows')
+    return Page(changes, integer_field(document, 'At'), more)
 
 
 def read_watch(body: bytes) -> Page:
@@ -159,16 +162,13 @@
 
 
 def _parse_changes(document: dict[str, object], name: str) -> list[Change]:
-    rows = document.get(name)
-    if not isinstance(rows, list):
-        raise DocumentError(f'{name} is not a list')
-    return [_parse_change(row) for row in rows if isinstance(row, dict)]
+    return [_parse_change(row) for row in object_rows(document, name)]
 
 
 def _parse_change(row: dict[str, object]) -> Change:
     key = text_field(row, 'Key')
     revision = integer_field(row, 'Rev')
-    if row.get('Removed'):
+    if 'Removed' in row and flag_field(row, 'Removed'):
         return Change(key, None, revision)
     try:
         content = a2b_base64(text_field(row, 'Value'), strict_mode=True)
--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -52,6 +52,10 @@
 # or for themselves, and confirm what they know by an answer soon.
 _SHORT_WATCH_S = 0.1
 
+# Maximum number of records that are remembered: some more than hosts in the
+# largest deployment, 3,200.
+_MAX_KNOWN_RECORDS = 4096
+
 _OK = 200
 _GONE = 410
 
@@ -221,8 +225,11 @@
         self._records_position = StorePosition()
         # Services by which the hosts were selected, None before that.
         self._selected_services: frozenset[str] | None = None
-        # Addresses and services of the records that were left out.
-        self._unconfigured: set[tuple[str, str]] = set()
+        # Last record that counted of each address in the current era, also after
+        # it has left the store; the address that was read last comes last.
+        self._known_records: dict[str, HostRecord] = {}
+        # Addresses and reasons of the records that were left out.
+        self._left_out: set[tuple[str, str]] = set()
         self._refusals = _Refusals()
         self._operator_listing = _Listing(OPERATOR_PREFIX)
         self._operator_changes: list[Change] = []
@@ -274,6 +281,7 @@
         before, self.era = self.era, era
         if self.hosts_position or self.operator_position:
             self._has_operator_listing = False
+            self._known_records = {}
             self._store_availability.note_new_era(self._node.loop.now)
             self._node.log('store.era', era=era, before=before, source=source)
             self._node.meters.count('store_eras_total')
@@ -396,19 +404,20 @@
             return
         services = self.configuration.services
         hosts: dict[str, HostRecord] = {}
-        unconfigured: set[tuple[str, str]] = set()
+        left_out: set[tuple[str, str]] = set()
         for record in self._records:
-            if record.service not in services:
-                unconfigured.add((record.ip, record.service))
+            problem = self._problem_of(record, services)
+            if problem:
+                left_out.add((record.ip, problem))
                 continue
             other = hosts.get(record.ip)
-            # Addresses are reused, and the latest incarnation counts.
-            if other is None or other.born_ms <= record.born_ms:
+            # Addresses are reused, and others may copy the record of a host.
+            if other is None or other.rank <= record.rank:
                 hosts[record.ip] = record
-        for ip, service in unconfigured - self._unconfigured:
-            error = DocumentError(f'service {service!r} is not configured')
-            self._log_refusal('record.refused', ip, error)
-        self._unconfigured = unconfigured
+        for ip, problem in left_out - self._left_out:
+            self._log_refusal('record.refused', ip, DocumentError(problem))
+        self._left_out = left_out
+        self._remember(hosts)
         self._selected_services = services
         self.hosts = hosts
         self.hosts_position = self._records_position
@@ -422,6 +431,27 @@
         self.listing.replace(addresses, self.hosts_read_at)
         self._on_hosts()
 
+    def _problem_of(self, record: HostRecord, services: frozenset[str]) -> str:
+        """Return why a complete record names no host, empty if it may."""
+        if record.service not in services:
+            return f'service {record.service!r} is not configured'
+        known = self._known_records.get(record.ip)
+        if known and record.is_outdated_by(known):
+            return 'copy of an earlier record of the host'
+        return ''
+
+    def _remember(self, hosts: dict[str, HostRecord]) -> None:
+        """Keep the records that count, to tell later copies of them."""
+        if self._records_position.era != self.era:
+            # Hosts may count from lower numbers on in the current era.
+            return
+        known = self._known_records
+        for ip, record in hosts.items():
+            known.pop(ip, None)
+            known[ip] = record
+        while len(known) > max(_MAX_KNOWN_RECORDS, len(hosts)):
+            known.pop(next(iter(known)))
+
     def _follow_operator(self) -> None:
         if not self._has_operator_listing:
             self._operator_listing = _Listing(OPERATOR_PREFIX)
--- a/siskinbank/relay/http.py
+++ b/siskinbank/relay/http.py
@@ -50,6 +50,8 @@
 # Time limit of a response of which bytes keep arriving, in seconds: 4 MB at 5
 # Mbit/s.
 _MAX_TRANSFER_S = 7.0
+_VERSIONS = frozenset((b'HTTP/1.0', b'HTTP/1.1'))
+_LINE_END = b'\r\n'
 _HEAD_END = b'\r\n\r\n'
 
 
@@ -377,7 +379,7 @@
 
 
 def _header(head: bytes, lower_name: bytes) -> str:
-    for line in head.split(b'\r\n')[1:]:
+    for line in head.split(_LINE_END)[1:]:
         name, _, text = line.partition(b':')
         if name.lower() == lower_name:
             return text.strip().decode('latin-1')
@@ -385,6 +387,8 @@
 
 
 def _status(head: bytes) -> int:
-    _, _, rest = head.partition(b' ')
-    status = rest[:_STATUS_DIGITS]
-    return int(status) if status.isdigit() else 0
+    """Return the status code of a response, 0 without a status line."""
+    version, _, rest = head.partition(_LINE_END)[0].partition(b' ')
+    status = rest.partition(b' ')[0]
+    is_status = len(status) == _STATUS_DIGITS and status.isdigit()
+    return int(status) if is_status and version in _VERSIONS else 0
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -9,15 +9,17 @@
 
 from _socket import inet_ntoa
 from _struct import Struct
-from struct import error as StructError
 from zlib import crc32
 
+from siskinbank.relay.layouts import (
+    DatagramError,
+    check_piece,
+    split_evenly,
+    unpack,
+    unpack_whole,
+)
 from siskinbank.tracking.store_position import StorePosition
 
-TYPE_CHECKING = False
-if TYPE_CHECKING:
-    from typing import Any
-
 __all__ = (
     'ABSENT',
     'ANNOUNCEMENT',
@@ -175,6 +177,8 @@
 MAX_WAIT_MS = 0xFFFF
 
 _ADDRESS_BYTES = 4
+# Length of the length of a list.
+_COUNT_BYTES = 2
 _KEY_BYTES = 12
 # Maximum number of flow keys in one datagram: fits any link without
 # fragmentation.
@@ -217,10 +221,6 @@
 _SEARCH_HEADER = bytes((SEARCH,))
 
 
-class DatagramError(ValueError):
-    """A datagram is truncated or has an invalid format."""
-
-
 def digest(name: str) -> int:
     """Return the digest that encodes a name in messages."""
     return crc32(name.encode())
@@ -254,7 +254,7 @@
     Raises:
         DatagramError: the datagram is truncated.
     """
-    _, entry, count = _unpack(_RELAYED, raw)
+    _, entry, count = unpack(_RELAYED, raw)
     start = _RELAYED.size
     end = start + count * _ADDRESS_BYTES
     return entry, unpack_addresses(raw[start:end]), raw[end:]
@@ -325,7 +325,7 @@
         Raises:
             DatagramError: the datagram is truncated.
         """
-        fields = _unpack(_OPENING_HEADER, raw)
+        fields = unpack(_OPENING_HEADER, raw)
         start = _OPENING_HEADER.size
         end = start + fields[-1] * _ADDRESS_BYTES
         opening = cls(fields[4], raw[end:])
@@ -397,7 +397,7 @@
     Raises:
         DatagramError: the datagram is truncated.
     """
-    _, key, number, reason = _unpack(_FLOW_NOTE, raw)
+    _, key, number, reason = unpack(_FLOW_NOTE, raw)
     return key, number, reason
 
 
@@ -412,9 +412,12 @@
 
 
 def read_keys(raw: bytes) -> list[bytes]:
-    """Return the flow keys of a datagram."""
-    starts = range(1, len(raw) - _KEY_BYTES + 1, _KEY_BYTES)
-    return [raw[start : start + _KEY_BYTES] for start in starts]
+    """Return the flow keys of a datagram.
+
+    Raises:
+        DatagramError: the last key is truncated.
+    """
+    return split_evenly(raw[1:], _KEY_BYTES)
 
 
 class Status:
@@ -479,7 +482,7 @@
         Raises:
             DatagramError: the datagram is truncated.
         """
-        fields = _unpack(_STATUS, raw)
+        fields = unpack_whole(_STATUS, raw)
         status = cls(fields[1], fields[2])
         (
             status.state,
@@ -548,7 +551,7 @@
         Raises:
             DatagramError: the datagram is truncated.
         """
-        fields = _unpack(_ANNOUNCEMENT, raw)
+        fields = unpack_whole(_ANNOUNCEMENT, raw)
         announcement = cls()
         announcement.stopping = bool(fields[1])
         announcement.version = fields[2]
@@ -627,7 +630,7 @@
         Raises:
             DatagramError: the datagram is truncated.
         """
-        fields = _unpack(_RECORD, raw)
+        fields = unpack_whole(_RECORD, raw)
         record = cls()
         record.flags, record.service = fields[1:3]
         record.age_s = fields[3] / _MS_PER_S
@@ -703,9 +706,7 @@
         Raises:
             DatagramError: the datagram does not have the length of a message.
         """
-        if len(raw) != _ENTRY_CAPACITY.size:
-            raise DatagramError(f'capacity of {len(raw)} bytes')
-        fields = _unpack(_ENTRY_CAPACITY, raw)
+        fields = unpack_whole(_ENTRY_CAPACITY, raw)
         message = cls(fields[1])
         message.capacity = fields[2]
         message.serving = bool(fields[3] & _IN_ROTATION)
@@ -736,22 +737,41 @@
     """Return a datagram with lists of addresses, each after its length."""
     parts = [bytes((kind,))]
     for group in groups:
-        parts.append(len(group).to_bytes(2, 'big'))
+        parts.append(len(group).to_bytes(_COUNT_BYTES, 'big'))
         parts.extend(group)
     return b''.join(parts)
 
 
 def unpack_addresses(raw: bytes) -> list[bytes]:
-    """Split concatenated addresses; an incomplete last one is left out."""
-    steps = range(0, len(raw) - _ADDRESS_BYTES + 1, _ADDRESS_BYTES)
-    return [raw[step : step + _ADDRESS_BYTES] for step in steps]
+    """Split concatenated addresses.
+
+    Raises:
+        DatagramError: the last one is truncated.
+    """
+    return split_evenly(raw, _ADDRESS_BYTES)
 
 
 def read_peers(raw: bytes) -> tuple[list[bytes], list[bytes]]:
-    """Return the addresses of entries and of sidecars in a PEERS datagram."""
-    split = 3 + int.from_bytes(raw[1:3], 'big') * _ADDRESS_BYTES
-    entries = unpack_addresses(raw[3:split])
-    return entries, unpack_addresses(raw[split + 2 :])
+    """Return the addresses of entries and of sidecars in a PEERS datagram.
+
+    Raises:
+        DatagramError: the datagram is not as long as its lists.
+    """
+    entries, rest = _cut_addresses(raw[1:])
+    sidecars, rest = _cut_addresses(rest)
+    if rest:
+        raise DatagramError(f'{len(rest)} bytes follow the addresses')
+    return entries, sidecars
+
+
+def _cut_addresses(raw: bytes) -> tuple[list[bytes], bytes]:
+    """Return the addresses of a list behind its length, and what follows."""
+    end = _COUNT_BYTES + (
+        int.from_bytes(raw[:_COUNT_BYTES], 'big') * _ADDRESS_BYTES
+    )
+    if len(raw) < end:
+        raise DatagramError(f'list of {len(raw)} bytes is too short')
+    return unpack_addresses(raw[_COUNT_BYTES:end]), raw[end:]
 
 
 def pack_hello(flags: int, data_centre: int) -> bytes:
@@ -770,7 +790,7 @@
     Raises:
         DatagramError: the datagram is truncated.
     """
-    _, flags, data_centre = _unpack(_HELLO, raw)
+    _, flags, data_centre = unpack_whole(_HELLO, raw)
     return flags, data_centre
 
 
@@ -785,9 +805,9 @@
     Raises:
         DatagramError: the datagram is truncated.
     """
-    if len(raw) <= _ADDRESS_BYTES:
-        raise DatagramError(f'datagram of {len(raw)} bytes is too short')
-    return raw[1 : 1 + _ADDRESS_BYTES]
+    if len(raw) != 1 + _ADDRESS_BYTES:
+        raise DatagramError(f'datagram of {len(raw)} bytes has another length')
+    return raw[1:]
 
 
 def pack_listing(
@@ -818,7 +838,8 @@
     Raises:
         DatagramError: the datagram is truncated.
     """
-    _, digest_of_all, age_ms, index, count = _unpack(_LISTING, raw)
+    _, digest_of_all, age_ms, index, count = unpack(_LISTING, raw)
+    check_piece(index, count)
     addresses = unpack_addresses(raw[_LISTING.size :])
     return digest_of_all, age_ms / _MS_PER_S, index, count, addresses
 
@@ -834,18 +855,10 @@
     Raises:
         DatagramError: the datagram is truncated.
     """
-    _, version, index, count = _unpack(_PIECE, raw)
+    _, version, index, count = unpack(_PIECE, raw)
+    check_piece(index, count)
     return version, index, count, raw[_PIECE.size :]
 
 
 def _to_thousandths(amount: float) -> int:
     return min(_MAX_AGE_MS, max(0, int(amount * _MS_PER_S)))
-
-
-def _unpack(layout: Struct, raw: bytes) -> tuple[Any, ...]:
-    try:
-        return layout.unpack_from(raw)
-    except StructError:
-        raise DatagramError(
-            f'datagram of {len(raw)} bytes is too short'
-        ) from None
--- a/siskinbank/util.py
+++ b/siskinbank/util.py
@@ -51,17 +51,33 @@
 
 
 def parse_json(raw: bytes) -> Any:
-    """Parse a JSON document from outside.
+    """Parse a JSON document from outside, in UTF-8 by RFC 8259.
 
     Raises:
-        ValueError: the bytes are not JSON, or nested too deeply.
+        ValueError: the bytes are not JSON, nested too deeply, or hold an object
+            in which a name occurs twice.
     """
     try:
-        return json.loads(raw)
+        return json.loads(
+            raw.decode(),
+            object_pairs_hook=_unique_members,
+            parse_constant=_refuse_constant,
+        )
     except RecursionError as error:
         raise ValueError('nested too deeply') from error
 
 
+def _unique_members(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    members = dict(pairs)
+    if len(members) != len(pairs):
+        raise ValueError('a name occurs twice in an object')
+    return members
+
+
+def _refuse_constant(name: str) -> float:
+    raise ValueError(f'{name} is not JSON')
+
+
 def parse_url(text: str) -> str:
     """Validate an HTTP URL and return it unchanged.
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -76,6 +76,38 @@
             with self.subTest(raw=raw), self.assertRaises(DocumentError):
                 decode_host(raw)
 
+    def test_bytes_that_are_no_json(self) -> None:
+        """Guards against records that only seem to be read (review/12)."""
+        text = HOST.encode().decode()
+        again = text.replace('"State"', '"State": "ready", "State"')
+        for odd in (
+            f'{text}\n# copy of 02:00\n',
+            f'{text}{text}',
+            f'{text}}}',
+            f'{text}\0',
+            f'\x0c{text}',
+            f'{text}\xa0',
+            f'{text}\x1f',
+            f'\ufeff{text}',
+            again,
+            text.replace('1500', 'Infinity'),
+            text.replace('{', '{"x": NaN, '),
+            text.replace('{', '{"x": [{"y": 1, "y": 1}], '),
+            text.replace('{', "{'x': 1, "),
+            text.replace('{', '{"x": 01, '),
+            text.replace('{', '{"x": 1., '),
+            text.replace('{', '{"x": "\t", '),
+            text.replace('}', ', }'),
+        ):
+            with self.subTest(odd=odd), self.assertRaises(DocumentError):
+                decode_host(odd.encode())
+        for encoding in ('utf-16', 'utf-32', 'utf-8-sig'):
+            with self.subTest(odd=encoding), self.assertRaises(DocumentError):
+                decode_host(text.encode(encoding))
+        for white_space in ('\n', ' \r\n\t'):
+            padded = white_space + text + white_space
+            self.assertEqual(decode_host(padded.encode()).sequence, 1)
+
     def test_slots_are_capped(self) -> None:
         """A higher number of slots is capped at the maximum."""
         self.assertEqual(decode_host(changed_record(Slots=10**9)).slots, 65535)
--- a/tests/platform/test_routing_document.py
+++ b/tests/platform/test_routing_document.py
@@ -188,11 +188,13 @@
     ('"Services": [', '"Services": [7, ', '27: Services.0: not an object'),
     ('"Services"', '"Service"', '1: Services: missing; add it'),
     ('"Version": 42,', '"Version": 42', '3: invalid JSON (Expecting'),
+    ('15000}\n}', '15000}\n}\n\n}', '35: invalid JSON (Extra data)'),
+    ('42,', '42, "Version": 43,', '1: invalid JSON: a name occurs twice'),
+    ('42', 'NaN', '1: invalid JSON: NaN is not JSON'),
 )
 
 #: Changes of the example, and the warning that each gives.
 WARNINGS = (
-    ('15000}\n}', '15000}\n}\n\n}', '35: warning: processes ignore what'),
     ('15000', '"x"', '32: Limits.IdleTimeoutMs: warning: IdleTimeoutMs is not'),
     (
         '"Service": "reports",',
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -72,6 +72,24 @@
             b'{"items": [], "At": "1"}',
             b'{"items": [{"Key": 1}], "At": 1}',
             b'{"items": [{"Key": "a", "Rev": 1, "Value": "!"}], "At": 1}',
+            b'{"items": [], "At": 1}',
+            b'{"items": [], "HasMore": "no", "At": 1}',
+            b'{"items": [], "HasMore": true, "At": 1}',
+            b'{"items": [7], "HasMore": false, "At": 1}',
+            b'{"items": [], "HasMore": false, "At": 1}{}',
+            b'{"items": [], "HasMore": false, "At": 1, "At": 2}',
         ):
             with self.subTest(body=body), self.assertRaises(DocumentError):
                 read_page(body)
+
+    def test_invalid_changes(self) -> None:
+        """Guards against a change that is taken for a removal."""
+        for change in (
+            b'{"Key": "a", "Rev": 1, "Removed": "no"}',
+            b'{"Key": "a", "Rev": 1, "Removed": 1}',
+            b'{"Key": "a", "Rev": 1, "Removed": false}',
+            b'"a"',
+        ):
+            body = b'{"events": [' + change + b'], "At": 1}'
+            with self.subTest(body=body), self.assertRaises(DocumentError):
+                read_watch(body)
--- a/tests/relay/test_messages.py
+++ b/tests/relay/test_messages.py
@@ -78,12 +78,13 @@
         self.assertEqual(messages.read_piece(piece), (9, 1, 3, b'piece'))
 
     def test_keys(self) -> None:
-        """Several flow keys in one datagram; a truncated key is dropped."""
+        """Several flow keys in one datagram; a truncated key is refused."""
         keys = [bytes((number,)) * 12 for number in range(messages.MAX_KEYS)]
         raw = messages.pack_keys(messages.HELD_UNKNOWN, keys)
         self.assertLessEqual(len(raw), 1200)
         self.assertEqual(messages.read_keys(raw), keys)
-        self.assertEqual(messages.read_keys(raw[:-1]), keys[:-1])
+        with self.assertRaises(messages.DatagramError):
+            messages.read_keys(raw[:-1])
 
     def test_relayed(self) -> None:
         """With and without hosts to forward the packet to."""
@@ -92,6 +93,48 @@
             decoded = messages.read_relayed(raw)
             self.assertEqual(decoded, (b'from', others, b'packet'))
 
+    def test_other_lengths(self) -> None:
+        """Guards against messages of which only the begin is read."""
+        readers: tuple[tuple[Callable[[bytes], object], bytes], ...] = (
+            (messages.Status.read, messages.Status(7, 8).pack()),
+            (messages.Announcement.read, messages.Announcement().pack()),
+            (messages.EntryCapacity.read, messages.EntryCapacity(7).pack()),
+            (messages.Record.read, messages.Record().pack()),
+            (messages.read_hello, messages.pack_hello(1, 7)),
+            (
+                messages.read_peers,
+                messages.pack_addresses(messages.PEERS, [b'aaaa'], [b'bbbb']),
+            ),
+            (
+                messages.read_record_request,
+                messages.pack_record_request(b'aaaa'),
+            ),
+            (
+                messages.read_listing,
+                messages.pack_listing(7, 1, 0, 1, [b'aaaa']),
+            ),
+        )
+        for read, raw in readers:
+            read(raw)
+            for odd in (raw + b'x', raw[:-1]):
+                with (
+                    self.subTest(read=read, odd=odd),
+                    self.assertRaises(messages.DatagramError),
+                ):
+                    read(odd)
+
+    def test_pieces_beyond_their_number(self) -> None:
+        """They would be waited for, or be missing when all seem to be there."""
+        for read, raw in (
+            (messages.read_piece, messages.pack_piece(9, 3, 3, b'piece')),
+            (messages.read_listing, messages.pack_listing(7, 1, 1, 1, [])),
+        ):
+            with (
+                self.subTest(read=read),
+                self.assertRaises(messages.DatagramError),
+            ):
+                read(raw)
+
     @given(st.binary(max_size=80))
     def test_arbitrary_bytes(self, raw: bytes) -> None:
         """Decoding succeeds or raises DatagramError, nothing else."""
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -156,6 +156,20 @@
             await self.fleet.store.put(f'{HOSTS_PREFIX}{name}', None)
         await self.assert_follows()
 
+    async def test_copies_with_text_behind(self) -> None:
+        """Guards against new flows to a draining host (review/12).
+
+        The copies are of the time when it was ready.
+        """
+        await self.start_fleet()
+        for host in self.fleet.hosts:
+            document = HostDocument('matcher', host.address, 'a', born_ms=1)
+            for key in ('.copy', f'{host.name}.copy', f'z-{host.name}'):
+                await self.fleet.store.put(
+                    f'{HOSTS_PREFIX}{key}', document.encode() + b'\n# 02:00\n'
+                )
+        await self.assert_follows()
+
     async def test_sidecars_that_read_themselves(self) -> None:
         """No entry reads for them."""
         await self.write_odd()
--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -406,6 +406,80 @@
             with self.subTest(order=order, copy=copy):
                 self.assertTrue(schedule.follower.hosts['10.0.0.1'].draining)
 
+    def test_copies_of_earlier_records(self) -> None:
+        """Guards against a draining host that a copy of its record hides.
+
+        The copies are of the time when it was ready; one is no JSON document any
+        more (review/12).
+        """
+        ready = json.loads(HostDocument('a', ('10.0.0.1', 80), 'x').encode())
+        ready |= {'Sequence': 5, 'born': 1000}
+        draining = ready | {'Sequence': 7, 'State': 'draining'}
+        without_start = {name: ready[name] for name in ready if name != 'born'}
+        copies = (
+            json.dumps(ready).encode() + b'\n# copy of 02:00\n',
+            json.dumps(draining)
+            .encode()
+            .replace(b'"draining"', b'"draining", "State": "ready"'),
+            json.dumps(ready).encode(),
+            json.dumps(ready | {'WarmupLeftMs': 0, 'Zone': 'y'}).encode(),
+            json.dumps(without_start).encode(),
+            json.dumps(ready | {'Sequence': 7}).encode(),
+        )
+        for order, copy in product(('a', 'z'), copies):
+            schedule = Schedule(1)
+            schedule.store.put(
+                f'{HOSTS_PREFIX}i-1', json.dumps(draining).encode()
+            )
+            schedule.store.put(f'{HOSTS_PREFIX}{order}', copy)
+            for _ in range(40):
+                schedule.advance()
+            with self.subTest(order=order, copy=copy):
+                self.assertTrue(schedule.follower.hosts['10.0.0.1'].draining)
+
+    def test_copies_outlast_the_host(self) -> None:
+        """Guards against a host that has left and is listed on by a copy."""
+        ready = json.loads(HostDocument('a', ('10.0.0.1', 80), 'x').encode())
+        ready |= {'Sequence': 5, 'born': 1000}
+        without_start = {name: ready[name] for name in ready if name != 'born'}
+        for copy in (ready, without_start):
+            schedule = Schedule(1)
+            key = f'{HOSTS_PREFIX}i-1'
+            schedule.store.put(
+                key, json.dumps(ready | {'Sequence': 6}).encode()
+            )
+            schedule.store.put(f'{HOSTS_PREFIX}z', json.dumps(copy).encode())
+            for _ in range(40):
+                schedule.advance()
+            self.assertIn('10.0.0.1', schedule.follower.hosts)
+            schedule.store.put(key, None)
+            for _ in range(40):
+                schedule.advance()
+            with self.subTest(copy=copy):
+                self.assertNotIn('10.0.0.1', schedule.follower.hosts)
+            # It starts again, and counts from the begin.
+            again = ready | {'Sequence': 1, 'born': 900}
+            schedule.store.put(key, json.dumps(again).encode())
+            for _ in range(40):
+                schedule.advance()
+            with self.subTest(copy=copy):
+                self.assertIn('10.0.0.1', schedule.follower.hosts)
+
+    def test_copy_of_the_store_counts_from_lower_numbers(self) -> None:
+        """Guards against hosts that count as copies after a new era."""
+        schedule = Schedule(1)
+        ready = json.loads(HostDocument('a', ('10.0.0.1', 80), 'x').encode())
+        key = f'{HOSTS_PREFIX}i-1'
+        schedule.store.put(key, json.dumps(ready | {'Sequence': 5}).encode())
+        schedule.store.copy()
+        schedule.store.put(key, json.dumps(ready | {'Sequence': 9}).encode())
+        for _ in range(40):
+            schedule.advance()
+        schedule.store.restore(random.Random(1))
+        for _ in range(40):
+            schedule.advance()
+        self.assertEqual(schedule.follower.hosts['10.0.0.1'].sequence, 5)
+
     def test_absence_proves_nothing_in_a_new_era(self) -> None:
         """Hosts that registered since the copy are missing for a while."""
         schedule = Schedule(1)
