--- a/siskinbank/entry/first_packets.py
+++ b/siskinbank/entry/first_packets.py
@@ -14,6 +14,7 @@
     'EARLIER_COPY_ELSEWHERE',
     'FirstPackets',
     'NEXT_COPY_DUE',
+    'PORT_REUSED',
     'REJECT',
     'SEARCH',
     'SEARCH_LIMIT',
@@ -30,6 +31,7 @@
 NEXT_COPY_DUE = 'next-copy-due'
 EARLIER_COPY_ELSEWHERE = 'earlier-copy-elsewhere'
 SEARCH_LIMIT = 'search-limit'
+PORT_REUSED = 'port-reused'
 
 # Time in seconds after each copy of a first packet at which its client sends the
 # next one, or gives up.
@@ -60,7 +62,7 @@
     rotation, while no host has room. Routers send the next copies of its clients'
     first packets to other entries, which may place them. A rejection of an older
     copy, or of a newer one while an older one is accepted, would end an open
-    flow. Thousands of first packets a second are rejected in a load spike, all
+    flow; so would one of a flow after which the client has opened another one. Thousands of first packets a second are rejected in a load spike, all
     of whose copies come to one entry in time: none of them is in doubt.
     """
 
@@ -68,9 +70,10 @@
 
     def __init__(self) -> None:
         """Initialize without first packets and queries."""
-        #: Bits of the copies received and arrival of the last one, by flow key;
-        #: the one that was noted last comes last.
-        self._packets: dict[bytes, tuple[int, float]] = {}
+        #: Bits of the copies received, arrival of the last one, sequence number
+        #: and that of the flow before, by flow key; the one that was noted last
+        #: comes last.
+        self._packets: dict[bytes, tuple[int, float, int, int]] = {}
         #: Time until which the queries that were sent use up the rate.
         self._queries_sent_until = float('-inf')
 
@@ -78,24 +81,41 @@
         """Return the number of first packets that are remembered."""
         return len(self._packets)
 
-    def note(self, key: bytes, copy: int, arrived: float) -> None:
+    def note(
+        self, key: bytes, copy: int, arrived: float, number: int = 0
+    ) -> bool:
         """Record a copy of a first packet.
 
         Args:
             key: key of the flow.
             copy: how many transmissions of the packet came before.
             arrived: the earliest time at which it may have arrived, in seconds.
+            number: its sequence number, another one for each flow of a port.
+
+        Returns:
+            False if it is a late copy, as the client has opened another flow from
+            the port since.
         """
         bit = 1 << min(copy, _LAST_COPY)
-        copies, last_arrived = self._packets.pop(key, (0, arrived))
-        if arrived - last_arrived > _TTL_S:
+        copies, last_arrived, last_number, earlier = self._packets.get(
+            key, (0, arrived, number, number)
+        )
+        is_recent = arrived - last_arrived <= _TTL_S
+        is_other = number != last_number
+        if is_recent and is_other and number == earlier:
+            return False
+        if is_other:
+            earlier = last_number
+        if is_other or not is_recent:
             # The client uses the port for another flow.
             copies = 0
         if bit <= copies:
             # A duplicate, or an older copy.
             arrived = last_arrived
-        self._packets[key] = (copies | bit, arrived)
+        self._packets.pop(key, None)
+        self._packets[key] = (copies | bit, arrived, number, earlier)
         self._forget_oldest(arrived)
+        return True
 
     def decide(self, key: bytes, now: float, hosts: int) -> tuple[str, str]:
         """Return what to do with a first packet that cannot be placed.
@@ -114,7 +134,7 @@
             # The next copy decides, wherever it goes. There is none after the
             # last, whose client has given up by then.
             return DROP, NEXT_COPY_DUE
-        copies, _ = self._packets[key]
+        copies = self._packets[key][0]
         if copies + 1 == 1 << copies.bit_length():
             return REJECT, ''
         if self._may_search(hosts, now):
@@ -128,13 +148,13 @@
             key: key of the flow.
             now: time in seconds.
         """
-        copies, arrived = self._packets.get(key, (1, float('-inf')))
+        copies, arrived, *_ = self._packets.get(key, (1, float('-inf')))
         interval = _COPY_INTERVALS_S[copies.bit_length() - 1]
         return now - arrived >= interval - _MARGIN_S
 
     def describe(self, key: bytes, now: float) -> dict[str, object]:
         """Return the copies received and the age of the last one, for the log."""
-        copies, arrived = self._packets.get(key, (0, now))
+        copies, arrived, *_ = self._packets.get(key, (0, now))
         received = [
             str(copy) for copy in range(_LAST_COPY + 1) if copies & 1 << copy
         ]
--- a/siskinbank/entry/flow_cache.py
+++ b/siskinbank/entry/flow_cache.py
@@ -7,6 +7,12 @@
 
 from __future__ import annotations
 
+from siskinbank.platform.packets import FIN, RST, flags_of, sequence_numbers
+from siskinbank.tracking.client_sequence import (
+    PASSED_ELSEWHERE,
+    ClientSequence,
+)
+
 __all__ = ('CachedFlow', 'FlowCache', 'completes_handshake')
 
 _SEQUENCE_BITS = 32
@@ -39,6 +45,7 @@
         last_seen: time of the last packet, in seconds.
         repeats: number of packets with data that the client has sent again since
             the last one that was new.
+        sequence: the client's sequence numbers.
         service: the service that was selected for the first packet, empty if
             this entry has placed no copy of it.
         tried: hosts that the first packet was sent to.
@@ -55,6 +62,7 @@
         'last_seen',
         'queueing_host',
         'repeats',
+        'sequence',
         'service',
         'tried',
     )
@@ -69,6 +77,7 @@
         self.service = ''
         self.last_seen = last_seen
         self.repeats = 0
+        self.sequence = ClientSequence()
         self._highest_sequence: int | None = None
         self._highest_at = last_seen
         self.tried: tuple[str, ...] = (ip,)
@@ -79,6 +88,24 @@
         """Whether several hosts hold the flow, open or half open."""
         return len(self._holders) > 1
 
+    def includes(self, sequence: int | None) -> bool:
+        """Return whether a client's packet belongs to this flow, or may do so.
+
+        Args:
+            sequence: its sequence number, None if unknown. One that does not fit
+                is of an earlier or later flow from the same address and port.
+        """
+        return sequence is None or self.sequence.includes(
+            sequence, PASSED_ELSEWHERE
+        )
+
+    def reopen(self) -> None:
+        """Forget that a host holds the flow, as that host has lost it."""
+        self.confirmed = False
+        self.is_connected = False
+        self.queueing_host = ''
+        self._holders = {}
+
     def note_data(self, sequence: int, now: float) -> bool:
         """Record a packet with data; return whether its client sent it before.
 
@@ -145,6 +172,17 @@
         self._holders = {self.ip: holders[self.ip]}
         self.is_connected = False
 
+    def note_packet(self, packet: bytes) -> None:
+        """Record a packet of the client after its first one."""
+        sequence, acknowledged = sequence_numbers(packet)
+        flags = flags_of(packet)
+        if not flags & RST:
+            self.sequence.note(sequence)
+        if flags & FIN:
+            self.sequence.close()
+        if not self.is_connected:
+            self.note_acknowledged(acknowledged)
+
     def note_acknowledged(self, acknowledged: int) -> None:
         """Record a packet that its client sent after its first one.
 
@@ -198,11 +236,22 @@
         """Return the number of flows."""
         return len(self._flows)
 
-    def add(self, key: bytes, ip: str, now: float) -> CachedFlow:
-        """Add a new flow; evict the oldest one if the cache is full."""
+    def add(
+        self, key: bytes, ip: str, now: float, sequence: int | None = None
+    ) -> CachedFlow:
+        """Add a new flow; evict the oldest one if the cache is full.
+
+        Args:
+            key: key of the flow.
+            ip: the host that gets its packets.
+            now: time in seconds.
+            sequence: sequence number of a packet of its client, None if unknown.
+        """
         if len(self._flows) >= _MAX_FLOWS:
             self._flows.pop(next(iter(self._flows)))
         flow = CachedFlow(ip, now)
+        if sequence is not None:
+            flow.sequence.note(sequence)
         self._flows[key] = flow
         return flow
 
--- a/siskinbank/entry/flow_searches.py
+++ b/siskinbank/entry/flow_searches.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+from siskinbank.platform.packets import SYN, flags_of, sequence_numbers
+from siskinbank.tracking.client_sequence import (
+    PASSED_ELSEWHERE,
+    ClientSequence,
+)
+
 __all__ = (
     'FlowSearch',
     'FlowSearches',
@@ -35,6 +41,7 @@
     Attributes:
         started_at: start time in seconds.
         first: the packet that started the search; it is sent to the hosts.
+        number: its sequence number.
         absent: the hosts that don't hold the flow.
         queued_packets: packets of the flow queued since the start.
     """
@@ -42,8 +49,10 @@
     __slots__ = (
         '_asked_at',
         '_outstanding',
+        '_sequence',
         'absent',
         'first',
+        'number',
         'queued_packets',
         'started_at',
     )
@@ -52,11 +61,36 @@
         """Create a search that has asked no host yet."""
         self.started_at = started_at
         self.first = first
+        self.number = sequence_numbers(first)[0]
+        self._sequence = ClientSequence()
+        if flags_of(first) & SYN:
+            self._sequence.begin(self.number)
+        else:
+            self._sequence.note(self.number)
         self.absent: set[str] = set()
         self.queued_packets: list[bytes] = []
         self._asked_at: dict[str, float] = {}
         self._outstanding: set[str] = set()
 
+    def is_for(self, sequence: int | None) -> bool:
+        """Return whether a packet belongs to the flow that is searched for.
+
+        Args:
+            sequence: its sequence number, None if unknown. One that does not fit
+                is of an earlier or later flow from the same address and port.
+        """
+        return sequence is None or self._sequence.includes(
+            sequence, PASSED_ELSEWHERE
+        )
+
+    def begins_with(self, sequence: int) -> bool:
+        """Return whether a first packet is that of the flow, or may be.
+
+        Args:
+            sequence: its sequence number.
+        """
+        return self._sequence.begins_with(sequence)
+
     def hosts_to_ask(
         self, last_received: dict[str, float], now: float
     ) -> list[str]:
--- a/siskinbank/entry/suspect_flows.py
+++ b/siskinbank/entry/suspect_flows.py
@@ -41,6 +41,10 @@
         if key in self._packets or len(self._packets) < _MAX_PACKETS:
             self._packets[key] = (ip, packet)
 
+    def drop(self, key: bytes) -> None:
+        """Drop the packet of a flow, as another flow has its key."""
+        self._packets.pop(key, None)
+
     def take_decided(
         self,
         is_probed: Callable[[str], bool],
--- a/siskinbank/lab/rig/client.py
+++ b/siskinbank/lab/rig/client.py
@@ -97,14 +97,22 @@
                 flow.reset_by = addr[0]
             flow.answers.put_nowait(packet)
 
-    async def connect(self, target: tuple[str, int]) -> ClientFlow:
+    async def connect(
+        self, target: tuple[str, int], port: int = 0
+    ) -> ClientFlow:
         """Open a flow.
 
+        Args:
+            target: address and port that it is opened to.
+            port: port that it is opened from, 0 for one that was not used yet.
+
         Raises:
             FlowFailed: the flow was reset, or no answer came.
         """
-        self._next_port += 1
-        flow = ClientFlow(self._next_port, target, random.randrange(1 << 31))
+        if not port:
+            self._next_port += 1
+            port = self._next_port
+        flow = ClientFlow(port, target, random.randrange(1 << 31))
         self._flows[flow.port] = flow
         for copy, wait in enumerate(_SYN_TIMEOUTS_S):
             # The acknowledgement number of a SYN is the number of its copy.
--- a/siskinbank/lab/rig/host.py
+++ b/siskinbank/lab/rig/host.py
@@ -53,6 +53,7 @@
         self.free_slots = asyncio.Semaphore(sys.maxsize)
         self.arrivals: dict[str, float] = {}
         self.open_flows: set[tuple[tuple[str, int], tuple[str, int]]] = set()
+        self._ended_flows: set[tuple[tuple[str, int], tuple[str, int]]] = set()
         self._requests: dict[tuple[str, int, str], asyncio.Task[None]] = {}
         self._output = output
         self._flows: dict[tuple[tuple[str, int], tuple[str, int]], int] = {}
@@ -74,6 +75,7 @@
     def close(self) -> None:
         """Close the sockets and lose all flows, as a crash does."""
         self._flows.clear()
+        self._ended_flows.clear()
         self.open_flows.clear()
         for task in self._requests.values():
             task.cancel()
@@ -100,11 +102,14 @@
         # has accepted a copy of its first packet.
         accepted = packet.acknowledged - 1
         if packet.flags & SYN:
+            self._ended_flows.discard(key)
             self._flows.setdefault(key, random.randrange(1 << 32))
             self.accepted.append(packet.source)
             self._reply(packet, SYN | ACK, self._flows[key])
         elif key in self.open_flows or self._flows.get(key) == accepted:
             self._process(key, packet)
+        elif key in self._ended_flows:
+            self._answer_ended(packet)
         else:
             self.unknown_flow_packets += 1
             bounced = bytearray(data)
@@ -121,6 +126,7 @@
                 self._reply(packet, FIN | ACK, packet.acknowledged)
             self._flows.pop(key)
             self.open_flows.discard(key)
+            self._ended_flows.add(key)
             return
         self.open_flows.add(key)
         if _REQUEST_ID_HEADER in packet.content:
@@ -132,6 +138,13 @@
                 run = self._run(packet, request_id)
                 self._requests[copied] = asyncio.create_task(run)
 
+    def _answer_ended(self, packet: Packet) -> None:
+        """Answer a packet of a flow that has ended here."""
+        if packet.flags & FIN:
+            self._reply(packet, ACK, packet.acknowledged)
+        elif packet.content:
+            self._reply(packet, RST, packet.acknowledged)
+
     async def _run(self, packet: Packet, request_id: str) -> None:
         async with self.free_slots:
             await asyncio.sleep(self.processing_s)
--- a/siskinbank/relay/catalogue.py
+++ b/siskinbank/relay/catalogue.py
@@ -49,6 +49,7 @@
     'request.start': 'R310',
     'request.end': 'R311',
     'flow.withheld': 'R312',
+    'flow.reused': 'R313',
     'packet.refused': 'R320',
     'request.held': 'R330',
     'request.released': 'R331',
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -7,15 +7,10 @@
 
 from siskinbank.admission import reasons
 from siskinbank.admission.arrivals import (
-    max_wait_s,
     no_host_is_final,
     refusal_is_final,
 )
 from siskinbank.choice.placement import candidates, rank_hosts
-from siskinbank.choice.service_overflow import (
-    select_other_service,
-    select_service,
-)
 from siskinbank.entry.flow_cache import CachedFlow, FlowCache
 from siskinbank.entry.suspect_flows import SuspectFlows
 from siskinbank.platform.packets import (
@@ -27,7 +22,6 @@
     describe_flow,
     flags_of,
     packet_problem,
-    route_key,
     sequence_numbers,
 )
 from siskinbank.relay import messages
@@ -42,6 +36,7 @@
 from siskinbank.relay.host_monitor import DISCOVERY_TIMEOUT_S, HostMonitor
 from siskinbank.relay.link_shedding import FORWARD, REJECT, LinkShedding
 from siskinbank.relay.node import Node
+from siskinbank.relay.route_services import RouteServices
 from siskinbank.tracking.hosts import HostTable, TrackedHost
 
 TYPE_CHECKING = False
@@ -71,6 +66,9 @@
 # Delay of a planned stop, in seconds: routers stop sending packets to an
 # entry after two failed probes, half a second apart.
 _STOP_DELAY_S = 1.2
+# Maximum time by which a packet is late, in seconds: clients retransmit at longer
+# intervals.
+_MAX_LATE_S = 2.0
 _MS = 1000
 
 
@@ -102,7 +100,6 @@
             OSError: if the port for clients' packets can't be opened.
         """
         self._node = node
-        self._split_overflow = split_overflow
         settings = node.settings
         self._data_centre = messages.digest(settings.data_centre)
         self._started = node.loop.now
@@ -121,6 +118,9 @@
         self._capacities = EntryCapacities(
             node, self._gossip.entries, self._is_discovery_done, rotation
         )
+        self._services = RouteServices(
+            node, self._hosts, self._follower, split_overflow
+        )
         self._monitor = HostMonitor(node, self._hosts, self._follower)
         self._rejection = FlowRejection(
             node, self._hosts, self._flows, self._reset, self._search_host
@@ -170,8 +170,9 @@
         if problem:
             self._node.meters.count(f'packets_refused_{problem}_total')
             return
-        if flags_of(packet) & SYN:
-            self._rejection.note_first_packet(packet)
+        if flags_of(packet) & SYN and not self._note_first_packet(packet):
+            self._node.meters.count('packets_of_other_flows_total')
+            return
         decision = self._shedding.decide(packet)
         if decision == FORWARD:
             self._handle_packet(packet)
@@ -188,10 +189,17 @@
         if flow is None:
             self._search_host(key, packet)
             return
+        sequence = sequence_numbers(packet)[0]
+        if flow.includes(sequence) or flags_of(packet) & RST:
+            self._forward(key, flow, packet)
+        else:
+            self._search_other_flow(key, flow, packet)
+
+    def _forward(self, key: bytes, flow: CachedFlow, packet: bytes) -> None:
+        """Send a packet to the host of its flow, if it may be there."""
         now = self._node.loop.now
         flow.last_seen = now
-        if not flow.is_connected:
-            flow.note_acknowledged(sequence_numbers(packet)[1])
+        flow.note_packet(packet)
         gone = self._monitor.loss_reason(flow.ip, key)
         is_suspect = flow.ip in self._hosts.probes
         if _may_be_elsewhere(flow, packet, bool(gone) or is_suspect):
@@ -213,6 +221,37 @@
         if repeated and not self._shedding.is_backlogged:
             self._detours.send_copy(key, flow, packet)
 
+    def _search_other_flow(
+        self, key: bytes, flow: CachedFlow, packet: bytes
+    ) -> None:
+        """Search for the host of another flow of a known flow's port.
+
+        Its first packet went through another entry. The known flow may be the
+        later one if it is in use; then a late packet must not end it.
+        """
+        self._node.meters.count('packets_of_other_flows_total')
+        if self._node.loop.now - flow.last_seen > _MAX_LATE_S:
+            self._flows.drop(key)
+        self._begin_search(key, packet)
+
+    def _note_first_packet(self, packet: bytes) -> bool:
+        """Record a first packet, and forget an earlier flow of its port.
+
+        Returns:
+            False if it is a late copy of an earlier flow's first packet.
+        """
+        if not self._rejection.note_first_packet(packet):
+            return False
+        key = packet[FLOW_KEY]
+        number = sequence_numbers(packet)[0]
+        flow = self._flows.get(key)
+        if flow and not flow.sequence.begins_with(number):
+            self._node.log('flow.reused', flow=describe_flow(key), host=flow.ip)
+            self._flows.drop(key)
+            self._suspect_flows.drop(key)
+        self._searcher.cancel_other(key, number)
+        return True
+
     def _reset_lost_flow(self, packet: bytes, ip: str, gone: str) -> None:
         evidence = self._monitor.describe(ip)
         self._reset(packet, 'host-gone', evidence=gone, **evidence)
@@ -225,7 +264,8 @@
         for ip, packet, gone in decided:
             key = packet[FLOW_KEY]
             flow = self._flows.get(key)
-            if flow is None or flow.ip != ip:
+            sequence = sequence_numbers(packet)[0]
+            if flow is None or flow.ip != ip or not flow.includes(sequence):
                 continue
             if flow.is_connected:
                 self._reset_lost_flow(packet, ip, gone)
@@ -237,20 +277,39 @@
     def _open_flow(self, packet: bytes) -> None:
         key = packet[FLOW_KEY]
         flow = self._flows.get(key)
-        if flow and flow.confirmed:
-            # The answer was lost or is in transit; the same host resends it.
-            opening = messages.Opening(self._node.packed_ip, packet)
-            self._node.send(flow.ip, opening.pack())
+        if flow and flow.confirmed and self._send_to_holder(packet, flow):
             return
         if not self._is_discovery_done():
             self._queue_early_packet(packet)
             return
-        route = self._route(key)
-        if route is None or not route.shares:
+        route = self._services.route(key)
+        if route is None:
             self._rejection.reject(packet, 'no-route')
             return
         self._place_flow(packet, route, flow)
 
+    def _send_to_holder(self, packet: bytes, flow: CachedFlow) -> bool:
+        """Send a copy of a first packet to the host that holds its flow.
+
+        The host's answer was lost or is in transit; it sends it again.
+
+        Returns:
+            False if the host is gone, so that another one is needed.
+        """
+        key = packet[FLOW_KEY]
+        if not flow.is_open and self._monitor.loss_reason(flow.ip, key):
+            flow.reopen()
+            return False
+        route = self._services.route(key)
+        if route is None:
+            opening = messages.Opening(self._node.packed_ip, packet)
+        else:
+            # Complete, as the sidecar may have restarted since.
+            service = flow.service or route.service_for(crc32(key))
+            opening = self._services.opening(packet, route, service)
+        self._node.send(flow.ip, opening.pack())
+        return True
+
     def _place_flow(
         self,
         packet: bytes,
@@ -260,8 +319,7 @@
         key = packet[FLOW_KEY]
         now = self._node.loop.now
         flow_hash = crc32(key)
-        by_weight = route.service_for(flow_hash)
-        service = self._select_service(route, by_weight, flow_hash, flow)
+        service = self._services.select(key, route, flow)
         service_digest = messages.digest(service)
         hosts = self._hosts.of_service(service_digest)
         median_ms = self._hosts.median_ms(service_digest, now)
@@ -276,7 +334,9 @@
             hosts, ordered, tried, flow.queueing_host if flow else ''
         )
         if not chosen:
-            self._refuse_unplaced(packet, self._route_hosts(route, hosts))
+            self._refuse_unplaced(
+                packet, self._services.hosts_of_route(route, hosts)
+            )
             return
         # A search that ends now would reset a flow that a host may accept.
         self._searcher.cancel(key)
@@ -286,6 +346,7 @@
             self._node.meters.count('flows_placed_slow_total')
         if flow is None:
             flow = self._flows.add(key, first.ip, now)
+            flow.sequence.begin(sequence_numbers(packet)[0])
         else:
             flow.last_seen = now
             flow.add_tried(first.ip)
@@ -302,93 +363,12 @@
             version=self._follower.configuration.version,
             tries=len(tried),
             service=service,
-            overflow=int(service != by_weight),
+            overflow=int(service != route.service_for(flow_hash)),
         )
-        opening = messages.Opening(self._node.packed_ip, packet)
-        opening.service = service_digest
-        opening.version = self._follower.configuration.version
-        opening.target_latency_ms = messages.wait_ms(route.target_latency_s)
-        opening.wait_limit_ms = messages.wait_ms(max_wait_s(route.timeout_s))
-        opening.timeout_ms = int(route.timeout_s * _MS)
-        opening.priority = route.priority
-        opening.idempotent = route.idempotent
-        opening.warm_up = self._follower.configuration.warm_up_of(service)
+        opening = self._services.opening(packet, route, service)
         opening.candidates = [host.packed for host in chosen]
         self._node.send(opening.pop_next(), opening.pack())
 
-    def _select_service(
-        self,
-        route: Route,
-        by_weight: str,
-        flow_hash: int,
-        flow: CachedFlow | None,
-    ) -> str:
-        """Return the service that gets a copy of a first packet.
-
-        Args:
-            route: the route of the flow.
-            by_weight: the service that the weights select.
-            flow_hash: hash of the flow key.
-            flow: the flow, if an earlier copy was placed.
-        """
-        if not self._split_overflow or len(route.shares) == 1:
-            return by_weight
-        remembered = flow.service if flow else ''
-        service = select_service(
-            route.shares,
-            remembered,
-            flow_hash,
-            self._hosts_of,
-            self._node.loop.now,
-        )
-        if service not in {by_weight, remembered}:
-            self._node.meters.count('flows_overflowed_total')
-        return service
-
-    def _select_after_refusal(self, key: bytes, flow: CachedFlow) -> bool:
-        """Select another service with free slots for a refused first packet.
-
-        Returns:
-            Whether there is one.
-        """
-        route = self._route(key)
-        if not self._split_overflow or route is None:
-            return False
-        flow_hash = crc32(key)
-        other = select_other_service(
-            route.shares,
-            flow.service,
-            flow_hash,
-            self._hosts_of,
-            self._node.loop.now,
-        )
-        if not other:
-            return False
-        if other != route.service_for(flow_hash):
-            self._node.meters.count('flows_overflowed_total')
-        flow.service = other
-        return True
-
-    def _hosts_of(self, service: str) -> list[TrackedHost]:
-        return self._hosts.of_service(messages.digest(service))
-
-    def _route_hosts(
-        self, route: Route, selected: list[TrackedHost]
-    ) -> list[TrackedHost]:
-        """Return the hosts that may accept a later copy of a first packet.
-
-        Args:
-            route: the route of the flow.
-            selected: the hosts of the service that was selected.
-        """
-        if not self._split_overflow:
-            return selected
-        return [
-            host
-            for service, _ in route.shares
-            for host in self._hosts_of(service)
-        ]
-
     def _refuse_unplaced(
         self,
         packet: bytes,
@@ -436,9 +416,6 @@
         )
         return self._discovery_done
 
-    def _route(self, key: bytes) -> Route | None:
-        return self._follower.configuration.routes.get(route_key(key))
-
     def _queue_early_packet(self, packet: bytes) -> None:
         if len(self._early_packets) < _MAX_EARLY_PACKETS:
             self._early_packets.append((self._node.loop.now, packet))
@@ -462,6 +439,9 @@
 
     def _search_host(self, key: bytes, packet: bytes) -> None:
         self._flows.drop(key)
+        self._begin_search(key, packet)
+
+    def _begin_search(self, key: bytes, packet: bytes) -> None:
         if not self._is_discovery_done():
             self._queue_early_packet(packet)
         elif not flags_of(packet) & RST:
@@ -477,14 +457,25 @@
 
     def _handle_held(self, raw: bytes, ip: str) -> None:
         key, number, established = messages.read_flow_note(raw)
-        if not established and self._searcher.excludes(key, number):
+        sequence = messages.read_note_sequence(raw)
+        is_searched = self._searcher.is_searching(key, sequence)
+        if (
+            is_searched
+            and not established
+            and self._searcher.excludes(key, number)
+        ):
             # Half open at this host, while the client is connected to another.
-            self._searcher.add_absent(key, ip)
+            self._searcher.add_absent(key, ip, sequence)
             return
         flow = self._flows.get(key)
-        if flow is None:
-            flow = self._flows.add(key, ip, self._node.loop.now)
+        if flow is None or (is_searched and not flow.includes(sequence)):
+            flow = self._flows.add(key, ip, self._node.loop.now, sequence)
+        elif not flow.includes(sequence):
+            # Of an earlier flow of the port.
+            return
         flow.add_holder(ip, number, bool(established))
+        if not is_searched:
+            return
         for packet in self._searcher.finish(key, ip):
             if flags_of(packet) & SYN:
                 # The host answers again, as the client may lack its answer.
@@ -494,28 +485,38 @@
 
     def _handle_queued(self, raw: bytes, ip: str) -> None:
         key, _, _ = messages.read_flow_note(raw)
+        sequence = messages.read_note_sequence(raw)
         flow = self._flows.get(key)
-        if flow and not flow.confirmed:
+        if flow and not flow.confirmed and flow.includes(sequence):
             flow.queueing_host = ip
 
     def _handle_absent(self, raw: bytes, ip: str) -> None:
         key, _, _ = messages.read_flow_note(raw)
         packet = raw[messages.FLOW_NOTE_BYTES :]
-        if self._searcher.add_absent(key, ip):
+        sequence = messages.read_note_sequence(raw)
+        if self._searcher.add_absent(key, ip, sequence):
             return
         flow = self._flows.get(key)
-        if flow and flow.ip == ip and len(packet) >= HEADER_BYTES:
+        is_known = flow and flow.ip == ip and flow.includes(sequence)
+        if is_known and len(packet) >= HEADER_BYTES:
             self._search_host(key, packet)
 
     def _handle_refused(self, raw: bytes, ip: str) -> None:
         key, _, reason = messages.read_flow_note(raw)
         packet = raw[messages.FLOW_NOTE_BYTES :]
         flow = self._flows.get(key)
-        if flow is None or flow.confirmed or len(packet) < HEADER_BYTES:
+        if flow is None or len(packet) < HEADER_BYTES:
             return
-        if flow.is_open:
-            # Another host has accepted a copy, and its message was lost.
+        number = sequence_numbers(packet)[0]
+        if flow.is_open or not flow.sequence.begins_with(number):
+            # Another host has accepted a copy, and its message was lost, or the
+            # client has opened another flow from its port.
             return
+        if flow.confirmed:
+            if flow.ip != ip:
+                return
+            # The host has lost the flow that it held half open.
+            flow.reopen()
         flow.queueing_host = ''
         tries = len(flow.tried)
         name = reasons.name_of(reason)
@@ -531,7 +532,7 @@
             host.status.state = reason
         if tries < _MAX_PLACEMENTS and (
             reason in reasons.HOST_SPECIFIC
-            or self._select_after_refusal(key, flow)
+            or self._services.select_after_refusal(key, flow)
         ):
             self._open_flow(packet)
         elif refusal_is_final(reason, sequence_numbers(packet)[1]):
--- a/siskinbank/relay/flow_admission.py
+++ b/siskinbank/relay/flow_admission.py
@@ -155,17 +155,16 @@
         self._holding.routes.note(route_key(key), opening)
         if opening.service == self._host.service:
             self._host.note_warm_up(*opening.warm_up)
-        flow = self._flows.get(key)
-        if flow:
-            flow.entry = entry
-        if flow or key in self._unanswered:
+        if self._has_received(key, packet, entry):
             # A retransmission of a packet that the host has already.
             self._deliver(packet)
             return
         queued = self.queue.opening(key)
-        if queued:
+        if queued and _is_copy(queued, packet):
             queued.opening = opening
             return
+        if queued:
+            self.queue.remove(key)
         now = self._node.loop.now
         reason = self._host.refusal_reason(opening.service, now)
         if reason:
@@ -173,6 +172,28 @@
         else:
             self._queue_or_forward(key, opening)
 
+    def _has_received(self, key: bytes, packet: bytes, entry: str) -> bool:
+        """Return whether the host has received a copy of a first packet.
+
+        A flow that another first packet has opened is another one of the port,
+        so that the host must be able to accept this one as well.
+
+        Args:
+            key: the key of the flow.
+            packet: the first packet.
+            entry: the entry that sends it.
+        """
+        number = sequence_numbers(packet)[0]
+        flow = self._flows.get(key)
+        if flow and flow.sequence.begins_with(number):
+            flow.entry = entry
+            return True
+        if flow:
+            # The client does not wait for an answer there any more.
+            self._holding.drop(key, 'port-reused')
+        unanswered = self._unanswered.get(key)
+        return unanswered is not None and unanswered.is_of_flow(packet)
+
     def _queue_or_forward(self, key: bytes, opening: messages.Opening) -> None:
         now = self._node.loop.now
         host = self._host
@@ -234,7 +255,8 @@
             hops=opening.hops,
             priority=queued.priority,
         )
-        note = messages.pack_flow_note(messages.QUEUED, key, 0)
+        number = sequence_numbers(opening.packet)[0]
+        note = messages.pack_flow_note(messages.QUEUED, key, 0, 0, number)
         self._node.send(inet_ntoa(opening.entry), note)
         self._schedule_check()
 
@@ -351,10 +373,16 @@
         self._node.meters.count(
             f'flows_refused_priority_{opening.priority}_total'
         )
-        note = messages.pack_flow_note(messages.REFUSED, key, 0, reason)
+        number = sequence_numbers(opening.packet)[0]
+        note = messages.pack_flow_note(messages.REFUSED, key, 0, reason, number)
         self._node.send(inet_ntoa(opening.entry), note + opening.packet)
 
 
+def _is_copy(queued: QueuedOpening, packet: bytes) -> bool:
+    queued_number = sequence_numbers(queued.opening.packet)[0]
+    return queued_number == sequence_numbers(packet)[0]
+
+
 def check_packet_header(packet: bytes) -> bytes:
     """Return a packet unchanged if it has a complete header.
 
--- a/siskinbank/relay/flow_rejection.py
+++ b/siskinbank/relay/flow_rejection.py
@@ -6,6 +6,7 @@
     CLIENT_CONNECTED,
     DROP,
     NEXT_COPY_DUE,
+    PORT_REUSED,
     REJECT,
     SEARCH,
     FirstPackets,
@@ -71,11 +72,15 @@
         self._first_packets = FirstPackets()
         self._socket_wait = SocketWait()
 
-    def note_first_packet(self, packet: bytes) -> None:
-        """Record a first packet that is read from the socket for clients."""
-        copy = sequence_numbers(packet)[1]
+    def note_first_packet(self, packet: bytes) -> bool:
+        """Record a first packet that is read from the socket for clients.
+
+        Returns:
+            False if the client has opened another flow from its port since.
+        """
+        number, copy = sequence_numbers(packet)
         arrived = self._socket_wait.empty_at(self._previous_turn())
-        self._first_packets.note(packet[FLOW_KEY], copy, arrived)
+        return self._first_packets.note(packet[FLOW_KEY], copy, arrived, number)
 
     def note_read(self, is_drained: bool) -> None:
         """Record whether the socket for clients was read until it was empty."""
@@ -120,6 +125,11 @@
             # That copy may have been placed by another entry since.
             self._log_withheld(key, reason, DROP, NEXT_COPY_DUE)
             return
+        flow = self._flows.get(key)
+        if flow and not flow.includes(sequence_numbers(packet)[0]):
+            # It would end a flow that the client has opened from the port since.
+            self._log_withheld(key, reason, DROP, PORT_REUSED)
+            return
         self._reset(packet, reason, **inputs)
 
     def _previous_turn(self) -> float:
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -102,8 +102,8 @@
         self._started = node.loop.now
         self._reset = reset
         self._searches = FlowSearches()
-        self._queries: dict[str, list[bytes]] = {}
-        self._relay_targets: dict[bytes, list[bytes]] = {}
+        self._queries: dict[str, list[tuple[bytes, int]]] = {}
+        self._relay_targets: dict[tuple[bytes, int], list[bytes]] = {}
         self._last_round_at = NEVER
         self._round_pause_s = _BATCH_S
         self._round_scheduled = False
@@ -114,6 +114,10 @@
     def search(self, key: bytes, packet: bytes) -> None:
         """Start a search for the host of a packet's flow, or join one."""
         search = self._searches.get(key)
+        if search and not search.is_for(sequence_numbers(packet)[0]):
+            # The client has opened another flow from its port.
+            self._searches.end(key)
+            search = None
         if search and _replaces_first_packet(search, packet):
             self._end_outdated(key)
             search = self._searches.get(key)
@@ -145,6 +149,28 @@
         acknowledged = sequence_numbers(search.first)[1]
         return not completes_handshake(acknowledged, number)
 
+    def is_searching(self, key: bytes, sequence: int | None) -> bool:
+        """Return whether the host of a flow is searched for.
+
+        Args:
+            key: key of the flow.
+            sequence: sequence number of one of its client's packets, None if
+                unknown.
+        """
+        search = self._searches.get(key)
+        return search is not None and search.is_for(sequence)
+
+    def cancel_other(self, key: bytes, number: int) -> None:
+        """End the search for an earlier flow of a port, if there is one.
+
+        Args:
+            key: key of the flows.
+            number: sequence number of the first packet of the later one.
+        """
+        search = self._searches.get(key)
+        if search and not search.begins_with(number):
+            self._searches.end(key)
+
     def cancel(self, key: bytes) -> None:
         """End a search, if there is one, without a result."""
         self._searches.end(key)
@@ -160,13 +186,20 @@
         self._node.log('flow.found', flow=describe_flow(key), host=ip)
         return [search.first, *search.queued_packets]
 
-    def add_absent(self, key: bytes, ip: str) -> bool:
-        """Record that a host lacks a flow; return whether a search is ongoing."""
+    def add_absent(self, key: bytes, ip: str, sequence: int | None) -> bool:
+        """Record that a host lacks a flow; return whether a search is ongoing.
+
+        Args:
+            key: key of the flow.
+            ip: the host.
+            sequence: sequence number of one of its client's packets, None if
+                unknown.
+        """
         host = self._hosts.get(ip)
-        if host:
-            host.note_not_held(key)
+        if host and sequence is not None:
+            host.note_not_held(key, sequence)
         search = self._searches.get(key)
-        if search is None:
+        if search is None or not search.is_for(sequence):
             return False
         if search.add_absent(ip):
             hosts = self._monitor.present_hosts()
@@ -193,7 +226,7 @@
         """Add a flow to the pending queries of its hosts."""
         last_seen = {host.ip: host.last_seen for host in hosts}
         for ip in search.hosts_to_ask(last_seen, self._node.loop.now):
-            self._queries.setdefault(ip, []).append(key)
+            self._queries.setdefault(ip, []).append((key, search.number))
 
     def _schedule_round(self) -> None:
         """Send the queries now, or after the pause since the last round."""
@@ -217,23 +250,23 @@
         queries, self._queries = self._queries, {}
         pause = len(queries) * _PAUSE_PER_HOST_S
         self._round_pause_s = min(max(pause, _BATCH_S), _MAX_PAUSE_S)
-        for ip, keys in queries.items():
+        for ip, flows in queries.items():
             self._hosts.probes.note_query(ip, self._last_round_at)
-            for start in range(0, len(keys), messages.MAX_KEYS):
-                batch = keys[start : start + messages.MAX_KEYS]
-                datagram = messages.pack_keys(messages.FLOW_QUERY, batch)
+            for start in range(0, len(flows), messages.MAX_FLOWS):
+                batch = flows[start : start + messages.MAX_FLOWS]
+                datagram = messages.pack_flows(messages.FLOW_QUERY, batch)
                 self._node.send(ip, datagram)
 
     def _handle_not_held(self, raw: bytes, ip: str) -> None:
-        for key in messages.read_keys(raw):
-            self.add_absent(key, ip)
+        for key, sequence in messages.read_flows(raw):
+            self.add_absent(key, ip, sequence)
 
     def _handle_held_unknown(self, raw: bytes, ip: str) -> None:
         """Schedule sending the packets to a host whose sidecar can't answer."""
         if not self._relay_targets:
             self._node.loop.after(_BATCH_S, self._send_packets)
-        for key in messages.read_keys(raw):
-            self._relay_targets.setdefault(key, []).append(inet_aton(ip))
+        for flow in messages.read_flows(raw):
+            self._relay_targets.setdefault(flow, []).append(inet_aton(ip))
 
     def _send_packets(self) -> None:
         """Send the packet of each search to one sidecar to relay to the others.
@@ -243,9 +276,11 @@
         low-bandwidth link for longer than clients wait.
         """
         targets, self._relay_targets = self._relay_targets, {}
-        for key, hosts in targets.items():
+        for (key, sequence), hosts in targets.items():
             search = self._searches.get(key)
-            if search is None or flags_of(search.first) & SYN:
+            if search is None or search.number != sequence:
+                continue
+            if flags_of(search.first) & SYN:
                 continue
             for start in range(0, len(hosts), messages.MAX_RELAYED):
                 first, *others = hosts[start : start + messages.MAX_RELAYED]
@@ -326,4 +361,6 @@
     key: bytes, search: FlowSearch, hosts: list[TrackedHost]
 ) -> list[str]:
     """Return the addresses of the hosts that may still hold a flow."""
-    return search.unanswered([host.ip for host in hosts if host.may_hold(key)])
+    return search.unanswered(
+        [host.ip for host in hosts if host.may_hold(key, search.number)]
+    )
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -42,7 +42,7 @@
     'KIND_NAMES',
     'LISTING',
     'LISTING_REQUEST',
-    'MAX_KEYS',
+    'MAX_FLOWS',
     'MAX_LISTED',
     'MAX_RELAYED',
     'MAX_WAIT_MS',
@@ -69,15 +69,16 @@
     'pack_flow_note',
     'pack_forward',
     'pack_hello',
-    'pack_keys',
+    'pack_flows',
     'pack_listing',
     'pack_piece',
     'pack_record_request',
     'pack_relayed',
     'pack_search',
     'read_flow_note',
+    'read_note_sequence',
     'read_hello',
-    'read_keys',
+    'read_flows',
     'read_listing',
     'read_peers',
     'read_piece',
@@ -111,9 +112,9 @@
 RECORD = 11
 CONFIGURATION_REQUEST = 12
 CONFIGURATION = 13
-# Query for the flows, by key, that a host holds. Replies: flows that it does
-# not hold, and flows that it may hold unknown to its sidecar, which started
-# later than the host.
+# Query for the flows that a host holds, by flow key and the sequence number of a
+# packet. Replies: flows that it does not hold, and flows that it may hold unknown
+# to its sidecar, which started later than the host.
 FLOW_QUERY = 14
 NOT_HELD = 15
 HELD_UNKNOWN = 16
@@ -179,10 +180,8 @@
 _ADDRESS_BYTES = 4
 # Length of the length of a list.
 _COUNT_BYTES = 2
-_KEY_BYTES = 12
-# Maximum number of flow keys in one datagram: fits any link without
-# fragmentation.
-MAX_KEYS = 90
+# Maximum number of flows in one datagram: fits any link without fragmentation.
+MAX_FLOWS = 68
 # Maximum number of hosts to which one sidecar forwards a packet: this takes the
 # sidecar a few ms.
 MAX_RELAYED = 64
@@ -207,7 +206,8 @@
 _HELLO = Struct('!BBI')
 _LISTING = Struct('!BIIHH')
 _OPENING_HEADER = Struct('!BBIQ4sHHIBBII4sHB')
-_FLOW_NOTE = Struct('!B12sIB')
+_FLOW_NOTE = Struct('!B12sIB?I')
+_FLOW = Struct('!12sI')
 _STATUS = Struct('!BIIBHHHQIBHH')
 _ANNOUNCEMENT = Struct('!BBQIIII')
 _RECORD = Struct('!BBIIHIQQIIIQIQI')
@@ -377,7 +377,11 @@
 
 
 def pack_flow_note(
-    kind: int, key: bytes, number: int, reason: int = 0
+    kind: int,
+    key: bytes,
+    number: int,
+    reason: int = 0,
+    sequence: int | None = None,
 ) -> bytes:
     """Return a datagram with a note about one flow.
 
@@ -387,8 +391,11 @@
         number: the host's initial sequence number, 0 if unknown.
         reason: reason of a refusal, see ``admission.reasons``; with HELD
             whether the flow is established at the host.
+        sequence: the sequence number of a packet that its client sent, which
+            tells it from other flows of the key; None if unknown.
     """
-    return _FLOW_NOTE.pack(kind, key, number, reason)
+    is_known = sequence is not None
+    return _FLOW_NOTE.pack(kind, key, number, reason, is_known, sequence or 0)
 
 
 def read_flow_note(raw: bytes) -> tuple[bytes, int, int]:
@@ -397,27 +404,45 @@
     Raises:
         DatagramError: the datagram is truncated.
     """
-    _, key, number, reason = unpack(_FLOW_NOTE, raw)
+    _, key, number, reason, *_ = unpack(_FLOW_NOTE, raw)
     return key, number, reason
 
 
-def pack_keys(kind: int, keys: list[bytes]) -> bytes:
-    """Return a datagram with several flow keys.
+def read_note_sequence(raw: bytes) -> int | None:
+    """Return the client's sequence number in a note, None if unknown.
+
+    Raises:
+        DatagramError: the datagram is truncated.
+    """
+    is_known, sequence = unpack(_FLOW_NOTE, raw)[-2:]
+    return sequence if is_known else None
+
+
+def pack_flows(kind: int, flows: list[tuple[bytes, int]]) -> bytes:
+    """Return a datagram that names several flows.
 
     Args:
         kind: FLOW_QUERY, NOT_HELD or HELD_UNKNOWN.
-        keys: flow keys, MAX_KEYS at most.
+        flows: flow key and the sequence number of one of the client's packets,
+            for each flow, MAX_FLOWS at most.
     """
-    return bytes((kind,)) + b''.join(keys)
+    return bytes((kind,)) + b''.join(
+        _FLOW.pack(key, sequence) for key, sequence in flows
+    )
 
 
-def read_keys(raw: bytes) -> list[bytes]:
-    """Return the flow keys of a datagram.
+def read_flows(raw: bytes) -> list[tuple[bytes, int]]:
+    """Return the flow keys of a datagram, each with a sequence number.
 
     Raises:
-        DatagramError: the last key is truncated.
+        DatagramError: the last one is truncated.
     """
-    return split_evenly(raw[1:], _KEY_BYTES)
+    return [
+        (key, sequence)
+        for key, sequence in map(
+            _FLOW.unpack, split_evenly(raw[1:], _FLOW.size)
+        )
+    ]
 
 
 class Status:
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -6,6 +6,7 @@
 from time import time
 
 from siskinbank.platform.packets import (
+    ACK,
     BOUNCED,
     FIN,
     FLOW_KEY,
@@ -15,6 +16,7 @@
     SYN,
     clear_bounced,
     client_address,
+    describe_flow,
     flags_of,
     reverse_flow_key,
     sequence_numbers,
@@ -27,6 +29,12 @@
 )
 from siskinbank.relay.detours import forward_detour
 from siskinbank.relay.flow_admission import FlowAdmission, check_packet_header
+from siskinbank.relay.flow_queries import (
+    FlowQueries,
+    send_absent,
+    send_held,
+    send_not_held,
+)
 from siskinbank.relay.follower import StoreFollower
 from siskinbank.relay.node import Node
 from siskinbank.relay.planned_stop import PlannedStop
@@ -34,7 +42,12 @@
 from siskinbank.relay.request_holding import RequestHolding
 from siskinbank.relay.request_tracker import RequestTracker
 from siskinbank.relay.status_reporter import StatusReporter
-from siskinbank.sidecar.tracked_flows import TrackedFlow, UnansweredPacket
+from siskinbank.sidecar.tracked_flows import (
+    TrackedFlow,
+    UnansweredPacket,
+    is_of_other_flow,
+    opens_another,
+)
 from siskinbank.tracking.own_host import OwnHost
 from siskinbank.tracking.store_reads import (
     EntryReads,
@@ -43,6 +56,8 @@
 
 __all__ = ('Sidecar',)
 
+# Counts packets of earlier or later flows of a known flow's port.
+_OTHER_FLOWS = 'packets_of_other_flows_total'
 _SWEEP_INTERVAL_S = 2.0
 # Time for which a closed flow stays in the table, in seconds, for the last
 # packets that its client retransmits.
@@ -126,6 +141,15 @@
             self._deliver,
             self._holding,
         )
+        FlowQueries(
+            node,
+            self._host,
+            self._reporter,
+            self._flows,
+            self._unanswered,
+            self._doubtful_flows,
+            self._holding.queue,
+        )
         self._planned_stop = PlannedStop(
             node, self._host, self._flows, self._reporter
         )
@@ -138,7 +162,6 @@
         node.handlers[messages.DETOUR] = lambda raw, _ip: forward_detour(
             node, raw
         )
-        node.handlers[messages.FLOW_QUERY] = self._handle_flow_query
         node.handlers[messages.RECORD] = self._handle_record
         node.loop.watch(self._outbound_socket.fileno(), self._read_host)
         node.loop.watch(self._inbound_socket.fileno(), self._read_socket_error)
@@ -163,60 +186,150 @@
     def _forward_to_client(self, packet: bytes) -> None:
         key = reverse_flow_key(packet)
         flags = flags_of(packet)
-        unanswered = self._unanswered.pop(key, None)
+        unanswered = self._take_answered(key, flags)
         flow = self._flows.get(key)
+        if flow is None and unanswered is None and key in self._unanswered:
+            # Of an earlier flow of the port, which is not known any more.
+            self._send_to_client(packet, key)
+            return
+        if flow and opens_another(flow, packet, unanswered):
+            self._end_reused(key, flow)
+            flow = None
         if flow is None:
-            if unanswered and unanswered.searching and flags & RST:
-                # Not a flow of this host; others are searched as well.
-                self._send_not_held(key, unanswered)
+            if not self._holds_unknown(key, unanswered, packet):
                 return
-            flow = self._add_flow(key, unanswered)
+            flow = self._add_flow(key, unanswered, packet)
+        self._note_answer(key, flow, packet)
+        if unanswered or flags & SYN:
+            send_held(self._node, key, flow, flow.sequence.latest)
+        self._send_to_client(packet, key)
+
+    def _holds_unknown(
+        self, key: bytes, unanswered: UnansweredPacket | None, packet: bytes
+    ) -> bool:
+        """Return whether the host holds the unknown flow of a packet.
+
+        Args:
+            key: the key of the flow.
+            unanswered: the client's packet that the host answers, if any.
+            packet: the host's packet.
+        """
+        if unanswered is None:
+            return True
+        is_other = not unanswered.is_answered_by(packet)
+        if flags_of(packet) & RST and (is_other or unanswered.searching):
+            # Not a flow of this host; others are searched as well.
+            send_not_held(self._node, key, unanswered)
+            return False
+        if is_other:
+            self._send_to_client(packet, key)
+        return not is_other
+
+    def _note_answer(
+        self, key: bytes, flow: TrackedFlow, packet: bytes
+    ) -> None:
+        """Record a packet that the host sends on a flow."""
+        flags = flags_of(packet)
         if flags & SYN:
             flow.number = sequence_numbers(packet)[0]
             self._host.note_opened()
-        else:
-            flow.established = True
-            self._tracker.track_answer(key, flow, packet)
-            if flags & (FIN | RST) and not flow.ended_at:
-                flow.ended_at = self._node.loop.now
-                # No client goes on with a flow that its host has reset.
-                flow.has_client_ended |= bool(flags & RST)
-                self._holding.end(key, 'host-closed')
-        if unanswered or flags & SYN:
-            self._send_held(key, flow)
+            return
+        flow.established = True
+        self._tracker.track_answer(key, flow, packet)
+        if flags & (FIN | RST) and not flow.ended_at:
+            flow.ended_at = self._node.loop.now
+            # No client goes on with a flow that its host has reset.
+            flow.has_client_ended |= bool(flags & RST)
+            self._holding.end(key, 'host-closed')
+
+    def _take_answered(self, key: bytes, flags: int) -> UnansweredPacket | None:
+        """Return the packet that a packet of the host answers, if any.
+
+        Until the host has answered a first packet, others that it sends are of an
+        earlier flow of the port.
+
+        Args:
+            key: the flow key of the host's packet.
+            flags: its flags.
+        """
+        unanswered = self._unanswered.get(key)
+        if unanswered is None or (unanswered.is_first and not flags & SYN):
+            return None
+        return self._unanswered.pop(key)
+
+    def _send_to_client(self, packet: bytes, key: bytes) -> None:
         try:
-            self._client_socket.sendto(packet, flow.client)
+            self._client_socket.sendto(packet, self._client_of(key))
         except OSError:
             self._node.meters.count('send_errors_total')
 
+    def _client_of(self, key: bytes) -> tuple[str, int]:
+        return client_address(key), self._node.settings.packet_port
+
     def _add_flow(
-        self, key: bytes, unanswered: UnansweredPacket | None
+        self, key: bytes, unanswered: UnansweredPacket | None, answer: bytes
     ) -> TrackedFlow:
-        """Add a flow when its host sends the first packet."""
-        client = (client_address(key), self._node.settings.packet_port)
+        """Add a flow when its host sends the first packet.
+
+        Args:
+            key: the key of the flow.
+            unanswered: the client's packet that the host answers, if any.
+            answer: the host's packet.
+        """
         entry = unanswered.entry if unanswered else ''
-        flow = TrackedFlow(entry, client, self._node.loop.now)
+        flow = TrackedFlow(entry, self._client_of(key), self._node.loop.now)
         self._flows[key] = flow
         self._doubtful_flows.pop(key, None)
-        if unanswered and not flags_of(unanswered.packet) & SYN:
+        if unanswered and unanswered.is_first:
+            flow.sequence.begin(sequence_numbers(unanswered.packet)[0])
+            return flow
+        if flags_of(answer) & (SYN | ACK) == ACK:
+            # The host may hold another flow of the port than the packet is of.
+            flow.sequence.note(sequence_numbers(answer)[1])
+        if unanswered and flow.includes(sequence_numbers(unanswered.packet)[0]):
             self._tracker.track_packet(key, flow, unanswered.packet)
         return flow
 
+    def _end_reused(self, key: bytes, flow: TrackedFlow) -> None:
+        """End a flow whose client has opened another one from its port.
+
+        Load pattern: clients behind one translated address have few ports, and
+        use each again as soon as its flow has ended.
+        """
+        self._node.log(
+            'flow.reused',
+            flow=describe_flow(key),
+            age_ms=int((self._node.loop.now - flow.opened_at) * _MS),
+            ended=int(bool(flow.ended_at)),
+        )
+        self._holding.drop(key, 'port-reused')
+        self._tracker.end(key, flow, 'port-reused')
+
     # Packets that the host refuses.
 
     def _handle_bounced(self, packet: bytes) -> None:
         key = packet[FLOW_KEY]
-        unanswered = self._unanswered.pop(key, None)
+        flow = self._flows.get(key)
+        unanswered = self._unanswered.get(key)
+        if is_of_other_flow(packet, flow, unanswered):
+            self._node.meters.count(_OTHER_FLOWS)
+            return
+        self._unanswered.pop(key, None)
         if flags_of(packet) & SYN:
             self._admission.note_host_refusal(key, unanswered)
             return
         self._doubtful_flows.pop(key, None)
-        flow = self._flows.pop(key, None)
-        if flow is None:
-            if unanswered:
-                unanswered.packet = packet
-                self._send_not_held(key, unanswered)
-            return
+        if flow:
+            self._flows.pop(key)
+            self._end_refused(key, flow, packet)
+        elif unanswered:
+            unanswered.packet = packet
+            send_not_held(self._node, key, unanswered)
+
+    def _end_refused(
+        self, key: bytes, flow: TrackedFlow, packet: bytes
+    ) -> None:
+        """End a flow of which the host has refused a packet."""
         self._holding.drop(key, 'host-forgot')
         self._tracker.end(key, flow, 'lost')
         if flow.ended_at:
@@ -226,29 +339,7 @@
             self._host.note_restart(self._node.loop.now)
             self._node.reset_flow(self._client_socket, packet, 'host-forgot')
         elif flow.entry:
-            self._send_absent(key, flow.entry, packet)
-
-    def _send_held(self, key: bytes, flow: TrackedFlow) -> None:
-        if flow.entry:
-            note = messages.pack_flow_note(
-                messages.HELD,
-                key,
-                flow.number,
-                int(flow.established),
-            )
-            self._node.send(flow.entry, note)
-
-    def _send_not_held(self, key: bytes, unanswered: UnansweredPacket) -> None:
-        """Tell an entry that the host doesn't hold a flow."""
-        if unanswered.relayed:
-            note = messages.pack_keys(messages.NOT_HELD, [key])
-            self._node.send(unanswered.entry, note)
-        else:
-            self._send_absent(key, unanswered.entry, unanswered.packet)
-
-    def _send_absent(self, key: bytes, entry: str, packet: bytes) -> None:
-        note = messages.pack_flow_note(messages.ABSENT, key, 0)
-        self._node.send(entry, note + packet)
+            send_absent(self._node, key, flow.entry, packet)
 
     # Other packets from clients.
 
@@ -266,29 +357,6 @@
         origin = inet_ntoa(entry)
         self._forward_to_host(packet, origin, searching=True, relayed=True)
 
-    def _handle_flow_query(self, raw: bytes, ip: str) -> None:
-        self._reporter.note_entry(ip)
-        answers: dict[int, list[bytes]] = {}
-        complete = self._host.has_observed_all_flows(self._node.loop.now)
-        for key in messages.read_keys(raw):
-            flow = self._flows.get(key)
-            if flow:
-                flow.entry = ip
-                self._send_held(key, flow)
-            elif not self._may_open(key):
-                is_known = complete and key not in self._doubtful_flows
-                kind = messages.NOT_HELD if is_known else messages.HELD_UNKNOWN
-                answers.setdefault(kind, []).append(key)
-        for kind, keys in answers.items():
-            self._node.send(ip, messages.pack_keys(kind, keys))
-
-    def _may_open(self, key: bytes) -> bool:
-        """Return whether the host may accept a first packet of a flow yet."""
-        unanswered = self._unanswered.get(key)
-        if unanswered and flags_of(unanswered.packet) & SYN:
-            return True
-        return self._admission.queue.opening(key) is not None
-
     def _forward_to_host(
         self,
         packet: bytes,
@@ -299,16 +367,16 @@
         self._reporter.note_entry(entry)
         key = packet[FLOW_KEY]
         flow = self._flows.get(key)
-        if flow is None:
-            unanswered = UnansweredPacket(entry, self._node.loop.now, packet)
-            unanswered.searching = searching
-            unanswered.relayed = relayed
-            self._unanswered[key] = unanswered
-            self._deliver(packet)
+        sequence = sequence_numbers(packet)[0]
+        if flow is None or not flow.includes(sequence):
+            received = UnansweredPacket(
+                entry, self._node.loop.now, packet, searching, relayed
+            )
+            self._handle_unknown(flow, received)
             return
         flow.entry = entry
         if searching:
-            self._send_held(key, flow)
+            send_held(self._node, key, flow, sequence)
         is_reset = bool(flags_of(packet) & RST)
         if self._holding.take(key, flow, packet):
             return
@@ -317,6 +385,33 @@
             self._tracker.end(key, flow, 'client-reset')
         self._deliver(packet)
 
+    def _handle_unknown(
+        self, other: TrackedFlow | None, received: UnansweredPacket
+    ) -> None:
+        """Handle a packet of a flow that the host is not known to hold.
+
+        If it holds another flow of the port, it doesn't hold this one. Then the
+        entry is told, unless it searches and the other flow is open: a denial of
+        the earlier one of both would reset the port.
+
+        Args:
+            other: the flow of the port that the host holds, or has held.
+            received: the packet.
+        """
+        packet = received.packet
+        key = packet[FLOW_KEY]
+        if other is None:
+            pending = self._unanswered.get(key)
+            if not is_of_other_flow(packet, None, pending):
+                self._unanswered[key] = received
+            self._deliver(packet)
+            return
+        self._node.meters.count(_OTHER_FLOWS)
+        if flags_of(packet) & RST:
+            self._deliver(packet)
+        elif other.ended_at or not received.searching:
+            send_not_held(self._node, key, received)
+
     def _deliver(self, packet: bytes) -> None:
         try:
             self._inbound_socket.send(packet)
@@ -354,9 +449,9 @@
                 )
         for unknown_key, unanswered in list(self._unanswered.items()):
             # The clients of first packets send other copies.
-            if not flags_of(unanswered.packet) & SYN:
+            if not unanswered.is_first:
                 self._unanswered.pop(unknown_key)
-                self._send_not_held(unknown_key, unanswered)
+                send_not_held(self._node, unknown_key, unanswered)
         self._reporter.send_status()
 
     # Known state of the host.
--- a/siskinbank/sidecar/tracked_flows.py
+++ b/siskinbank/sidecar/tracked_flows.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 from siskinbank.platform.packets import (
+    ACK,
     FIN,
     HEADER_BYTES,
     RST,
+    SYN,
     Answer,
     begins_request,
     flags_of,
@@ -17,6 +19,7 @@
     request_id,
     sequence_numbers,
 )
+from siskinbank.tracking.client_sequence import IN_FLIGHT, ClientSequence
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -80,6 +83,7 @@
         client: address to which packets for the client are sent.
         opened_at: time when the host answered it first, in seconds.
         number: the host's initial sequence number, 0 if unknown.
+        sequence: the client's sequence numbers.
         established: whether the host has sent more than its SYN.
         last_seen: time of the last packet.
         header: first ``HEADER_BYTES`` bytes of the client's last packet.
@@ -101,6 +105,7 @@
         'number',
         'opened_at',
         'request',
+        'sequence',
     )
 
     def __init__(self, entry: str, client: tuple[str, int], now: float) -> None:
@@ -108,6 +113,7 @@
         self.entry = entry
         self.client = client
         self.number = 0
+        self.sequence = ClientSequence()
         self.established = False
         self.opened_at = now
         self.last_seen = now
@@ -117,12 +123,26 @@
         self.has_client_ended = False
         self._last_request = _NO_SEQUENCE
 
+    def includes(self, sequence: int) -> bool:
+        """Return whether a client's packet belongs to this flow, or may do so.
+
+        Args:
+            sequence: its sequence number. One that does not fit is of an earlier
+                or later flow from the same address and port.
+        """
+        return self.sequence.includes(sequence, IN_FLIGHT)
+
     def note_packet(self, packet: bytes, now: float) -> None:
         """Note a client's packet that may not have reached the host yet."""
         self.last_seen = now
         self.header = packet[:HEADER_BYTES]
-        if flags_of(packet) & (FIN | RST):
+        flags = flags_of(packet)
+        if not flags & RST:
+            self.sequence.note(sequence_numbers(packet)[0])
+        if flags & (FIN | RST):
             self.has_client_ended = True
+        if flags & FIN:
+            self.sequence.close()
 
     def may_hold(self, packet: bytes) -> bool:
         """Return whether a packet starts a request that may be held.
@@ -171,6 +191,7 @@
         relayed: whether the packet came in a RELAYED message; its entry still
             has it queued and needs no copy.
         packet: the packet.
+        sequence: the client's sequence numbers, as far as known by the packet.
         opening: the message that carried a first packet.
     """
 
@@ -181,13 +202,97 @@
         'relayed',
         'searching',
         'sent_at',
+        'sequence',
     )
 
-    def __init__(self, entry: str, sent_at: float, packet: bytes) -> None:
+    def __init__(
+        self,
+        entry: str,
+        sent_at: float,
+        packet: bytes,
+        searching: bool = False,
+        relayed: bool = False,
+    ) -> None:
         """Initialize a packet of ``entry``, sent to the host at ``sent_at``."""
         self.entry = entry
         self.sent_at = sent_at
         self.packet = packet
-        self.searching = False
-        self.relayed = False
+        self.sequence = ClientSequence()
+        number = sequence_numbers(packet)[0]
+        if self.is_first:
+            self.sequence.begin(number)
+        else:
+            self.sequence.note(number)
+        self.searching = searching
+        self.relayed = relayed
         self.opening: Opening | None = None
+
+    @property
+    def is_first(self) -> bool:
+        """Whether it is the first packet of a flow."""
+        return bool(flags_of(self.packet) & SYN)
+
+    def is_of_flow(self, packet: bytes) -> bool:
+        """Return whether another packet of the port is of the same flow."""
+        sequence = sequence_numbers(packet)[0]
+        if flags_of(packet) & SYN:
+            return self.sequence.begins_with(sequence)
+        return self.sequence.includes(sequence, IN_FLIGHT)
+
+    def is_answered_by(self, answer: bytes) -> bool:
+        """Return whether a host's packet is of the same flow.
+
+        Load pattern: a sidecar that has restarted gets a packet of a flow that
+        another host holds. Its own host answers for an earlier flow of the port,
+        which has ended there.
+
+        Args:
+            answer: a packet from the host to the port.
+        """
+        acknowledged = sequence_numbers(self.packet)[1]
+        if flags_of(self.packet) & (SYN | ACK) != ACK:
+            return True
+        ahead = (sequence_numbers(answer)[0] - acknowledged) % _SEQUENCE_NUMBERS
+        return min(ahead, _SEQUENCE_NUMBERS - ahead) <= IN_FLIGHT
+
+
+def is_of_other_flow(
+    packet: bytes,
+    flow: TrackedFlow | None,
+    unanswered: UnansweredPacket | None,
+) -> bool:
+    """Return whether a client's packet is of another flow of its port.
+
+    Args:
+        packet: the packet.
+        flow: the flow of the port that the host holds or has held, if known.
+        unanswered: a packet from the port that the host has not answered.
+    """
+    if unanswered:
+        return not unanswered.is_of_flow(packet)
+    if flow is None or flags_of(packet) & SYN:
+        return False
+    return not flow.includes(sequence_numbers(packet)[0])
+
+
+def opens_another(
+    flow: TrackedFlow, answer: bytes, unanswered: UnansweredPacket | None
+) -> bool:
+    """Return whether a host accepts another flow of a known flow's port.
+
+    Args:
+        flow: the known flow.
+        answer: a packet from the host.
+        unanswered: the client's packet that it answers, if any.
+    """
+    if not flags_of(answer) & SYN:
+        return False
+    number, acknowledged = sequence_numbers(answer)
+    if flow.number not in {0, number}:
+        return True
+    if unanswered is None or not unanswered.is_first:
+        return False
+    first = sequence_numbers(unanswered.packet)[0]
+    # Otherwise the host has answered for the flow that it holds.
+    is_accepted = (acknowledged - first) % _SEQUENCE_NUMBERS <= 1
+    return is_accepted and not flow.sequence.begins_with(first)
--- a/siskinbank/tracking/hosts.py
+++ b/siskinbank/tracking/hosts.py
@@ -68,7 +68,7 @@
         self.pending = 0
         self.load_factor: float = 1
         # Created with the first key, as most hosts never need it.
-        self._not_held: set[bytes] | None = None
+        self._not_held: dict[bytes, int] | None = None
 
     @property
     def interval_s(self) -> float:
@@ -80,29 +80,39 @@
         limit_s = max(_SILENT_S, self.interval_s * _MISSED_UPDATES)
         return now - self.last_seen > limit_s
 
-    def note_not_held(self, key: bytes) -> None:
+    def note_not_held(self, key: bytes, sequence: int) -> None:
         """Record that the sidecar said that its host does not hold a flow.
 
         Load pattern: sidecars stop beside leaving hosts while hundreds of
         searches for lost flows wait for another host. A sidecar that has
         announced its stop accepts no flows, so that its answer holds until it is
         back, and later searches for the flow need not wait for it.
+
+        Args:
+            key: key of the flow.
+            sequence: sequence number of the packet that was searched for: the
+                host may hold another flow of the port.
         """
         if self.status.state != reasons.STOPPING:
             return
         if self._not_held is None:
-            self._not_held = set()
+            self._not_held = {}
         if len(self._not_held) < _MAX_NOT_HELD:
-            self._not_held.add(key)
+            self._not_held[key] = sequence
 
     def note_held(self, key: bytes) -> None:
         """Record that the sidecar said that its host holds a flow."""
         if self._not_held is not None:
-            self._not_held.discard(key)
+            self._not_held.pop(key, None)
+
+    def may_hold(self, key: bytes, sequence: int) -> bool:
+        """Return whether searches for a flow depend on an answer of the host.
 
-    def may_hold(self, key: bytes) -> bool:
-        """Return whether searches for a flow depend on an answer of the host."""
-        return self._not_held is None or key not in self._not_held
+        Args:
+            key: key of the flow.
+            sequence: sequence number of the packet that is searched for.
+        """
+        return self._not_held is None or self._not_held.get(key) != sequence
 
     def update_status(self, status: Status, now: float) -> None:
         """Apply a status update; without a stop, earlier answers are void."""
--- a/tests/entry/test_flow_cache.py
+++ b/tests/entry/test_flow_cache.py
@@ -8,6 +8,9 @@
     FlowSearch,
     FlowSearches,
 )
+from siskinbank.platform.encoding import Packet
+
+PACKET = Packet(('100.64.0.7', 9), ('198.18.0.1', 443)).write()
 
 
 class TestCachedFlow(unittest.TestCase):
@@ -71,7 +74,7 @@
         searches = FlowSearches()
         number = 0
         while not searches.full:
-            searches.begin(str(number).encode(), FlowSearch(0, b''))
+            searches.begin(str(number).encode(), FlowSearch(0, PACKET))
             number += 1
         self.assertLessEqual(number, 512)
         self.assertEqual(searches.due_for_repeat(0.01), [])
@@ -87,7 +90,7 @@
 
     def test_returning_hosts_are_asked(self) -> None:
         """Load pattern: sidecars restart one by one after a loss of power."""
-        search = FlowSearch(0, b'first')
+        search = FlowSearch(0, PACKET)
         self.assertEqual(search.unanswered(['a']), ['a'])
         search.absent.add('a')
         self.assertEqual(search.unanswered(['a', 'b']), ['b'])
@@ -97,7 +100,7 @@
 
     def test_dead_hosts_are_asked_once(self) -> None:
         """Load pattern: many searches while dozens of hosts are dead."""
-        search = FlowSearch(100, b'first')
+        search = FlowSearch(100, PACKET)
         last_received = {'dead': 99.5, 'alive': 99.9}
         self.assertEqual(
             search.hosts_to_ask(last_received, 100), ['dead', 'alive']
@@ -114,6 +117,6 @@
 
     def test_retransmission_is_not_queued(self) -> None:
         """The packet that started the search was sent to the hosts already."""
-        search = FlowSearch(0, b'first')
-        search.queue_packet(b'first')
+        search = FlowSearch(0, PACKET)
+        search.queue_packet(PACKET)
         self.assertEqual(search.queued_packets, [])
--- a/tests/relay/simulated_host.py
+++ b/tests/relay/simulated_host.py
@@ -90,6 +90,8 @@
         on_refused: called with flow key and reason of each refusal.
         work_s: returns the processing time of a request by its route.
         listening: whether anything listens on the port of the host.
+        accepting: whether the host answers first packets.
+        host_number: initial sequence number of the host's next flows.
     """
 
     def __init__(self, slots: int = 4) -> None:
@@ -106,6 +108,8 @@
             ROUTES[route].work_s
         )
         self.listening = True
+        self.accepting = True
+        self.host_number = HOST_NUMBER
         self._heap: list[tuple[float, int, Callable[[], object]]] = []
         self._numbers = count()
         self._processing = 0
@@ -159,13 +163,15 @@
         self.sidecar._apply_record(record, 'test')  # noqa: SLF001
 
     def send_opening(
-        self, route: tuple[str, int], port: int, copy: int = 0
+        self,
+        route: tuple[str, int],
+        port: int,
+        copy: int = 0,
+        number: int = CLIENT_NUMBER,
     ) -> bytes:
         """Let an entry send a first packet; return its flow key."""
         times = ROUTES[route]
-        packet = Packet(
-            (CLIENT_IP, port), route, SYN, CLIENT_NUMBER, copy
-        ).write()
+        packet = Packet((CLIENT_IP, port), route, SYN, number, copy).write()
         opening = messages.Opening(bytes((10, 0, 0, 1)), packet)
         opening.service = messages.digest(SERVICE)
         opening.priority = times.priority
@@ -234,6 +240,20 @@
         refused = replace(packet, flags=packet.flags | BOUNCED).pack()
         self.sidecar._check_packet(refused, ('', 0))  # noqa: SLF001
 
+    def answer(
+        self, packet: Packet, flags: int, number: int, content: bytes = b''
+    ) -> None:
+        """Let the host answer a packet."""
+        answer = Packet(
+            packet.target,
+            packet.source,
+            flags,
+            number,
+            packet.number + max(1, len(packet.content)),
+            content,
+        )
+        self.sidecar._check_packet(answer.write(), ('', 0))  # noqa: SLF001
+
     def _start_sidecar(self) -> Sidecar:
         self.loop = Loop()
         self.loop.now = self.now
@@ -295,8 +315,8 @@
             raise ConnectionRefusedError
         packet = Packet.read(raw)
         self.received.append(packet)
-        if packet.flags & SYN:
-            self._answer(packet, SYN, HOST_NUMBER)
+        if packet.flags & SYN and self.accepting:
+            self.answer(packet, SYN, self.host_number)
         if packet.flags & RST or not begins_request(raw):
             return
         identity = (raw[FLOW_KEY], packet.number)
@@ -308,7 +328,7 @@
         elif len(self._waiting) < HOST_QUEUE:
             self._waiting.append(packet)
         else:
-            self._answer(
+            self.answer(
                 packet,
                 ACK,
                 HOST_NUMBER + 1,
@@ -324,17 +344,4 @@
         self._processing -= 1
         if self._waiting:
             self._start(self._waiting.pop(0))
-        self._answer(packet, ACK, HOST_NUMBER + 1, answer_bytes('a', 'h'))
-
-    def _answer(
-        self, packet: Packet, flags: int, number: int, content: bytes = b''
-    ) -> None:
-        answer = Packet(
-            packet.target,
-            packet.source,
-            flags,
-            number,
-            packet.number + max(1, len(packet.content)),
-            content,
-        )
-        self.sidecar._check_packet(answer.write(), ('', 0))  # noqa: SLF001
+        self.answer(packet, ACK, HOST_NUMBER + 1, answer_bytes('a', 'h'))
--- a/tests/relay/test_flow_searcher.py
+++ b/tests/relay/test_flow_searcher.py
@@ -167,8 +167,8 @@
         env.searcher._send_queries()  # noqa: SLF001
         handle = env.handlers[messages.HELD_UNKNOWN]
         for ip, datagram in list(env.sent):
-            keys = messages.read_keys(datagram)
-            handle(messages.pack_keys(messages.HELD_UNKNOWN, keys), ip)
+            keys = messages.read_flows(datagram)
+            handle(messages.pack_flows(messages.HELD_UNKNOWN, keys), ip)
         env.sent.clear()
         env.searcher._send_packets()  # noqa: SLF001
         relayed = [messages.read_relayed(raw)[1] for _, raw in env.sent]
@@ -193,7 +193,8 @@
         asked = {
             flow
             for _, datagram in env.sent
-            for flow in messages.read_keys(datagram)
+            if datagram[0] == messages.FLOW_QUERY
+            for flow in messages.read_flows(datagram)
         }
         self.assertGreater(len(asked), 220)
 
@@ -235,8 +236,8 @@
         env.loop.now += DISCOVERY_TIMEOUT_S - DISCOVERY_S - STEP_S
         env.searcher.search(flow_key(1), packet_of(flow_key(1)))
         for ip, datagram in env.sent:
-            keys = messages.read_keys(datagram)
-            answer = messages.pack_keys(messages.NOT_HELD, keys)
+            keys = messages.read_flows(datagram)
+            answer = messages.pack_flows(messages.NOT_HELD, keys)
             env.handlers[messages.NOT_HELD](answer, ip)
         self.assertEqual(env.resets, [])
         env.run(4 * STEP_S)
@@ -260,8 +261,8 @@
         """Let all hosts but the first one answer the queries sent."""
         for ip, datagram in env.sent:
             if ip != '10.0.0.1':
-                keys = messages.read_keys(datagram)
-                answer = messages.pack_keys(messages.NOT_HELD, keys)
+                keys = messages.read_flows(datagram)
+                answer = messages.pack_flows(messages.NOT_HELD, keys)
                 env.handlers[messages.NOT_HELD](answer, ip)
 
     def test_searches_do_not_wait_for_it(self) -> None:
@@ -284,8 +285,8 @@
         """Let one host answer all queries that were sent to it."""
         for target, datagram in env.sent:
             if target == ip and datagram[0] == messages.FLOW_QUERY:
-                keys = messages.read_keys(datagram)
-                env.handlers[kind](messages.pack_keys(kind, keys), ip)
+                keys = messages.read_flows(datagram)
+                env.handlers[kind](messages.pack_flows(kind, keys), ip)
 
     def search_before_stop(self, env: Environment) -> None:
         """Let a search end while the second host is silent.
--- a/tests/relay/test_idle_flows.py
+++ b/tests/relay/test_idle_flows.py
@@ -14,7 +14,12 @@
 from siskinbank.relay import messages
 from tests.relay.fleet_case import FleetCase
 from tests.relay.simulated_fleet import SimulatedFleet
-from tests.relay.simulated_host import ENTRY, LOW, SimulatedHost
+from tests.relay.simulated_host import (
+    ENTRY,
+    FIRST_NUMBER,
+    LOW,
+    SimulatedHost,
+)
 
 RAISED_S = 40.0
 # Pause of a client, in seconds: below the raised timeout, and longer than flows
@@ -132,7 +137,7 @@
         host.send_packet(LOW, 10, flags=ACK | FIN if client_closes else ACK)
         host.run(10)
         host.sent.clear()
-        query = messages.pack_keys(messages.FLOW_QUERY, [key])
+        query = messages.pack_flows(messages.FLOW_QUERY, [(key, FIRST_NUMBER)])
         host.handlers[messages.FLOW_QUERY](query, ENTRY)
         return {raw[0] for raw in host.sent}
 
--- a/tests/relay/test_messages.py
+++ b/tests/relay/test_messages.py
@@ -73,18 +73,28 @@
         """A note about one flow, and a piece of a configuration."""
         note = messages.pack_flow_note(messages.REFUSED, b'k' * 12, 5, 8)
         self.assertEqual(messages.read_flow_note(note), (b'k' * 12, 5, 8))
+        self.assertIsNone(messages.read_note_sequence(note))
+        for sequence in (0, 0xFFFFFFFF):
+            note = messages.pack_flow_note(
+                messages.HELD, b'k' * 12, 5, 1, sequence
+            )
+            self.assertEqual(messages.read_flow_note(note), (b'k' * 12, 5, 1))
+            self.assertEqual(messages.read_note_sequence(note), sequence)
         self.assertEqual(len(note), messages.FLOW_NOTE_BYTES)
         piece = messages.pack_piece(9, 1, 3, b'piece')
         self.assertEqual(messages.read_piece(piece), (9, 1, 3, b'piece'))
 
     def test_keys(self) -> None:
-        """Several flow keys in one datagram; a truncated key is refused."""
-        keys = [bytes((number,)) * 12 for number in range(messages.MAX_KEYS)]
-        raw = messages.pack_keys(messages.HELD_UNKNOWN, keys)
+        """Several flows in one datagram; a truncated one is refused."""
+        keys = [
+            (bytes((number,)) * 12, number << 24)
+            for number in range(messages.MAX_FLOWS)
+        ]
+        raw = messages.pack_flows(messages.HELD_UNKNOWN, keys)
         self.assertLessEqual(len(raw), 1200)
-        self.assertEqual(messages.read_keys(raw), keys)
+        self.assertEqual(messages.read_flows(raw), keys)
         with self.assertRaises(messages.DatagramError):
-            messages.read_keys(raw[:-1])
+            messages.read_flows(raw[:-1])
 
     def test_relayed(self) -> None:
         """With and without hosts to forward the packet to."""
@@ -146,7 +156,7 @@
             messages.Record.read,
             messages.read_flow_note,
             messages.read_piece,
-            messages.read_keys,
+            messages.read_flows,
             messages.read_peers,
             messages.read_relayed,
         )
--- a/tests/relay/test_records_of_other_services.py
+++ b/tests/relay/test_records_of_other_services.py
@@ -20,7 +20,12 @@
 from siskinbank.relay.records import record_for
 from siskinbank.tracking.store_position import StorePosition
 from tests.relay.fleet_case import FleetCase
-from tests.relay.simulated_host import ENTRY, LOW, SimulatedHost
+from tests.relay.simulated_host import (
+    ENTRY,
+    FIRST_NUMBER,
+    LOW,
+    SimulatedHost,
+)
 from tests.relay.test_store_eras import Schedule
 
 HOST_IP = '10.0.0.1'
@@ -113,7 +118,9 @@
     def answers(self) -> set[int]:
         """Return the kinds of the answers to a query for the flow."""
         self.host.sent.clear()
-        query = messages.pack_keys(messages.FLOW_QUERY, [self.key])
+        query = messages.pack_flows(
+            messages.FLOW_QUERY, [(self.key, FIRST_NUMBER)]
+        )
         self.host.handlers[messages.FLOW_QUERY](query, ENTRY)
         return {raw[0] for raw in self.host.sent}
 
--- a/tests/relay/test_request_scheduling.py
+++ b/tests/relay/test_request_scheduling.py
@@ -243,7 +243,7 @@
         self.host.send_request(LOW, 10)
         key = Packet(('100.64.0.7', 10), LOW).write()[FLOW_KEY]
         self.host.sent.clear()
-        query = messages.pack_keys(messages.FLOW_QUERY, [key])
+        query = messages.pack_flows(messages.FLOW_QUERY, [(key, NEXT)])
         self.host.handlers[messages.FLOW_QUERY](query, '10.0.0.2')
         self.assertEqual(self.host.sent[-1][0], messages.HELD)
         self.host.send_packet(
--- a/tests/relay/test_returning_hosts.py
+++ b/tests/relay/test_returning_hosts.py
@@ -51,8 +51,8 @@
         self.env.searcher._send_queries()  # noqa: SLF001
         for ip, datagram in self.env.sent:
             if ip != NEW_HOST:
-                keys = messages.read_keys(datagram)
-                answer = messages.pack_keys(messages.NOT_HELD, keys)
+                keys = messages.read_flows(datagram)
+                answer = messages.pack_flows(messages.NOT_HELD, keys)
                 self.env.handlers[messages.NOT_HELD](answer, ip)
 
     def list_new_host(self, listed: bool) -> None:
