Lab: reuse ports and copy records in the drill of open flows

Half of the flows are opened from the port of one that has just ended, and one event copies a host's record under another key, with text behind it or as it is.

--- a/siskinbank/lab/rig/flow_drill.py
+++ b/siskinbank/lab/rig/flow_drill.py
@@ -28,6 +28,10 @@
 # flow, in seconds: the second one outlasts what excuses a reset.
 _OPEN_INTERVAL_S = (0.02, 0.06)
 _PAUSES_S = (0, 6.2)
+# Share of the flows that are opened from the port of one that has just ended, and
+# how long after its end, in seconds.
+_REUSED_SHARE = 0.5
+_REUSE_AFTER_S = (0.02, 1.0)
 # Time from the start of the load to the first event, and from the end of the last
 # one to the end of the run, in seconds.
 _WARM_UP_S = 2.0
@@ -53,6 +57,8 @@
 _CLOCK_STEPS_MS = (0, 0, 450, -450)
 _FOREIGN_BORN_MS = (0, 3000, -5000)
 _FOREIGN_KEYS = ('aa', 'zz')
+# What a copy of a host's record may have behind it.
+_BEHIND_COPIES = (b'', b'\n# copy of 02:00\n', b'{}')
 _OTHER_PORT = 9100
 _UNREACHABLE_SEEDS = ('127.250.250.250',)
 _MS = 1000
@@ -116,12 +122,20 @@
     ) -> None:
         async with asyncio.TaskGroup() as group:
             while True:
-                group.create_task(self._use_flow(client))
+                group.create_task(self._use_flow(client, rng))
                 await asyncio.sleep(rng.uniform(*_OPEN_INTERVAL_S))
 
-    async def _use_flow(self, client: ClientStandIn) -> None:
+    async def _use_flow(
+        self, client: ClientStandIn, rng: random.Random
+    ) -> None:
+        is_reused = rng.random() < _REUSED_SHARE
+        pause_s = rng.uniform(*_REUSE_AFTER_S)
         try:
-            flow = await client.connect(TARGET)
+            port = 0
+            if is_reused:
+                port = await self._use_port(client)
+                await asyncio.sleep(pause_s)
+            flow = await client.connect(TARGET, port)
         except FlowFailed:
             # The client was told, or gives up: nothing was open.
             return
@@ -132,6 +146,17 @@
             self.kept += 1
             client.finish(flow)
 
+    async def _use_port(self, client: ClientStandIn) -> int:
+        """Serve one request on a flow and end it; return its port.
+
+        Raises:
+            FlowFailed: the flow was reset, or no answer came.
+        """
+        flow = await client.connect(TARGET)
+        await self._send_request(client, flow)
+        client.finish(flow)
+        return flow.port
+
     async def _send_request(
         self, client: ClientStandIn, flow: ClientFlow
     ) -> None:
@@ -176,6 +201,7 @@
             self._end_sidecar,
             self._write_foreign_record,
             self._write_foreign_record,
+            self._copy_record,
             self._lose_host,
             self._lose_host,
             self._release_host,
@@ -227,6 +253,21 @@
         self.trace.note('foreign record', key=key, ip=ip, born_ms=born_ms)
         await self._fleet.store.put(f'{HOSTS_PREFIX}{key}', record.encode())
 
+    async def _copy_record(self, rng: random.Random) -> None:
+        """Copy the record of a host, with text behind it or as it is."""
+        index = self._choose_host(rng)
+        host = self._fleet.hosts[index]
+        record = HostDocument(
+            self._fleet.service(index),
+            host.address,
+            self._fleet.data_centre(index),
+            born_ms=self._born_ms[index],
+        )
+        key = f'{rng.choice(_FOREIGN_KEYS)}-{host.name}'
+        self.trace.note('copy of a record', key=key, index=index)
+        content = record.encode() + rng.choice(_BEHIND_COPIES)
+        await self._fleet.store.put(f'{HOSTS_PREFIX}{key}', content)
+
     async def _lose_host(self, rng: random.Random) -> None:
         """Let the machine of a host lose power for good."""
         index = self._choose_host(rng)
