Store follower: list the keys when a watch has too much to tell

What callers saw: an entry freezes while a series of large versions is written.

Cause: a watch answers with all changes since a revision. Beyond 4 MiB the client dropped the response, and the follower asked for the same again, until the store had dropped its history.

Ruled out: a larger limit. History grows without bound within 20 s, and 4 MiB already take 7 s over the thinnest link.

Change: a response says whether it was dropped for its size or after the time limit of a transfer. A watch may have 2 MiB, more than any single value takes; beyond that the keys are listed, as after a 410.

Both tests fail before.

--- a/siskinbank/relay/follower.py
+++ b/siskinbank/relay/follower.py
@@ -56,6 +56,11 @@
 # largest deployment, 3,200.
 _MAX_KNOWN_RECORDS = 4096
 
+# Size limit of the response to a watch, in bytes. The largest single value takes
+# 1.4 MB in base64; a response beyond this holds several versions of one, of which
+# a listing has the newest alone.
+_MAX_WATCH_BYTES = 2_097_152
+
 _OK = 200
 _GONE = 410
 
@@ -468,6 +473,7 @@
             watch_s + _REQUEST_TIMEOUT_S,
             self._on_operator_watch,
             _REQUEST_TIMEOUT_S,
+            _MAX_WATCH_BYTES,
         )
 
     def _list_operator(self, after: str) -> None:
@@ -507,12 +513,16 @@
         self.check()
 
     def _on_operator_watch(self, response: Response) -> None:
-        if response.status == _GONE:
-            # The store has compacted the revision to continue from, or has
-            # come back from a copy without it: list all keys again.
+        if response.status == _GONE or response.is_too_large:
+            # The store has compacted the revision to continue from, has come back
+            # from a copy without it, or has too much to tell: list all keys.
             self.note_era(_era_of(response), 'store')
             self._has_operator_listing = False
-            self._node.log('store.compacted', revision=self.operator_position)
+            self._node.log(
+                'store.compacted',
+                revision=self.operator_position,
+                too_large=int(response.is_too_large),
+            )
             self._follow_operator()
             return
         page = self._read(
--- a/siskinbank/relay/http.py
+++ b/siskinbank/relay/http.py
@@ -61,14 +61,19 @@
     Attributes:
         status: status code, 0 if there is no response.
         body: the body.
+        is_too_large: whether it exceeds the size limit of its request, or the
+            time limit of a transfer, and was not received for that.
     """
 
-    __slots__ = ('_head', 'body', 'status')
+    __slots__ = ('_head', 'body', 'is_too_large', 'status')
 
-    def __init__(self, head: bytes = b'', body: bytes = b'') -> None:
-        """Create a response; without arguments one that was not received."""
+    def __init__(
+        self, head: bytes = b'', body: bytes = b'', is_too_large: bool = False
+    ) -> None:
+        """Create a response; without a head one that was not received."""
         self.status = _status(head)
         self.body = body
+        self.is_too_large = is_too_large
         self._head = head
 
     def header(self, name: str) -> str:
@@ -83,6 +88,7 @@
         '_connect_timer',
         '_expected_bytes',
         '_loop',
+        '_max_bytes',
         '_on_response',
         '_peer',
         '_received',
@@ -100,6 +106,7 @@
         self._socket: socket | None = None
         self._received = bytearray()
         self._expected_bytes = 0
+        self._max_bytes = _MAX_RESPONSE_BYTES
         self._on_response: ResponseCallback | None = None
         self._timer: Timer | None = None
         self._connect_timer: Timer | None = None
@@ -118,6 +125,7 @@
         timeout: float,
         on_response: ResponseCallback,
         silence_s: float = 0,
+        max_bytes: int = _MAX_RESPONSE_BYTES,
     ) -> None:
         """Send a GET request.
 
@@ -129,7 +137,9 @@
                 begun is abandoned, in place of the timeout; 0 to keep that. A
                 large response over a thin link takes longer than one that is
                 missing.
+            max_bytes: size limit of the response with its head.
         """
+        self._max_bytes = max_bytes
         self._on_response = on_response
         self._silence_s = silence_s
         self._transfer_ends_at = 0
@@ -211,10 +221,11 @@
             if rest:
                 self.close()
             self._finish(Response(head, body))
-        elif len(self._received) > _MAX_RESPONSE_BYTES:
-            self._finish(Response())
+            return
+        self._expected_bytes = _message_length(self._received)
+        if max(self._expected_bytes, len(self._received)) > self._max_bytes:
+            self._finish(Response(is_too_large=True))
         else:
-            self._expected_bytes = _message_length(self._received)
             self._extend()
 
     def _extend(self) -> None:
@@ -230,7 +241,9 @@
         self._timer = self._loop.after(delay_s, self._expire)
 
     def _expire(self) -> None:
-        self._finish(Response())
+        ends_at = self._transfer_ends_at
+        has_lasted = 0 < ends_at <= self._loop.now
+        self._finish(Response(is_too_large=has_lasted))
 
     def _cancel_connect_timer(self) -> None:
         if self._connect_timer is not None:
@@ -370,7 +383,7 @@
     if end < 0:
         return 0
     length = _content_length(bytes(received[:end]))
-    return min(end + len(_HEAD_END) + length, _MAX_RESPONSE_BYTES)
+    return end + len(_HEAD_END) + length
 
 
 def _content_length(head: bytes) -> int:
--- a/tests/relay/test_loop.py
+++ b/tests/relay/test_loop.py
@@ -7,6 +7,7 @@
 import unittest
 from collections.abc import Callable
 from contextlib import suppress
+from typing import Any
 
 from siskinbank.relay.http import Client, Response, Server
 from siskinbank.relay.loop import Loop
@@ -257,7 +258,7 @@
         address: tuple[str, int] = listener.getsockname()
         return address
 
-    def response(self, pause_s: float, **limits: float) -> Response:
+    def response(self, pause_s: float, **limits: Any) -> Response:
         """Return the response to a request with a timeout of 0.2 s."""
         loop = Loop()
         client = Client(loop, self.serve(pause_s))
@@ -277,6 +278,13 @@
         """The response is abandoned after the time without a byte."""
         self.assertEqual(self.response(0.4, silence_s=0.2).status, 0)
 
+    def test_too_large(self) -> None:
+        """It is abandoned when its length is known, not after it has come."""
+        found = self.response(0.4, silence_s=2, max_bytes=1000)
+        self.assertEqual((found.status, found.is_too_large), (0, True))
+        found = self.response(0.01, silence_s=2, max_bytes=1100)
+        self.assertEqual((found.status, found.is_too_large), (200, False))
+
 
 class TestIdleConnection(unittest.TestCase):
     """Load pattern: open connections go silent while new ones work.
--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -40,6 +40,8 @@
 STEPS = 120
 # Limit of the platform for a change to be in force, in seconds.
 MAX_APPLY_S = 3
+# Size limit of a response, unless a request states another one.
+MAX_RESPONSE_BYTES = 4_194_304
 _PAGE_SIZE = 2
 _STEP_S = 0.05
 
@@ -126,6 +128,7 @@
         self._path = ''
         self._on_response: Any = None
         self._response: Response | None = None
+        self._max_bytes = MAX_RESPONSE_BYTES
 
     @property
     def busy(self) -> bool:
@@ -138,9 +141,11 @@
         _timeout: float,
         on_response: Any,
         _silence_s: float = 0,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> None:
         """Send a request."""
         self._path = path
+        self._max_bytes = max_bytes
         self._on_response = on_response
         self._response = None
 
@@ -153,6 +158,8 @@
             return
         if self._response is None:
             self._response = self._store.answer(self._path)
+            if len(self._response.body) > self._max_bytes:
+                self._response = Response(is_too_large=True)
             return
         on_response, self._on_response = self._on_response, None
         on_response(self._response)
@@ -406,6 +413,35 @@
             with self.subTest(order=order, copy=copy):
                 self.assertTrue(schedule.follower.hosts['10.0.0.1'].draining)
 
+    def test_missed_versions_are_too_large(self) -> None:
+        """Guards against a watch that is repeated without end (review/11).
+
+        A process does not run while large versions come in quick succession.
+        """
+        schedule = Schedule(1)
+        routes = [
+            RouteDocument('a', (f'10.1.{number // 250}.{number % 250}', 80))
+            for number in range(1500)
+        ]
+        for _ in range(20):
+            schedule.advance()
+        follower = schedule.follower
+        for version in range(10, 60):
+            content = encode_configuration(version, routes)
+            schedule.store.put(CONFIGURATION_KEY, content)
+        schedule.store.put(f'{EVACUATIONS_PREFIX}x', b'{}')
+        for _ in range(20):
+            schedule.advance()
+        self.assertEqual(follower.configuration.version, 59)
+        self.assertTrue(follower.is_evacuated('x'))
+        # Watches go on from there.
+        schedule.store.put(
+            CONFIGURATION_KEY, encode_configuration(60, routes[:1])
+        )
+        for _ in range(20):
+            schedule.advance()
+        self.assertEqual(follower.configuration.version, 60)
+
     def test_copies_of_earlier_records(self) -> None:
         """Guards against a draining host that a copy of its record hides.
 
