Flows: a packet of another flow of a port does not disturb an open one

Cause: a sidecar returns a packet of another flow of a port in the same way as one of a flow that it does not hold. To an entry that searches, a second one was a denial.

Change: such a note says that the host holds another flow of the port. The entry keeps what it knows, searches for the packet's flow beside it, and takes the note for no denial.

--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -491,15 +491,18 @@
             flow.queueing_host = ip
 
     def _handle_absent(self, raw: bytes, ip: str) -> None:
-        key, _, _ = messages.read_flow_note(raw)
+        key, _, reason = messages.read_flow_note(raw)
         packet = raw[messages.FLOW_NOTE_BYTES :]
         sequence = messages.read_note_sequence(raw)
-        if self._searcher.add_absent(key, ip, sequence):
+        is_other = reason == messages.OTHER_FLOW
+        if not is_other and self._searcher.add_absent(key, ip, sequence):
             return
         flow = self._flows.get(key)
         is_known = flow and flow.ip == ip and flow.includes(sequence)
         if is_known and len(packet) >= HEADER_BYTES:
-            self._search_host(key, packet)
+            if not is_other:
+                self._flows.drop(key)
+            self._begin_search(key, packet)
 
     def _handle_refused(self, raw: bytes, ip: str) -> None:
         key, _, reason = messages.read_flow_note(raw)
--- a/siskinbank/relay/flow_queries.py
+++ b/siskinbank/relay/flow_queries.py
@@ -144,7 +144,9 @@
         send_absent(node, key, unanswered.entry, packet)
 
 
-def send_absent(node: Node, key: bytes, entry: str, packet: bytes) -> None:
+def send_absent(
+    node: Node, key: bytes, entry: str, packet: bytes, reason: int = 0
+) -> None:
     """Return a packet to an entry, as the host doesn't hold its flow.
 
     Args:
@@ -152,7 +154,8 @@
         key: the key of the flow.
         entry: address of the entry.
         packet: the packet.
+        reason: OTHER_FLOW if the host holds another flow of the port.
     """
     number = sequence_numbers(packet)[0]
-    note = messages.pack_flow_note(messages.ABSENT, key, 0, 0, number)
+    note = messages.pack_flow_note(messages.ABSENT, key, 0, reason, number)
     node.send(entry, note + packet)
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -49,6 +49,7 @@
     'NOT_HELD',
     'OPEN',
     'OPERATOR_READ',
+    'OTHER_FLOW',
     'Opening',
     'PEERS',
     'QUEUED',
@@ -174,6 +175,10 @@
 EVACUATED = 4
 OPERATOR_READ = 8
 
+# Reason of an ABSENT note: the host holds another flow of the port, which may be
+# the later one of both.
+OTHER_FLOW = 1
+
 # The largest value of a wait in a message, in milliseconds.
 MAX_WAIT_MS = 0xFFFF
 
@@ -390,7 +395,8 @@
         key: flow key.
         number: the host's initial sequence number, 0 if unknown.
         reason: reason of a refusal, see ``admission.reasons``; with HELD
-            whether the flow is established at the host.
+            whether the flow is established at the host; with ABSENT OTHER_FLOW
+            or 0.
         sequence: the sequence number of a packet that its client sent, which
             tells it from other flows of the key; None if unknown.
     """
--- a/siskinbank/relay/sidecar.py
+++ b/siskinbank/relay/sidecar.py
@@ -391,8 +391,8 @@
         """Handle a packet of a flow that the host is not known to hold.
 
         If it holds another flow of the port, it doesn't hold this one. Then the
-        entry is told, unless it searches and the other flow is open: a denial of
-        the earlier one of both would reset the port.
+        entry is told. While the other flow is open that is no denial, as one of
+        the earlier flow would reset the port.
 
         Args:
             other: the flow of the port that the host holds, or has held.
@@ -409,8 +409,11 @@
         self._node.meters.count(_OTHER_FLOWS)
         if flags_of(packet) & RST:
             self._deliver(packet)
-        elif other.ended_at or not received.searching:
+        elif other.ended_at:
             send_not_held(self._node, key, received)
+        elif not received.searching:
+            reason = messages.OTHER_FLOW
+            send_absent(self._node, key, received.entry, packet, reason)
 
     def _deliver(self, packet: bytes) -> None:
         try:
--- a/tests/relay/test_port_reuse.py
+++ b/tests/relay/test_port_reuse.py
@@ -615,6 +615,29 @@
         self.assertEqual(self.reset_reasons, [])
         self.check(NEXT_NUMBERS[0])
 
+    def test_packets_beyond(self) -> None:
+        """Packets far ahead of an open flow do not disturb it."""
+        beyond = self.packet(CLIENT_NUMBER + 100_000, ACK, HOST_NUMBER + 1)
+        self.fleet.run(2, beyond, 0.05)
+        self.assertEqual(self.reset_reasons, [])
+        self.assertEqual(self.cached, self.earlier)
+        self.received(self.earlier)
+        self.fleet.run(0.1, self.packet(CLIENT_NUMBER + 1, ACK, HOST_NUMBER))
+        numbers = {one.number for one in self.received(self.earlier)}
+        self.assertEqual(numbers, {CLIENT_NUMBER + 1})
+        self.fleet.run(SEARCH_S)
+        self.assertEqual(self.reset_reasons, [])
+
+    def test_found_near(self) -> None:
+        """The later flow's numbers are close to the earlier one's."""
+        number = CLIENT_NUMBER + 100_000
+        self.open_elsewhere(number)
+        self.received(self.later)
+        packet = self.packet(number + 1, ACK, NEXT_HOST_NUMBER + 1)
+        self.fleet.run(1, packet, 0.3)
+        self.assertNotEqual(self.received(self.later), [])
+        self.assertEqual(self.reset_reasons, [])
+
     def test_host_stops_that_denied_the_earlier_flow(self) -> None:
         """Its answer does not hold for the later one."""
         sidecar = self.fleet.sidecars[self.later]
