Names and comments after a second reading

FlowAdmission passes a copy of a first packet on in one method, whose name says so; it delivered it in another.

--- a/siskinbank/entry/first_packets.py
+++ b/siskinbank/entry/first_packets.py
@@ -62,8 +62,9 @@
     rotation, while no host has room. Routers send the next copies of its clients'
     first packets to other entries, which may place them. A rejection of an older
     copy, or of a newer one while an older one is accepted, would end an open
-    flow; so would one of a flow after which the client has opened another one. Thousands of first packets a second are rejected in a load spike, all
-    of whose copies come to one entry in time: none of them is in doubt.
+    flow; so would one of a copy after which the client has opened another flow
+    from its port. Thousands of first packets a second are rejected in a load
+    spike, all of whose copies come to one entry in time: none of them is in doubt.
     """
 
     __slots__ = ('_packets', '_queries_sent_until')
@@ -107,7 +108,6 @@
         if is_other:
             earlier = last_number
         if is_other or not is_recent:
-            # The client uses the port for another flow.
             copies = 0
         if bit <= copies:
             # A duplicate, or an older copy.
--- a/siskinbank/platform/documents.py
+++ b/siskinbank/platform/documents.py
@@ -26,8 +26,6 @@
 _MAX_NUMBER = 1 << _NUMBER_BITS
 _MAX_PORT = 0xFFFF
 _MAX_PORT_DIGITS = 5
-
-
 # Insignificant white space of JSON; ``str.strip`` alone removes other characters.
 _WHITE_SPACE = ' \t\n\r'
 
--- a/siskinbank/platform/records.py
+++ b/siskinbank/platform/records.py
@@ -62,8 +62,8 @@
         cold_s: remaining warm-up time when the record was read, in seconds.
         born_ms: start time of the host in milliseconds, which distinguishes
             its incarnations, 0 if unknown.
-        sequence: number of the record within its incarnation; it rises with each
-            heartbeat.
+        sequence: number of the heartbeat, within its incarnation, with which the
+            host last changed anything else in the record.
     """
 
     __slots__ = (
@@ -107,9 +107,9 @@
     def rank(self) -> tuple[int, int, bool]:
         """Order among the records of one address; the highest one counts.
 
-        The latest incarnation comes first. Within one, a host counts its
-        heartbeats, and it never returns from draining: a copy of its record is
-        as old as the time when it was made.
+        The latest incarnation comes first. Within one, the sequence rises with
+        each change, and a host never returns from draining: a copy of its record
+        is as old as the time when it was made.
         """
         return self.born_ms, self.sequence, self.draining
 
--- a/siskinbank/relay/flow_admission.py
+++ b/siskinbank/relay/flow_admission.py
@@ -155,9 +155,7 @@
         self._holding.routes.note(route_key(key), opening)
         if opening.service == self._host.service:
             self._host.note_warm_up(*opening.warm_up)
-        if self._has_received(key, packet, entry):
-            # A retransmission of a packet that the host has already.
-            self._deliver(packet)
+        if self._pass_on_copy(key, packet, entry):
             return
         queued = self.queue.opening(key)
         if queued and _is_copy(queued, packet):
@@ -172,27 +170,31 @@
         else:
             self._queue_or_forward(key, opening)
 
-    def _has_received(self, key: bytes, packet: bytes, entry: str) -> bool:
-        """Return whether the host has received a copy of a first packet.
+    def _pass_on_copy(self, key: bytes, packet: bytes, entry: str) -> bool:
+        """Send a first packet to the host if it has received a copy before.
 
-        A flow that another first packet has opened is another one of the port,
-        so that the host must be able to accept this one as well.
+        A flow that another first packet has opened is another one of the port:
+        whether the host accepts this one as well is decided like for any other.
 
         Args:
             key: the key of the flow.
             packet: the first packet.
             entry: the entry that sends it.
+
+        Returns:
+            Whether it was sent.
         """
         number = sequence_numbers(packet)[0]
         flow = self._flows.get(key)
+        unanswered = self._unanswered.get(key)
         if flow and flow.sequence.begins_with(number):
             flow.entry = entry
-            return True
-        if flow:
-            # The client does not wait for an answer there any more.
+        elif unanswered is None or not unanswered.is_of_flow(packet):
+            # The client waits for no answer on an earlier flow of the port.
             self._holding.drop(key, 'port-reused')
-        unanswered = self._unanswered.get(key)
-        return unanswered is not None and unanswered.is_of_flow(packet)
+            return False
+        self._deliver(packet)
+        return True
 
     def _queue_or_forward(self, key: bytes, opening: messages.Opening) -> None:
         now = self._node.loop.now
