Entries: a host that holds a flow after all may hold it in later searches

Cause: since an entry recorded that a host holds a flow only while it was searching for it. A host whose sidecar stops and had denied the flow stayed out of later searches for the same packet, which could reset the flow.

Change: the record is kept with each such note, as before.

Measured: the new test fails before.

--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -475,6 +475,7 @@
             return
         flow.add_holder(ip, number, bool(established))
         if not is_searched:
+            self._searcher.note_held(key, ip)
             return
         for packet in self._searcher.finish(key, ip):
             if flags_of(packet) & SYN:
--- a/siskinbank/relay/flow_searcher.py
+++ b/siskinbank/relay/flow_searcher.py
@@ -175,11 +175,15 @@
         """End a search, if there is one, without a result."""
         self._searches.end(key)
 
-    def finish(self, key: bytes, ip: str) -> list[bytes]:
-        """End a successful search and return the packets queued for it."""
+    def note_held(self, key: bytes, ip: str) -> None:
+        """Record that the sidecar of a host says that it holds a flow."""
         host = self._hosts.get(ip)
         if host:
             host.note_held(key)
+
+    def finish(self, key: bytes, ip: str) -> list[bytes]:
+        """End a successful search and return the packets queued for it."""
+        self.note_held(key, ip)
         search = self._searches.end(key)
         if search is None:
             return []
--- a/tests/relay/test_port_reuse.py
+++ b/tests/relay/test_port_reuse.py
@@ -650,6 +650,20 @@
         self.assertFalse(tracked.may_hold(self.key, CLIENT_NUMBER + 1))
         self.assertTrue(tracked.may_hold(self.key, NEXT_NUMBERS[0] + 1))
 
+    def test_stopping_host_holds_the_flow_after_all(self) -> None:
+        """Its sidecar denied it before its host answered; no search goes on."""
+        self.fleet.sidecars[self.earlier]._begin_stop()  # noqa: SLF001
+        self.fleet.run(0.1)
+        tracked = self.fleet.entry._hosts.get(self.earlier)  # noqa: SLF001
+        assert tracked is not None
+        tracked.note_not_held(self.key, CLIENT_NUMBER)
+        self.assertFalse(tracked.may_hold(self.key, CLIENT_NUMBER))
+        note = messages.pack_flow_note(
+            messages.HELD, self.key, HOST_NUMBER, 1, CLIENT_NUMBER
+        )
+        self.fleet.entry._handle_held(note, self.earlier)  # noqa: SLF001
+        self.assertTrue(tracked.may_hold(self.key, CLIENT_NUMBER))
+
 
 class TestHolder(EntryCase):
     """A copy of a first packet comes when its host has lost the flow."""
