--- a/siskinbank/entry/flow_cache.py
+++ b/siskinbank/entry/flow_cache.py
@@ -7,16 +7,15 @@
 
 from __future__ import annotations
 
-from siskinbank.platform.packets import FIN, RST, flags_of, sequence_numbers
+from siskinbank.platform.packets import FIN, RST
 from siskinbank.tracking.client_sequence import (
     PASSED_ELSEWHERE,
+    SEQUENCE_NUMBERS,
     ClientSequence,
 )
 
 __all__ = ('CachedFlow', 'FlowCache', 'completes_handshake')
 
-_SEQUENCE_BITS = 32
-_SEQUENCE_NUMBERS = 1 << _SEQUENCE_BITS
 # When the cache is full, the oldest flow is evicted.
 _MAX_FLOWS = 65536
 # Maximum distance from the number of a host's first packet to what a client
@@ -95,9 +94,7 @@
             sequence: its sequence number, None if unknown. One that does not fit
                 is of an earlier or later flow from the same address and port.
         """
-        return sequence is None or self.sequence.includes(
-            sequence, PASSED_ELSEWHERE
-        )
+        return self.sequence.includes(sequence, PASSED_ELSEWHERE)
 
     def reopen(self) -> None:
         """Forget that a host holds the flow, as that host has lost it."""
@@ -118,8 +115,8 @@
             now: time in seconds.
         """
         highest = self._highest_sequence
-        ahead = (sequence - (highest or 0)) % _SEQUENCE_NUMBERS
-        if highest is None or 0 < ahead <= _SEQUENCE_NUMBERS // 2:
+        ahead = (sequence - (highest or 0)) % SEQUENCE_NUMBERS
+        if highest is None or 0 < ahead <= SEQUENCE_NUMBERS // 2:
             self._highest_sequence = sequence
             self._highest_at = now
             self.repeats = 0
@@ -172,10 +169,14 @@
         self._holders = {self.ip: holders[self.ip]}
         self.is_connected = False
 
-    def note_packet(self, packet: bytes) -> None:
-        """Record a packet of the client after its first one."""
-        sequence, acknowledged = sequence_numbers(packet)
-        flags = flags_of(packet)
+    def note_packet(self, flags: int, sequence: int, acknowledged: int) -> None:
+        """Record a packet of the client after its first one.
+
+        Args:
+            flags: its flags.
+            sequence: its sequence number.
+            acknowledged: its acknowledgement number.
+        """
         if not flags & RST:
             self.sequence.note(sequence)
         if flags & FIN:
@@ -206,7 +207,7 @@
         acknowledged: the acknowledgement number of a client's packet.
         number: the initial sequence number of the host, 0 if unknown.
     """
-    distance = (acknowledged - number) % _SEQUENCE_NUMBERS
+    distance = (acknowledged - number) % SEQUENCE_NUMBERS
     return number != 0 and 0 < distance <= _MAX_ACKNOWLEDGED
 
 
@@ -216,8 +217,8 @@
     An unknown sequence number (0) has the largest distance.
     """
     if not number:
-        return _SEQUENCE_NUMBERS
-    return (acknowledged - number) % _SEQUENCE_NUMBERS
+        return SEQUENCE_NUMBERS
+    return (acknowledged - number) % SEQUENCE_NUMBERS
 
 
 class FlowCache:
--- a/siskinbank/entry/flow_searches.py
+++ b/siskinbank/entry/flow_searches.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from siskinbank.platform.packets import SYN, flags_of, sequence_numbers
+from siskinbank.platform.packets import sequence_numbers
 from siskinbank.tracking.client_sequence import (
     PASSED_ELSEWHERE,
     ClientSequence,
@@ -62,11 +62,7 @@
         self.started_at = started_at
         self.first = first
         self.number = sequence_numbers(first)[0]
-        self._sequence = ClientSequence()
-        if flags_of(first) & SYN:
-            self._sequence.begin(self.number)
-        else:
-            self._sequence.note(self.number)
+        self._sequence = ClientSequence.of_packet(first)
         self.absent: set[str] = set()
         self.queued_packets: list[bytes] = []
         self._asked_at: dict[str, float] = {}
@@ -79,9 +75,7 @@
             sequence: its sequence number, None if unknown. One that does not fit
                 is of an earlier or later flow from the same address and port.
         """
-        return sequence is None or self._sequence.includes(
-            sequence, PASSED_ELSEWHERE
-        )
+        return self._sequence.includes(sequence, PASSED_ELSEWHERE)
 
     def begins_with(self, sequence: int) -> bool:
         """Return whether a first packet is that of the flow, or may be.
--- a/siskinbank/relay/entry.py
+++ b/siskinbank/relay/entry.py
@@ -66,8 +66,8 @@
 # Delay of a planned stop, in seconds: routers stop sending packets to an
 # entry after two failed probes, half a second apart.
 _STOP_DELAY_S = 1.2
-# Maximum time by which a packet is late, in seconds: clients retransmit at longer
-# intervals.
+# Maximum time by which a packet is late, in seconds: longer than any interval at
+# which clients retransmit.
 _MAX_LATE_S = 2.0
 _MS = 1000
 
@@ -189,17 +189,30 @@
         if flow is None:
             self._search_host(key, packet)
             return
-        sequence = sequence_numbers(packet)[0]
-        if flow.includes(sequence) or flags_of(packet) & RST:
-            self._forward(key, flow, packet)
+        numbers = sequence_numbers(packet)
+        if flow.includes(numbers[0]) or flags_of(packet) & RST:
+            self._forward(key, flow, packet, numbers)
         else:
             self._search_other_flow(key, flow, packet)
 
-    def _forward(self, key: bytes, flow: CachedFlow, packet: bytes) -> None:
-        """Send a packet to the host of its flow, if it may be there."""
+    def _forward(
+        self,
+        key: bytes,
+        flow: CachedFlow,
+        packet: bytes,
+        numbers: tuple[int, int],
+    ) -> None:
+        """Send a packet to the host of its flow, if it may be there.
+
+        Args:
+            key: the key of the flow.
+            flow: the flow.
+            packet: the packet.
+            numbers: its sequence and acknowledgement number.
+        """
         now = self._node.loop.now
         flow.last_seen = now
-        flow.note_packet(packet)
+        flow.note_packet(flags_of(packet), *numbers)
         gone = self._monitor.loss_reason(flow.ip, key)
         is_suspect = flow.ip in self._hosts.probes
         if _may_be_elsewhere(flow, packet, bool(gone) or is_suspect):
@@ -215,7 +228,7 @@
         repeated = (
             flow.confirmed
             and len(packet) > HEADER_BYTES
-            and flow.note_data(sequence_numbers(packet)[0], now)
+            and flow.note_data(numbers[0], now)
         )
         # What a backlogged link has dropped is not sent twice over it.
         if repeated and not self._shedding.is_backlogged:
@@ -319,7 +332,8 @@
         key = packet[FLOW_KEY]
         now = self._node.loop.now
         flow_hash = crc32(key)
-        service = self._services.select(key, route, flow)
+        by_weight = route.service_for(flow_hash)
+        service = self._services.select(route, by_weight, flow_hash, flow)
         service_digest = messages.digest(service)
         hosts = self._hosts.of_service(service_digest)
         median_ms = self._hosts.median_ms(service_digest, now)
@@ -363,7 +377,7 @@
             version=self._follower.configuration.version,
             tries=len(tried),
             service=service,
-            overflow=int(service != route.service_for(flow_hash)),
+            overflow=int(service != by_weight),
         )
         opening = self._services.opening(packet, route, service)
         opening.candidates = [host.packed for host in chosen]
@@ -501,9 +515,8 @@
         flow = self._flows.get(key)
         is_known = flow and flow.ip == ip and flow.includes(sequence)
         if is_known and len(packet) >= HEADER_BYTES:
-            if not is_other:
-                self._flows.drop(key)
-            self._begin_search(key, packet)
+            search = self._begin_search if is_other else self._search_host
+            search(key, packet)
 
     def _handle_refused(self, raw: bytes, ip: str) -> None:
         key, _, reason = messages.read_flow_note(raw)
--- a/siskinbank/relay/messages.py
+++ b/siskinbank/relay/messages.py
@@ -443,12 +443,10 @@
     Raises:
         DatagramError: the last one is truncated.
     """
-    return [
-        (key, sequence)
-        for key, sequence in map(
-            _FLOW.unpack, split_evenly(raw[1:], _FLOW.size)
-        )
+    flows: list[tuple[bytes, int]] = [
+        _FLOW.unpack(part) for part in split_evenly(raw[1:], _FLOW.size)
     ]
+    return flows
 
 
 class Status:
--- a/siskinbank/relay/route_services.py
+++ b/siskinbank/relay/route_services.py
@@ -60,16 +60,21 @@
         route = self._follower.configuration.routes.get(route_key(key))
         return route if route and route.shares else None
 
-    def select(self, key: bytes, route: Route, flow: CachedFlow | None) -> str:
+    def select(
+        self,
+        route: Route,
+        by_weight: str,
+        flow_hash: int,
+        flow: CachedFlow | None,
+    ) -> str:
         """Return the service that gets a copy of a first packet.
 
         Args:
-            key: key of the flow.
             route: the route of the flow.
+            by_weight: the service that the weights select.
+            flow_hash: hash of the flow key.
             flow: the flow, if an earlier copy was placed.
         """
-        flow_hash = crc32(key)
-        by_weight = route.service_for(flow_hash)
         if not self._split_overflow or len(route.shares) == 1:
             return by_weight
         remembered = flow.service if flow else ''
--- a/siskinbank/sidecar/tracked_flows.py
+++ b/siskinbank/sidecar/tracked_flows.py
@@ -19,7 +19,11 @@
     request_id,
     sequence_numbers,
 )
-from siskinbank.tracking.client_sequence import IN_FLIGHT, ClientSequence
+from siskinbank.tracking.client_sequence import (
+    IN_FLIGHT,
+    SEQUENCE_NUMBERS,
+    ClientSequence,
+)
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -28,9 +32,6 @@
 __all__ = ('Request', 'TrackedFlow', 'UnansweredPacket')
 
 _NO_SEQUENCE = -1
-# Sequence numbers wrap around at this value.
-_SEQUENCE_BITS = 32
-_SEQUENCE_NUMBERS = 1 << _SEQUENCE_BITS
 
 
 class Request:
@@ -71,8 +72,8 @@
             answer: the first packet of the host's answer.
         """
         acknowledged = sequence_numbers(answer)[1]
-        beyond = (acknowledged - self.end_number) % _SEQUENCE_NUMBERS
-        return not 0 < beyond < _SEQUENCE_NUMBERS // 2
+        beyond = (acknowledged - self.end_number) % SEQUENCE_NUMBERS
+        return not 0 < beyond < SEQUENCE_NUMBERS // 2
 
 
 class TrackedFlow:
@@ -158,8 +159,8 @@
             return self.number != 0
         newer_by = (
             sequence_numbers(packet)[0] - self._last_request
-        ) % _SEQUENCE_NUMBERS
-        return 0 < newer_by < _SEQUENCE_NUMBERS // 2
+        ) % SEQUENCE_NUMBERS
+        return 0 < newer_by < SEQUENCE_NUMBERS // 2
 
     def track_packet(self, packet: bytes, now: float) -> Request | None:
         """Track a client's packet; return the request it starts, if any."""
@@ -217,12 +218,7 @@
         self.entry = entry
         self.sent_at = sent_at
         self.packet = packet
-        self.sequence = ClientSequence()
-        number = sequence_numbers(packet)[0]
-        if self.is_first:
-            self.sequence.begin(number)
-        else:
-            self.sequence.note(number)
+        self.sequence = ClientSequence.of_packet(packet)
         self.searching = searching
         self.relayed = relayed
         self.opening: Opening | None = None
@@ -252,8 +248,8 @@
         acknowledged = sequence_numbers(self.packet)[1]
         if flags_of(self.packet) & (SYN | ACK) != ACK:
             return True
-        ahead = (sequence_numbers(answer)[0] - acknowledged) % _SEQUENCE_NUMBERS
-        return min(ahead, _SEQUENCE_NUMBERS - ahead) <= IN_FLIGHT
+        ahead = (sequence_numbers(answer)[0] - acknowledged) % SEQUENCE_NUMBERS
+        return min(ahead, SEQUENCE_NUMBERS - ahead) <= IN_FLIGHT
 
 
 def is_of_other_flow(
@@ -294,5 +290,5 @@
         return False
     first = sequence_numbers(unanswered.packet)[0]
     # Otherwise the host has answered for the flow that it holds.
-    is_accepted = (acknowledged - first) % _SEQUENCE_NUMBERS <= 1
+    is_accepted = (acknowledged - first) % SEQUENCE_NUMBERS <= 1
     return is_accepted and not flow.sequence.begins_with(first)
--- a/siskinbank/tracking/client_sequence.py
+++ b/siskinbank/tracking/client_sequence.py
@@ -7,10 +7,18 @@
 
 from __future__ import annotations
 
-__all__ = ('IN_FLIGHT', 'PASSED_ELSEWHERE', 'ClientSequence')
+from siskinbank.platform.packets import SYN, flags_of, sequence_numbers
+
+__all__ = (
+    'IN_FLIGHT',
+    'PASSED_ELSEWHERE',
+    'SEQUENCE_NUMBERS',
+    'ClientSequence',
+)
 
 _SEQUENCE_BITS = 32
-_NUMBERS = 1 << _SEQUENCE_BITS
+# Sequence numbers wrap around at this value.
+SEQUENCE_NUMBERS = 1 << _SEQUENCE_BITS
 # Distances of sequence numbers, in bytes. A packet is no further ahead of those
 # that a sidecar has seen, as its host gets all of them through it: more than
 # three times what a client has in flight.
@@ -35,6 +43,17 @@
         self._highest: int | None = None
         self._is_closed = False
 
+    @classmethod
+    def of_packet(cls, packet: bytes) -> ClientSequence:
+        """Return the sequence of which one packet of the client is known."""
+        sequence = cls()
+        number = sequence_numbers(packet)[0]
+        if flags_of(packet) & SYN:
+            sequence.begin(number)
+        else:
+            sequence.note(number)
+        return sequence
+
     @property
     def latest(self) -> int | None:
         """The highest sequence number so far, None if none is known."""
@@ -48,7 +67,10 @@
     def note(self, number: int) -> None:
         """Record the sequence number of another packet of the flow."""
         highest = self._highest
-        if highest is None or 0 < (number - highest) % _NUMBERS < _NUMBERS // 2:
+        if (
+            highest is None
+            or 0 < (number - highest) % SEQUENCE_NUMBERS < SEQUENCE_NUMBERS // 2
+        ):
             self._highest = number
 
     def close(self) -> None:
@@ -65,23 +87,23 @@
             return number == self._first
         if self._highest is None:
             return True
-        return (self._highest - number) % _NUMBERS <= _MAX_BEHIND
+        return (self._highest - number) % SEQUENCE_NUMBERS <= _MAX_BEHIND
 
-    def includes(self, number: int, ahead: int) -> bool:
+    def includes(self, number: int | None, ahead: int) -> bool:
         """Return whether a packet belongs to the flow, or may do so.
 
         Args:
-            number: the sequence number of the packet.
+            number: the sequence number of the packet, None if unknown.
             ahead: how far it may be ahead of all that were seen, in bytes.
         """
         highest = self._highest
-        if highest is None:
+        if highest is None or number is None:
             return True
         if self._is_closed:
             ahead = _AFTER_CLOSE
-        if (number - highest) % _NUMBERS <= ahead:
+        if (number - highest) % SEQUENCE_NUMBERS <= ahead:
             return True
-        behind = (highest - number) % _NUMBERS
+        behind = (highest - number) % SEQUENCE_NUMBERS
         if self._first is None:
             return behind <= _MAX_BEHIND
-        return behind <= (highest - self._first) % _NUMBERS
+        return behind <= (highest - self._first) % SEQUENCE_NUMBERS
